Define the interfaces, the caller design and the checks

Cause: the work starts from nothing, and its parts are to be written side by side, so the shared types come first. Ruled out: slot leases owned per endpoint. One queue per (target, failure domain), a pool, has one owner that sees every ask and every lease of its endpoints, so tier order inside a pool needs no messages between owners.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+GO ?= go
+GO_DIRS = . ./cmd/... ./design/... ./internal/...
+
+.PHONY: build generate format lint test race demo bench fuzz seeds check
+
+build: ## compile every program
+	$(GO) build -o bin/ ./cmd/...
+
+generate: ## write gen/ from design/
+	$(GO) tool goa gen github.com/sassafrasrail/sassafrasrail/design
+
+format: ## format the code
+	$(GO) tool gofumpt -w $$(git ls-files '*.go' | grep -v '^gen/')
+
+lint: ## formatter, vet, staticcheck and revive; prints nothing when clean
+	@test -z "$$($(GO) tool gofumpt -l $$(git ls-files '*.go' | grep -v '^gen/') | tee /dev/stderr)"
+	$(GO) vet $(GO_DIRS)
+	$(GO) tool staticcheck $(GO_DIRS)
+	$(GO) tool revive -config revive.toml -set_exit_status $(GO_DIRS)
+
+test: ## run the tests
+	$(GO) test ./...
+
+race: ## run the tests with the race detector
+	$(GO) test -race ./...
+
+demo: build ## run stand-ins and instances, and serve a few requests
+	bash scripts/demo.sh
+
+check: lint race demo ## what CI runs
--- /dev/null
+++ b/cmd/sassafrasrail/main.go
@@ -0,0 +1,4 @@
+// Command sassafrasrail schedules requests for unlike engines.
+package main
+
+func main() {}
--- /dev/null
+++ b/peer.go
@@ -0,0 +1,144 @@
+package sassafrasrail
+
+import (
+	"context"
+	"time"
+)
+
+// PoolNews is an owner's summary of a pool, passed on in heartbeats.
+type PoolNews struct {
+	Pool  PoolID
+	Owner InstanceID
+	// Age is how old the summary is.
+	Age time.Duration
+	// Free is the number of slots that could be granted now.
+	Free int
+	// Slots is the number of slots that usable endpoints bear now.
+	Slots int
+	// Waiting counts the queued asks by tier rank; index 0 is unused.
+	Waiting []int
+	// Wait is the expected wait of a new ask by tier rank; index 0 is unused.
+	Wait []time.Duration
+	// Running counts the cancellable running requests by tier rank.
+	Running []int
+}
+
+// Floor is the highest tier under pressure for one target. No slot of the
+// target is granted to a lower tier while it is in force.
+type Floor struct {
+	Target string
+	Tier   Tier
+	// Left is how long the floor remains in force.
+	Left time.Duration
+}
+
+// Heartbeat is exchanged between instances; the answer is a heartbeat too.
+type Heartbeat struct {
+	From    InstanceID
+	Domain  string
+	Leaving bool
+	Version Version
+	// Heard lists the instances with which an exchange succeeded within the
+	// heartbeat lapse.
+	Heard []InstanceID
+	// Claims lists the pools that the sender owns or is taking over.
+	Claims []PoolNews
+	Floors []Floor
+	// Held lists the leases that the sender holds from the receiver, in full.
+	Held []LeaseID
+}
+
+// Yield asks the claimant of a pool to hand it over.
+type Yield struct {
+	Pool PoolID
+	To   InstanceID
+}
+
+// HeldLease is a lease that is handed over with its pool.
+type HeldLease struct {
+	ID          LeaseID
+	Holder      InstanceID
+	Endpoint    string
+	Tier        Tier
+	Workspace   string
+	Work        Work
+	Cancellable bool
+}
+
+// WarmState is how far an endpoint has come in its cold start.
+type WarmState struct {
+	Endpoint string
+	Start    string
+	Limit    int
+	Warm     bool
+}
+
+// Handover passes a pool's leases and warm states to its next owner.
+type Handover struct {
+	// Yielded is false when the asked instance still sees itself as the owner.
+	Yielded bool
+	Leases  []HeldLease
+	Warm    []WarmState
+}
+
+// Submission is a request relayed to its ticket's issuer.
+type Submission struct {
+	Ticket  string
+	Request Request
+}
+
+// Poll asks for the events of a request behind After; it waits up to Wait.
+type Poll struct {
+	Ticket    string
+	Workspace string
+	After     int
+	Wait      time.Duration
+}
+
+// Events is a batch of an answer's events.
+type Events struct {
+	Status Status
+	Events []Event
+}
+
+// Step is one recorded decision.
+type Step struct {
+	At     time.Time
+	Step   string
+	Detail string
+}
+
+// Explanation is the record of one request's decisions.
+type Explanation struct {
+	Ticket   string
+	Instance string
+	Summary  string
+	Steps    []Step
+}
+
+// ManifestText is a manifest as it was published.
+type ManifestText struct {
+	Root  []byte
+	Parts map[string][]byte
+}
+
+// Handler is what an instance answers to its peers. It is idempotent but for
+// Acquire, whose Ask.ID makes a repeat safe.
+type Handler interface {
+	Heartbeat(ctx context.Context, h Heartbeat) (Heartbeat, error)
+	Acquire(ctx context.Context, a Ask) (Grant, error)
+	Withdraw(ctx context.Context, pool PoolID, ask string) error
+	Release(ctx context.Context, r Release) error
+	Revoke(ctx context.Context, r Revoke) error
+	Yield(ctx context.Context, y Yield) (Handover, error)
+	Submit(ctx context.Context, s Submission) (Status, error)
+	Poll(ctx context.Context, p Poll) (Events, error)
+	Explain(ctx context.Context, ticket string) (Explanation, error)
+	Manifest(ctx context.Context, v Version) (ManifestText, error)
+}
+
+// Peers reaches the other instances by address. Errors wrap ErrUnreachable
+// when no answer came, and else the sentinel that the peer's Handler returned.
+type Peers interface {
+	Peer(address string) Handler
+}
