--- /dev/null
+++ b/internal/state/srrequest/request.go
@@ -0,0 +1,211 @@
+// Package srrequest keeps what an issuer knows of its requests: their state,
+// the events of their answers, and their outcome.
+//
+// A request is recorded as sent before its first byte leaves the process, and
+// its record is kept at least until its ticket has expired. A ticket that was
+// used once can therefore never start a second request.
+//
+// # Usage
+//
+//	table := srrequest.New(maxRequests, maxEvents)
+//	r, created, err := table.Begin(now, ticket, expires, request)
+//	if created { go run(r) }
+//	events, status := r.Wait(ctx, after, time.Second)
+package srrequest
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+// Request is the record of one request. It is safe for concurrent use.
+type Request struct {
+	Ticket  string
+	Request sr.Request
+	Arrived time.Time
+
+	expires   time.Time
+	maxEvents int
+
+	mu      sync.Mutex
+	status  sr.Status
+	events  []sr.Event
+	ended   time.Time
+	readers int
+	changed chan struct{}
+}
+
+// Deadline returns when the answer is of no more use.
+func (r *Request) Deadline() time.Time { return r.Arrived.Add(r.Request.Budget) }
+
+// Status returns a copy of the status.
+func (r *Request) Status() sr.Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.statusLocked()
+}
+
+// MarkSent records that the request is about to be sent. It returns false
+// when the request is not waiting, and then it must not be sent.
+func (r *Request) MarkSent(endpoint, receipt string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.status.State != sr.StateWaiting {
+		return false
+	}
+	r.status.State = sr.StateSent
+	r.status.Endpoint = endpoint
+	r.status.Receipt = receipt
+	return true
+}
+
+// MarkNotTaken records that the endpoint has not taken the request, so that
+// it waits again.
+func (r *Request) MarkNotTaken() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.status.State != sr.StateSent || len(r.events) > 0 {
+		return
+	}
+	r.status.State = sr.StateWaiting
+	r.status.Endpoint = ""
+	r.status.Receipt = ""
+}
+
+// Append adds an event to the answer. It returns ErrInvalid when the sequence
+// number does not follow or the answer is too long.
+func (r *Request) Append(e sr.Event) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.status.State == sr.StateEnded {
+		return errors.Wrap(sr.ErrInvalid, "srrequest: event after the end")
+	}
+	if e.Seq != len(r.events)+1 {
+		return errors.Wrapf(sr.ErrInvalid, "srrequest: event %d follows event %d", e.Seq, len(r.events))
+	}
+	if len(r.events) >= r.maxEvents {
+		return errors.Wrapf(sr.ErrInvalid, "srrequest: answer has more than %d events", r.maxEvents)
+	}
+	r.events = append(r.events, e)
+	r.signalLocked()
+	return nil
+}
+
+// End records the outcome once; later calls change nothing. It reports
+// whether this call ended the request.
+func (r *Request) End(now time.Time, s sr.Status) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.status.State == sr.StateEnded {
+		return false
+	}
+	r.status.State = sr.StateEnded
+	r.status.Outcome = s.Outcome
+	r.status.Name = s.Name
+	r.status.Reason = s.Reason
+	r.status.Retry = s.Retry
+	r.status.Code = s.Code
+	r.status.Body = s.Body
+	r.ended = now
+	if len(r.events) > 0 {
+		r.events = append(r.events, r.endEventLocked())
+	}
+	r.signalLocked()
+	return true
+}
+
+// Wait returns the events behind after as soon as there are any, or the
+// status once the request has ended, at the latest after wait.
+func (r *Request) Wait(ctx context.Context, after int, wait time.Duration) ([]sr.Event, sr.Status) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		events, status, changed := r.next(after)
+		if len(events) > 0 || status.State == sr.StateEnded {
+			return events, status
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, status
+		case <-ctx.Done():
+			return nil, status
+		}
+	}
+}
+
+// Attach counts a reader of the answer until the returned function is called.
+func (r *Request) Attach() (detach func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers++
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.readers--
+	}
+}
+
+// Readers returns the number of attached readers.
+func (r *Request) Readers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readers
+}
+
+func (r *Request) next(after int) ([]sr.Event, sr.Status, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	status := r.statusLocked()
+	if after < 0 || after >= len(r.events) {
+		return nil, status, r.changed
+	}
+	return r.events[after:len(r.events):len(r.events)], status, r.changed
+}
+
+func (r *Request) statusLocked() sr.Status {
+	s := r.status
+	s.Events = len(r.events)
+	return s
+}
+
+func (r *Request) endEventLocked() sr.Event {
+	return sr.Event{
+		Seq:      len(r.events) + 1,
+		Type:     sr.EventEnd,
+		Ticket:   r.Ticket,
+		Endpoint: r.status.Endpoint,
+		Outcome:  r.status.Outcome,
+		Reason:   r.status.Reason,
+		Tokens:   len(r.events) - 1,
+	}
+}
+
+func (r *Request) signalLocked() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Request) removable(now time.Time, retain time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.status.State != sr.StateEnded || r.readers > 0 {
+		return false
+	}
+	return now.After(r.expires) && now.After(r.ended.Add(retain))
+}
+
+// trim drops the answer of a request that ended before the retention time.
+func (r *Request) trim(now time.Time, retain time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.status.State == sr.StateEnded && r.readers == 0 && now.After(r.ended.Add(retain)) {
+		r.events = nil
+		r.status.Body = ""
+	}
+}
