Carry the calls between instances over net/rpc

Cause: instances relay submissions and ask pool owners for leases; net/rpc passes only error texts and knows no deadlines. Ruled out: one connection a call (three round trips for each ask). Change: srinstance wraps arguments with the caller's remaining wait and answers with a coded fault; a heartbeat without an answer drops its connection. Conclusion: sentinels cross the wire, a refused or silent peer is unreachable.

--- /dev/null
+++ b/internal/peer/srinstance/client.go
@@ -0,0 +1,217 @@
+// Package srinstance carries the calls between the entry instances over
+// net/rpc. Each instance keeps one connection to each peer it talks to.
+//
+// # Usage
+//
+//	server, err := srinstance.NewServer(ctx, handler)
+//	go server.Serve(listener)
+//
+//	peers := srinstance.New(dial, time.Second)
+//	defer peers.Close()
+//	reply, err := peers.Peer("10.0.0.2:7300").Heartbeat(ctx, h)
+//
+// A call returns an error that wraps sr.ErrUnreachable when no answer came;
+// the peer may or may not have carried the call out.
+package srinstance
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+// Dial opens a connection to a peer.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// defaultWait bounds calls whose context has no deadline.
+const defaultWait = 2 * time.Second
+
+// heartbeatMethod is answered at once, so a heartbeat without an answer means
+// that its connection is dead.
+const heartbeatMethod = "Heartbeat"
+
+// Peers is the client side of every peer. It is safe for concurrent use.
+type Peers struct {
+	dial    Dial
+	connect time.Duration
+
+	mu      sync.Mutex
+	clients map[string]*client
+	closed  bool
+}
+
+// New returns a Peers that opens connections with dial within connect.
+func New(dial Dial, connect time.Duration) *Peers {
+	return &Peers{dial: dial, connect: connect, clients: make(map[string]*client)}
+}
+
+// Peer returns the handler of the instance at address.
+func (p *Peers) Peer(address string) sr.Handler {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.clients[address]
+	if !ok {
+		c = &client{address: address, dial: p.dial, connect: p.connect, closed: p.closed}
+		p.clients[address] = c
+	}
+	return c
+}
+
+// Keep closes and forgets the connections to all addresses but those given.
+func (p *Peers) Keep(addresses []string) {
+	keep := make(map[string]struct{}, len(addresses))
+	for _, a := range addresses {
+		keep[a] = struct{}{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, c := range p.clients {
+		if _, ok := keep[a]; !ok {
+			c.close()
+			delete(p.clients, a)
+		}
+	}
+}
+
+// Close ends every connection.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.clients {
+		c.close()
+	}
+}
+
+type client struct {
+	address string
+	dial    Dial
+	connect time.Duration
+
+	mu     sync.Mutex
+	conn   *rpc.Client
+	closed bool
+}
+
+func (c *client) Heartbeat(ctx context.Context, h sr.Heartbeat) (sr.Heartbeat, error) {
+	return call[sr.Heartbeat, sr.Heartbeat](ctx, c, heartbeatMethod, h)
+}
+
+func (c *client) Acquire(ctx context.Context, a sr.Ask) (sr.Grant, error) {
+	return call[sr.Ask, sr.Grant](ctx, c, "Acquire", a)
+}
+
+func (c *client) Withdraw(ctx context.Context, pool sr.PoolID, ask string) error {
+	_, err := call[WithdrawArgs, None](ctx, c, "Withdraw", WithdrawArgs{Pool: pool, Ask: ask})
+	return err
+}
+
+func (c *client) Release(ctx context.Context, r sr.Release) error {
+	_, err := call[sr.Release, None](ctx, c, "Release", r)
+	return err
+}
+
+func (c *client) Revoke(ctx context.Context, r sr.Revoke) error {
+	_, err := call[sr.Revoke, None](ctx, c, "Revoke", r)
+	return err
+}
+
+func (c *client) Yield(ctx context.Context, y sr.Yield) (sr.Handover, error) {
+	return call[sr.Yield, sr.Handover](ctx, c, "Yield", y)
+}
+
+func (c *client) Submit(ctx context.Context, s sr.Submission) (sr.Status, error) {
+	return call[sr.Submission, sr.Status](ctx, c, "Submit", s)
+}
+
+func (c *client) Poll(ctx context.Context, p sr.Poll) (sr.Events, error) {
+	return call[sr.Poll, sr.Events](ctx, c, "Poll", p)
+}
+
+func (c *client) Explain(ctx context.Context, ticket string) (sr.Explanation, error) {
+	return call[string, sr.Explanation](ctx, c, "Explain", ticket)
+}
+
+func (c *client) Manifest(ctx context.Context, v sr.Version) (sr.ManifestText, error) {
+	return call[sr.Version, sr.ManifestText](ctx, c, "Manifest", v)
+}
+
+// connection returns the open connection or opens one.
+func (c *client) connection(ctx context.Context) (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, errors.Wrap(sr.ErrUnreachable, "srinstance: client is closed")
+	}
+	if c.conn != nil {
+		return c.conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.connect)
+	defer cancel()
+	conn, err := c.dial(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, errors.WithMessagef(sr.ErrUnreachable, "srinstance: connect to %s: %v", c.address, err)
+	}
+	c.conn = rpc.NewClient(conn)
+	return c.conn, nil
+}
+
+// drop forgets a connection that failed.
+func (c *client) drop(conn *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	conn.Close()
+}
+
+func (c *client) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func call[A, R any](ctx context.Context, c *client, method string, value A) (R, error) {
+	var zero R
+	ctx, cancel := withWait(ctx)
+	defer cancel()
+	conn, err := c.connection(ctx)
+	if err != nil {
+		return zero, err
+	}
+	deadline, _ := ctx.Deadline()
+	args := Args[A]{Wait: time.Until(deadline), Value: value}
+	var reply Reply[R]
+	done := conn.Go(serviceName+"."+method, args, &reply, make(chan *rpc.Call, 1)).Done
+	select {
+	case result := <-done:
+		if result.Error != nil {
+			c.drop(conn)
+			return zero, errors.WithMessagef(sr.ErrUnreachable, "srinstance: %s at %s: %v", method, c.address, result.Error)
+		}
+		return reply.Value, reply.Fault.Err()
+	case <-ctx.Done():
+		if method == heartbeatMethod {
+			c.drop(conn)
+		}
+		return zero, errors.WithMessagef(sr.ErrUnreachable, "srinstance: %s at %s: %v", method, c.address, ctx.Err())
+	}
+}
+
+func withWait(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, defaultWait)
+}
