--- a/peer.go
+++ b/peer.go
@@ -44,8 +44,15 @@
 	// Claims lists the pools that the sender owns or is taking over.
 	Claims []PoolNews
 	Floors []Floor
-	// Held lists the leases that the sender holds from the receiver, in full.
-	Held []LeaseID
+	// Held, in an answer, lists the sender's leases of each pool that the
+	// heartbeat it answers claims, in full.
+	Held []HeldPool
+}
+
+// HeldPool lists the leases that an instance holds in one pool, in full.
+type HeldPool struct {
+	Pool   PoolID
+	Leases []LeaseID
 }
 
 // Yield asks the claimant of a pool to hand it over.
--- a/policy.go
+++ b/policy.go
@@ -44,3 +44,12 @@
 	// Forget drops what was learned about an endpoint's cache.
 	Forget(endpoint string)
 }
+
+// Picker orders the pools of a target for a request. It is safe for
+// concurrent use.
+type Picker interface {
+	// Order returns the pools from best to worst by the owners' news.
+	Order(now time.Time, a Ask, news []PoolNews) []PoolID
+	// Asked tells the picker that an ask was sent to a pool.
+	Asked(now time.Time, a Ask, pool PoolID)
+}
--- a/pool.go
+++ b/pool.go
@@ -124,3 +124,19 @@
 	Pool  PoolID
 	For   Tier
 }
+
+// Names of refusals.
+const (
+	// RefusalOverloaded: the queue is full by count, work or age.
+	RefusalOverloaded = "overloaded"
+	// RefusalLate: the answer cannot be had within its budget.
+	RefusalLate = "late"
+	// RefusalFloor: a higher tier is under pressure.
+	RefusalFloor = "floor"
+	// RefusalEmpty: the pool has no usable endpoint.
+	RefusalEmpty = "empty"
+	// RefusalNotOwner: the asked instance does not own the pool.
+	RefusalNotOwner = "not-owner"
+	// RefusalWaiting: the ask keeps its place; ask again under the same ID.
+	RefusalWaiting = "waiting"
+)
--- a/slots.go
+++ b/slots.go
@@ -81,9 +81,9 @@
 	Withdraw(now time.Time, ask string)
 	// Release ends a lease. An unknown lease is ignored.
 	Release(now time.Time, r Release)
-	// Held takes a holder's full list of its leases: others of that holder
-	// whose TTL has passed are freed.
-	Held(now time.Time, holder InstanceID, leases []LeaseID)
+	// Held takes a holder's full list of its leases in the pool, made not
+	// before made: others of that holder whose TTL had passed by then are freed.
+	Held(now, made time.Time, holder InstanceID, leases []LeaseID)
 	// HolderLost marks a holder as dead: its waiting asks are dropped and its
 	// leases stay counted until a later report shows them gone.
 	HolderLost(now time.Time, holder InstanceID)
