Add the entry instance: issuer, fleet view and caller interface

Cause: the path from a caller's ticket to an endpoint and back needs one party that sends, one that grants and a view of the others.

--- /dev/null
+++ b/internal/app/srentry/acquire.go
@@ -0,0 +1,220 @@
+package srentry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srprefix"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srrequest"
+)
+
+const (
+	// acquireTimeout bounds one call to an owner, which answers within a second.
+	acquireTimeout = 2 * time.Second
+	// skipPool is how long a pool is left alone whose owner did not answer.
+	skipPool = 300 * time.Millisecond
+	// poolPause is the pause when no pool can be asked.
+	poolPause = 50 * time.Millisecond
+	// retryAfter is the advice to callers when no pool gave one.
+	retryAfter = 2 * time.Second
+)
+
+// granted is a lease with its expiry on this instance's clock.
+type granted struct {
+	lease   sr.Lease
+	expires time.Time
+}
+
+// search is the state of one search for a lease.
+type search struct {
+	try     int
+	asks    int
+	avoid   []string
+	refused map[sr.PoolID]sr.Refusal
+	skipped map[sr.PoolID]time.Time
+}
+
+// acquire asks the owners of the target's pools, best first, until one grants
+// a lease or all have refused.
+func (e *Entry) acquire(ctx context.Context, r *srrequest.Request, try int, avoid []string) (granted, sr.Refusal, bool) {
+	s := &search{
+		try:     try,
+		avoid:   avoid,
+		refused: make(map[sr.PoolID]sr.Refusal),
+		skipped: make(map[sr.PoolID]time.Time),
+	}
+	for ctx.Err() == nil {
+		pool, ok := e.nextPool(r, s)
+		if !ok {
+			if refusal, final := e.finalRefusal(r, s); final {
+				return granted{}, refusal, false
+			}
+			_ = sleep(ctx, jitter(poolPause))
+			continue
+		}
+		g, refusal, ok := e.askPool(ctx, r, s, pool)
+		if ok {
+			return g, sr.Refusal{}, true
+		}
+		e.noteRefusal(r, s, pool, refusal)
+	}
+	return granted{}, sr.Refusal{Name: sr.RefusalLate, Reason: "no endpoint was free within the budget", Retry: retryAfter}, false
+}
+
+// nextPool returns the best pool that was not refused or skipped.
+func (e *Entry) nextPool(r *srrequest.Request, s *search) (sr.PoolID, bool) {
+	now := time.Now()
+	ask := e.newAsk(r, s, sr.PoolID{Target: r.Request.Target})
+	for _, pool := range e.pick(now, ask) {
+		if _, refused := s.refused[pool]; refused {
+			continue
+		}
+		if now.Before(s.skipped[pool]) {
+			continue
+		}
+		return pool, true
+	}
+	return sr.PoolID{}, false
+}
+
+// finalRefusal returns the refusal of the request once every pool that has
+// usable endpoints has refused it.
+func (e *Entry) finalRefusal(r *srrequest.Request, s *search) (sr.Refusal, bool) {
+	m, ok := e.deps.Manifest()
+	if !ok {
+		return sr.Refusal{}, false
+	}
+	final := sr.Refusal{Name: sr.RefusalEmpty, Reason: "no endpoint of the target is in service", Retry: retryAfter}
+	for _, pool := range m.Pools() {
+		if pool.Target != r.Request.Target || !usable(m, pool) {
+			continue
+		}
+		refusal, refused := s.refused[pool]
+		if !refused {
+			return sr.Refusal{}, false
+		}
+		final = refusal
+	}
+	return final, true
+}
+
+// askPool asks one pool's owner until it grants or refuses.
+func (e *Entry) askPool(ctx context.Context, r *srrequest.Request, s *search, pool sr.PoolID) (granted, sr.Refusal, bool) {
+	owner, ok := e.deps.Fleet.Owner(pool)
+	if !ok {
+		return granted{}, sr.Refusal{Name: sr.RefusalNotOwner, Reason: "the pool has no owner"}, false
+	}
+	s.asks++
+	ask := e.newAsk(r, s, pool)
+	e.picked(func(p sr.Picker) { p.Asked(time.Now(), ask, pool) })
+	for {
+		sent := time.Now()
+		ask.Budget = r.Deadline().Sub(sent)
+		callCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
+		grant, err := e.deps.Peers.Peer(owner.Address).Acquire(callCtx, ask)
+		cancel()
+		if err != nil || ctx.Err() != nil {
+			go e.withdraw(owner, ask)
+		}
+		if err != nil {
+			return granted{}, refusalOf(err), false
+		}
+		if grant.Lease.ID != 0 && ctx.Err() == nil {
+			e.note(r.Ticket, "grant", "%s in %s by %s after %s: %s", grant.Lease.Endpoint, pool, owner.Address, time.Since(sent).Round(time.Millisecond), grant.Lease.Why)
+			return granted{lease: grant.Lease, expires: sent.Add(grant.Lease.Waited + grant.Lease.TTL)}, sr.Refusal{}, true
+		}
+		if grant.Refusal.Name != sr.RefusalWaiting || ctx.Err() != nil {
+			return granted{}, grant.Refusal, false
+		}
+		if current, ok := e.deps.Fleet.Owner(pool); !ok || current != owner {
+			go e.withdraw(owner, ask)
+			return granted{}, sr.Refusal{Name: sr.RefusalNotOwner, Reason: "the pool has another owner"}, false
+		}
+	}
+}
+
+// withdraw drops an ask whose answer is of no more use.
+func (e *Entry) withdraw(owner sr.InstanceID, ask sr.Ask) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := e.deps.Peers.Peer(owner.Address).Withdraw(ctx, ask.Pool, ask.ID); err != nil {
+		e.count("withdrawals.failed")
+	}
+}
+
+func (e *Entry) noteRefusal(r *srrequest.Request, s *search, pool sr.PoolID, refusal sr.Refusal) {
+	e.note(r.Ticket, "ask", "%s answered %s: %s", pool, refusal.Name, refusal.Reason)
+	if refusal.Name == sr.RefusalNotOwner {
+		s.skipped[pool] = time.Now().Add(jitter(skipPool))
+		return
+	}
+	s.refused[pool] = refusal
+	e.picked(func(p sr.Picker) { p.Refused(time.Now(), pool) })
+}
+
+// pick orders the target's pools for an ask.
+func (e *Entry) pick(now time.Time, ask sr.Ask) []sr.PoolID {
+	news := e.deps.Fleet.News(ask.Pool.Target)
+	e.pickMu.Lock()
+	defer e.pickMu.Unlock()
+	return e.deps.Picker.Pick(now, ask, news)
+}
+
+// picked tells the picker what happened.
+func (e *Entry) picked(tell func(sr.Picker)) {
+	e.pickMu.Lock()
+	defer e.pickMu.Unlock()
+	tell(e.deps.Picker)
+}
+
+func (e *Entry) newAsk(r *srrequest.Request, s *search, pool sr.PoolID) sr.Ask {
+	now := time.Now()
+	ask := sr.Ask{
+		ID:          fmt.Sprintf("%s/%d/%d", r.Ticket, s.try, s.asks),
+		Holder:      e.deps.Self,
+		Pool:        pool,
+		Tier:        r.Request.Tier,
+		Workspace:   r.Request.Workspace,
+		Cancellable: r.Request.Cancellable(),
+		Budget:      r.Deadline().Sub(now),
+		Avoid:       s.avoid,
+	}
+	if m, ok := e.deps.Manifest(); ok {
+		ask.Share = m.Workspaces[r.Request.Workspace].Share
+		ask.First = firstBudget(m, r.Request.Tier) - now.Sub(r.Arrived)
+	}
+	if r.Request.Kind == sr.KindModel {
+		ask.Work = sr.Work{Prefill: srprefix.Tokens(r.Request.Body), Decode: r.Request.Tokens}
+		ask.Blocks = srprefix.Blocks(r.Request.Workspace, r.Request.Body)
+	}
+	return ask
+}
+
+func firstBudget(m sr.Manifest, t sr.Tier) time.Duration {
+	for _, spec := range m.Tiers {
+		if spec.Rank == t {
+			return spec.First
+		}
+	}
+	return 0
+}
+
+func usable(m sr.Manifest, pool sr.PoolID) bool {
+	for _, endpoint := range m.PoolEndpoints(pool) {
+		if m.Usable(endpoint) {
+			return true
+		}
+	}
+	return false
+}
+
+func refusalOf(err error) sr.Refusal {
+	if errors.Is(err, sr.ErrOverloaded) {
+		return sr.Refusal{Name: sr.RefusalOverloaded, Reason: err.Error(), Retry: retryAfter}
+	}
+	return sr.Refusal{Name: sr.RefusalNotOwner, Reason: err.Error()}
+}
--- /dev/null
+++ b/internal/app/srentry/submit.go
@@ -0,0 +1,161 @@
+package srentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srticket"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srrequest"
+)
+
+// relayPause is the pause before a call to an issuer is repeated.
+const relayPause = 200 * time.Millisecond
+
+// relayTries is how often a call to an issuer is tried.
+const relayTries = 3
+
+// Tickets issues n tickets for a workspace.
+func (e *Entry) Tickets(workspace string, n int) ([]string, error) {
+	if e.Draining() {
+		return nil, errors.Wrap(sr.ErrDraining, "srentry: tickets")
+	}
+	if n < 1 || n > e.deps.Limits.Batch {
+		return nil, errors.Wrapf(sr.ErrInvalid, "srentry: count is %d, expected 1 to %d", n, e.deps.Limits.Batch)
+	}
+	tickets := make([]string, 0, n)
+	for range n {
+		tickets = append(tickets, e.deps.Issuer.Issue(time.Now(), workspace))
+	}
+	e.count("tickets")
+	return tickets, nil
+}
+
+// Lifetime returns how long a ticket is valid.
+func (e *Entry) Lifetime() time.Duration { return e.deps.Issuer.Lifetime() }
+
+// Start submits a request at this instance, which may have to relay it to
+// the ticket's issuer. ErrUnreachable and ErrNotIssuer mean that the outcome
+// is unknown; every other error means that the request does not run.
+func (e *Entry) Start(ctx context.Context, s sr.Submission) (sr.Status, error) {
+	t, err := srticket.Parse(s.Ticket)
+	if err != nil {
+		return sr.Status{}, err
+	}
+	if t.Issuer == e.deps.Self {
+		return e.Submit(ctx, s)
+	}
+	e.count("relays")
+	var status sr.Status
+	for range relayTries {
+		status, err = e.deps.Peers.Peer(t.Issuer.Address).Submit(ctx, s)
+		if !errors.Is(err, sr.ErrUnreachable) {
+			return status, err
+		}
+		if sleep(ctx, jitter(relayPause)) != nil {
+			break
+		}
+	}
+	return status, err
+}
+
+// Submit starts a request whose ticket was issued here. A ticket that is
+// already in use joins its request.
+func (e *Entry) Submit(_ context.Context, s sr.Submission) (sr.Status, error) {
+	now := time.Now()
+	if r, ok := e.table.Get(s.Ticket); ok {
+		return e.join(r, s)
+	}
+	if err := e.deps.Issuer.Check(now, s.Ticket, s.Request.Workspace); err != nil {
+		e.count("refusals.ticket")
+		return sr.Status{}, err
+	}
+	if e.Draining() {
+		e.count("refusals.draining")
+		return sr.Status{}, errors.Wrap(sr.ErrDraining, "srentry: submit")
+	}
+	t, err := srticket.Parse(s.Ticket)
+	if err != nil {
+		return sr.Status{}, err
+	}
+	e.active.Add(1)
+	r, created, err := e.table.Begin(now, s.Ticket, e.deps.Issuer.Expires(t), s.Request)
+	if err != nil || !created {
+		e.active.Done()
+	}
+	if err != nil {
+		return sr.Status{}, err
+	}
+	if created {
+		go e.run(r)
+	}
+	return r.Status(), nil
+}
+
+func (e *Entry) join(r *srrequest.Request, s sr.Submission) (sr.Status, error) {
+	if !r.Request.Same(s.Request) {
+		return sr.Status{}, errors.Wrap(sr.ErrConflict, "srentry: submit")
+	}
+	e.count("joins")
+	return r.Status(), nil
+}
+
+// Poll returns events of a request whose ticket was issued here.
+func (e *Entry) Poll(ctx context.Context, p sr.Poll) (sr.Events, error) {
+	r, err := e.own(p.Ticket, p.Workspace)
+	if err != nil {
+		return sr.Events{}, err
+	}
+	if r == nil {
+		return sr.Events{Status: sr.Status{Ticket: p.Ticket, State: sr.StateIssued}}, nil
+	}
+	defer r.Attach()()
+	events, status := r.Wait(ctx, p.After, p.Wait)
+	return sr.Events{Status: status, Events: events}, nil
+}
+
+// own returns the record of a ticket issued here, nil when it was not used.
+func (e *Entry) own(ticket, workspace string) (*srrequest.Request, error) {
+	if r, ok := e.table.Get(ticket); ok {
+		if r.Request.Workspace != workspace {
+			return nil, errors.Wrap(sr.ErrInvalid, "srentry: ticket belongs to another workspace")
+		}
+		return r, nil
+	}
+	return nil, e.deps.Issuer.Check(time.Now(), ticket, workspace)
+}
+
+// Status says what became of a request, wherever its ticket was issued.
+func (e *Entry) Status(ctx context.Context, ticket, workspace string) (sr.Status, error) {
+	events, err := e.poll(ctx, sr.Poll{Ticket: ticket, Workspace: workspace, After: -1})
+	if errors.Is(err, sr.ErrUnreachable) || errors.Is(err, sr.ErrNotIssuer) {
+		return unknown(ticket), nil
+	}
+	return events.Status, err
+}
+
+// poll asks the issuer of a ticket.
+func (e *Entry) poll(ctx context.Context, p sr.Poll) (sr.Events, error) {
+	t, err := srticket.Parse(p.Ticket)
+	if err != nil {
+		return sr.Events{}, err
+	}
+	if t.Issuer == e.deps.Self {
+		return e.Poll(ctx, p)
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.Wait+time.Second)
+	defer cancel()
+	return e.deps.Peers.Peer(t.Issuer.Address).Poll(ctx, p)
+}
+
+func unknown(ticket string) sr.Status {
+	return sr.Status{
+		Ticket:  ticket,
+		State:   sr.StateUnknown,
+		Outcome: sr.OutcomeUnknown,
+		Name:    "unknown-outcome",
+		Reason:  "the instance that issued the ticket is gone; the request will not be dispatched by another one",
+	}
+}
--- /dev/null
+++ b/internal/app/srfleet/pools.go
@@ -0,0 +1,78 @@
+package srfleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srmember"
+)
+
+// carryOut does what is to be done about one pool.
+func (f *Fleet) carryOut(ctx context.Context, t srmember.Turn, wg *sync.WaitGroup) {
+	switch t.Act {
+	case srmember.ActOwn:
+		f.count("pools.taken")
+		f.deps.Log.Info("pool taken over", "pool", t.Pool.String(), "majority", t.Mode.Majority)
+	case srmember.ActRelease:
+		f.count("pools.released")
+		f.deps.Log.Info("pool released", "pool", t.Pool.String())
+		f.deps.Owners.Drop(t.Pool)
+		return
+	case srmember.ActClaim:
+		wg.Go(func() { f.claim(ctx, t) })
+	}
+	if t.Mode.Own {
+		f.deps.Owners.Open(t.Pool)
+	}
+}
+
+// claim asks the present claimant of a pool for its hand-over.
+func (f *Fleet) claim(ctx context.Context, t srmember.Turn) {
+	sent := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, f.deps.Lapse/4)
+	defer cancel()
+	h, err := f.deps.Peers.Peer(t.To.Address).Yield(callCtx, sr.Yield{Pool: t.Pool, To: f.deps.Self})
+	if err != nil || !h.Yielded {
+		f.count("yields.refused")
+		return
+	}
+	f.deps.Owners.Open(t.Pool)
+	f.deps.Owners.Adopt(t.Pool, h)
+	f.mu.Lock()
+	f.members.Handed(time.Now(), t.Pool, t.To, sent)
+	f.mu.Unlock()
+	f.count("pools.handed")
+	f.deps.Log.Info("pool handed over", "pool", t.Pool.String(), "from", t.To.Address, "leases", len(h.Leases))
+}
+
+// Yield hands a pool over to the instance that asks for it. The same
+// hand-over can be asked for again for a while, since an answer may get lost.
+func (f *Fleet) Yield(ctx context.Context, y sr.Yield) (sr.Handover, error) {
+	f.mu.Lock()
+	kept, again := f.handovers[y.Pool]
+	yielded := f.members.Yield(time.Now(), y)
+	f.mu.Unlock()
+	if !yielded {
+		return sr.Handover{}, nil
+	}
+	h, err := f.deps.Owners.Handover(ctx, y.Pool)
+	if errors.Is(err, sr.ErrNotOwner) {
+		if again && kept.to == y.To {
+			return kept.h, nil
+		}
+		return sr.Handover{Yielded: true}, nil
+	}
+	if err != nil {
+		return sr.Handover{}, err
+	}
+	f.count("pools.yielded")
+	f.deps.Log.Info("pool yielded", "pool", y.Pool.String(), "to", y.To.Address, "leases", len(h.Leases))
+	f.mu.Lock()
+	f.handovers[y.Pool] = handover{to: y.To, h: h, at: time.Now()}
+	f.mu.Unlock()
+	return h, nil
+}
--- a/internal/app/srowner/duty.go
+++ b/internal/app/srowner/duty.go
@@ -180,6 +180,7 @@
 // tick carries out the pool's actions and returns the time until the next tick.
 func (d *duty) tick() time.Duration {
 	now := time.Now()
+	d.pool.SetMode(now, d.deps.Mode(d.id))
 	for _, a := range d.pool.Tick(now) {
 		d.carryOut(now, a)
 	}
--- a/internal/app/srowner/owners.go
+++ b/internal/app/srowner/owners.go
@@ -5,7 +5,7 @@
 //
 //	owners := srowner.New(deps)
 //	owners.Configure(manifest)
-//	owners.SetMode(pool, sr.PoolMode{Own: true, Majority: true})
+//	owners.Open(pool)
 //	grant, err := owners.Acquire(ctx, ask)
 //	owners.Close()
 //
@@ -33,6 +33,8 @@
 	Peers   sr.Peers
 	// NewPool returns the policy of one pool.
 	NewPool func(sr.PoolID) sr.Pool
+	// Mode returns what this instance may do as a pool's owner at the moment.
+	Mode func(sr.PoolID) sr.PoolMode
 	// Announce tells the other instances that a tier is under pressure.
 	Announce func(target string, t sr.Tier)
 	// Poll is the interval of load reports.
@@ -66,15 +68,8 @@
 	}
 }
 
-// SetMode says what the owner of a pool may do; it starts the pool's duty
-// when there is none.
-func (o *Owners) SetMode(id sr.PoolID, m sr.PoolMode) {
-	d, ok := o.open(id)
-	if !ok {
-		return
-	}
-	d.post(func(now time.Time) { d.pool.SetMode(now, m) })
-}
+// Open starts the duty of a pool when there is none.
+func (o *Owners) Open(id sr.PoolID) { o.open(id) }
 
 // Adopt takes over the leases of a pool's previous owner.
 func (o *Owners) Adopt(id sr.PoolID, h sr.Handover) {
--- /dev/null
+++ b/internal/peer/srcaller/problem.go
@@ -0,0 +1,70 @@
+package srcaller
+
+import (
+	"math"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/gen/requests"
+)
+
+// problemNames maps errors to the names of refusals and their outcomes.
+var problemNames = []struct {
+	err     error
+	name    string
+	outcome sr.Outcome
+}{
+	{sr.ErrNotIssuer, "unknown-outcome", sr.OutcomeUnknown},
+	{sr.ErrUnreachable, "unknown-outcome", sr.OutcomeUnknown},
+	{sr.ErrBroken, "unknown-outcome", sr.OutcomeUnknown},
+	{sr.ErrExpired, "expired", sr.OutcomeUnknown},
+	{sr.ErrConflict, "conflict", sr.OutcomeUnknown},
+	{sr.ErrOverloaded, "overloaded", sr.OutcomeUnknown},
+	{sr.ErrDraining, "draining", sr.OutcomeNotRun},
+	{sr.ErrMissing, "missing", sr.OutcomeNotRun},
+	{sr.ErrInvalid, "invalid", sr.OutcomeNotRun},
+}
+
+// statusNames maps the names of refusals to those of the caller interface.
+var statusNames = map[string]string{
+	"limited":            "limited",
+	sr.RefusalEmpty:      "overloaded",
+	sr.RefusalFloor:      "overloaded",
+	sr.RefusalLate:       "overloaded",
+	"unknown-outcome":    "unknown-outcome",
+	"draining":           "draining",
+	"cut":                "unknown-outcome",
+	sr.RefusalNotOwner:   "overloaded",
+	sr.RefusalWaiting:    "overloaded",
+	sr.RefusalOverloaded: "overloaded",
+}
+
+func newProblem(name, reason string, outcome sr.Outcome) *requests.Problem {
+	return &requests.Problem{Name: name, Reason: reason, Outcome: string(outcome)}
+}
+
+// problemOf turns an error of the entry into a refusal.
+func problemOf(err error) *requests.Problem {
+	for _, p := range problemNames {
+		if errors.Is(err, p.err) {
+			return newProblem(p.name, err.Error(), p.outcome)
+		}
+	}
+	return newProblem("unknown-outcome", err.Error(), sr.OutcomeUnknown)
+}
+
+// problemOfStatus turns the status of a request without an answer into a
+// refusal.
+func problemOfStatus(s sr.Status) *requests.Problem {
+	name, ok := statusNames[s.Name]
+	if !ok {
+		name = "unknown-outcome"
+	}
+	p := newProblem(name, s.Reason, s.Outcome)
+	if s.Retry > 0 {
+		seconds := int(math.Ceil(s.Retry.Seconds()))
+		p.Retry = &seconds
+	}
+	return p
+}
--- /dev/null
+++ b/internal/peer/srcaller/server.go
@@ -0,0 +1,113 @@
+package srcaller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/gen/http/requests/server"
+	"github.com/sassafrasrail/sassafrasrail/gen/requests"
+)
+
+// maxHeaderBytes bounds the header of a request.
+const maxHeaderBytes = 16 << 10
+
+type writerKey struct{}
+
+type timeoutKey struct{}
+
+// Handler returns the HTTP handler of the caller interface.
+func (c *Caller) Handler() http.Handler {
+	mux := goahttp.NewMuxer()
+	s := server.New(requests.NewEndpoints(c), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, formatError)
+	server.Mount(mux, s)
+	return c.limit(mux)
+}
+
+// NewServer returns an HTTP server with limits and timeouts.
+func NewServer(c *Caller) *http.Server {
+	return &http.Server{
+		Handler:           c.Handler(),
+		ReadHeaderTimeout: c.opts.ReadHeader,
+		IdleTimeout:       c.opts.Idle,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// limit reads the whole body within its bounds before the request is handled.
+func (c *Caller) limit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := c.readBody(w, r)
+		if err != nil {
+			writeProblem(w, err)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		ctx := context.WithValue(r.Context(), writerKey{}, w)
+		ctx = context.WithValue(ctx, timeoutKey{}, c.opts.Write)
+		next.ServeHTTP(w, r.WithContext(ctx))
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	})
+}
+
+func (c *Caller) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(c.opts.ReadBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.opts.Body))
+	_ = conn.SetReadDeadline(time.Time{})
+	return body, errors.Wrap(err, "srcaller: read body")
+}
+
+func writeProblem(w http.ResponseWriter, err error) {
+	status := http.StatusRequestTimeout
+	p := newProblem("invalid", "the body did not arrive whole in time", sr.OutcomeNotRun)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+		p = newProblem("too-large", "the body is larger than the limit", sr.OutcomeNotRun)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(problemBody{Name: p.Name, Reason: p.Reason, Outcome: p.Outcome})
+}
+
+// problemBody is the JSON of a refusal that the generated code does not write.
+type problemBody struct {
+	Name    string `json:"name"`
+	Reason  string `json:"reason"`
+	Outcome string `json:"outcome"`
+	status  int
+}
+
+// StatusCode returns the HTTP status.
+func (p problemBody) StatusCode() int { return p.status }
+
+// formatError gives decoding errors the shape of the other refusals.
+func formatError(_ context.Context, err error) goahttp.Statuser {
+	var named *goa.ServiceError
+	if errors.As(err, &named) && !named.Fault {
+		return problemBody{Name: "invalid", Reason: named.Message, Outcome: string(sr.OutcomeNotRun), status: http.StatusBadRequest}
+	}
+	return problemBody{Name: "unknown-outcome", Reason: err.Error(), Outcome: string(sr.OutcomeUnknown), status: http.StatusInternalServerError}
+}
+
+// extendWrite gives the next write to the caller its own deadline.
+func extendWrite(ctx context.Context) {
+	w, ok := ctx.Value(writerKey{}).(http.ResponseWriter)
+	if !ok {
+		return
+	}
+	timeout, _ := ctx.Value(timeoutKey{}).(time.Duration)
+	if timeout > 0 {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout))
+	}
+}
--- a/internal/state/srrequest/request.go
+++ b/internal/state/srrequest/request.go
@@ -32,12 +32,14 @@
 	expires   time.Time
 	maxEvents int
 
-	mu      sync.Mutex
-	status  sr.Status
-	events  []sr.Event
-	ended   time.Time
-	readers int
-	changed chan struct{}
+	mu     sync.Mutex
+	status sr.Status
+	events []sr.Event
+	ended  time.Time
+	// mayHaveRun is set once a try of a repeatable call broke.
+	mayHaveRun bool
+	readers    int
+	changed    chan struct{}
 }
 
 // Deadline returns when the answer is of no more use.
@@ -96,6 +98,24 @@
 	return nil
 }
 
+// MarkRetry records that a repeatable call broke and waits again.
+func (r *Request) MarkRetry() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.status.State != sr.StateSent {
+		return
+	}
+	r.status.State = sr.StateWaiting
+	r.mayHaveRun = true
+}
+
+// MayHaveRun reports whether an earlier try of the request may have run.
+func (r *Request) MayHaveRun() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mayHaveRun
+}
+
 // End records the outcome once; later calls change nothing. It reports
 // whether this call ended the request.
 func (r *Request) End(now time.Time, s sr.Status) bool {
--- a/internal/state/srrequest/table.go
+++ b/internal/state/srrequest/table.go
@@ -35,7 +35,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r, ok := t.requests[ticket]; ok {
-		if r.Request != req {
+		if !r.Request.Same(req) {
 			return nil, false, errors.Wrap(sr.ErrConflict, "srrequest: begin")
 		}
 		return r, false, nil
--- a/policy.go
+++ b/policy.go
@@ -45,11 +45,15 @@
 	Forget(endpoint string)
 }
 
-// Picker orders the pools of a target for a request. It is safe for
-// concurrent use.
+// Picker chooses the pool that a request asks for a slot. It is pure but for
+// what it has learned, and is used by one goroutine at a time.
 type Picker interface {
-	// Order returns the pools from best to worst by the owners' news.
-	Order(now time.Time, a Ask, news []PoolNews) []PoolID
+	// Pick returns the pools from best to worst by the owners' news.
+	Pick(now time.Time, a Ask, news []PoolNews) []PoolID
 	// Asked tells the picker that an ask was sent to a pool.
 	Asked(now time.Time, a Ask, pool PoolID)
+	// Refused tells the picker that a pool refused an ask.
+	Refused(now time.Time, pool PoolID)
+	// Ended tells the picker how a request of a pool ended.
+	Ended(now time.Time, pool PoolID, r Release)
 }
--- a/request.go
+++ b/request.go
@@ -39,6 +39,17 @@
 	Repeatable bool
 }
 
+// Same reports whether a caller asked for the same thing twice. The tier and
+// the budget are left out, since the manifest may have changed in between.
+func (r Request) Same(other Request) bool {
+	return r.Kind == other.Kind &&
+		r.Workspace == other.Workspace &&
+		r.Target == other.Target &&
+		r.Operation == other.Operation &&
+		r.Body == other.Body &&
+		r.Tokens == other.Tokens
+}
+
 // Cancellable reports whether a running request may be cut for a higher tier.
 func (r Request) Cancellable() bool { return r.Kind == KindModel }
 
