Add stand-ins for the outside systems and their clients

Cause: the system meets engines, plain services and the platform only through interfaces; tests, the demo and the instances need something on the other side, and clients that tell "not sent" from "may have run" for certain.

Ruled out: keeping connections for dispatches (net/http may then repeat a request by itself) and trusting its errors alone (a write can still be under way when they are returned). Separate copies of the JSON bodies for client and stand-in: the wire types stand once, in srwire.

Change: srengine, srdesk and srconfig run in process and over HTTP; srendpoint, srservice and srplatform are the clients over srconn; srprefix hashes prompt prefixes; cmd/standin serves the stand-ins; docs/PROTOCOLS.md gives the protocols.

The clients, the desk, the platform and the HTTP servers have no tests yet; they follow.

--- /dev/null
+++ b/internal/peer/srconn/load.go
@@ -0,0 +1,62 @@
+package srconn
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srwire"
+)
+
+const (
+	// maxStart is the greatest length of a start identifier in bytes.
+	maxStart = 128
+	// maxAge is the greatest age of a load report in microseconds.
+	maxAge = int64(24 * time.Hour / time.Microsecond)
+)
+
+// Load asks for a load report of at most limit bytes. ErrUnreachable when there
+// is none, ErrInvalid when it contradicts itself.
+func Load(t http.RoundTripper, req *http.Request, limit int64) (sr.Load, error) {
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		return sr.Load{}, errors.Wrapf(sr.ErrUnreachable, "%s: %v", req.URL.Host, err)
+	}
+	defer CloseBody(resp)
+	if resp.StatusCode != http.StatusOK {
+		return sr.Load{}, errors.Wrapf(sr.ErrUnreachable, "%s answered status %d", req.URL.Host, resp.StatusCode)
+	}
+	body, err := ReadBody(resp, limit)
+	if err != nil {
+		return sr.Load{}, errors.Wrapf(sr.ErrUnreachable, "%s: %v", req.URL.Host, err)
+	}
+	var l srwire.Load
+	if err := json.Unmarshal(body, &l); err != nil {
+		return sr.Load{}, errors.Wrapf(sr.ErrInvalid, "%s: %v", req.URL.Host, err)
+	}
+	if err := checkLoad(l); err != nil {
+		return sr.Load{}, errors.Wrap(err, req.URL.Host)
+	}
+	return l.Load(), nil
+}
+
+func checkLoad(l srwire.Load) error {
+	if l.Age < 0 || l.Age > maxAge {
+		return errors.Wrapf(sr.ErrInvalid, "age of %d microseconds", l.Age)
+	}
+	if l.Start == "" || len(l.Start) > maxStart {
+		return errors.Wrapf(sr.ErrInvalid, "start of %d bytes", len(l.Start))
+	}
+	if l.Running < 0 || l.Waiting < 0 || l.Cached < 0 {
+		return errors.Wrap(sr.ErrInvalid, "negative count")
+	}
+	for i := 1; i < len(l.Events); i++ {
+		if l.Events[i].Seq <= l.Events[i-1].Seq {
+			return errors.Wrapf(sr.ErrInvalid, "cache event %d came after %d", l.Events[i].Seq, l.Events[i-1].Seq)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/srconn/transport.go
@@ -0,0 +1,69 @@
+package srconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxHeader is the greatest size of response headers in bytes.
+	maxHeader = 16 << 10
+	// maxIdle and maxIdlePeer limit the kept connections of all peers and of one.
+	maxIdle     = 256
+	maxIdlePeer = 2
+	keepIdle    = 30 * time.Second
+)
+
+// Options configure the connections to peers.
+type Options struct {
+	Dial     DialFunc
+	Timeouts Timeouts
+}
+
+// withDefaults fills in what is not set.
+func (o Options) withDefaults() Options {
+	def := DefaultTimeouts()
+	if o.Dial == nil {
+		o.Dial = new(net.Dialer).DialContext
+	}
+	if o.Timeouts.Dial <= 0 {
+		o.Timeouts.Dial = def.Dial
+	}
+	if o.Timeouts.Write <= 0 {
+		o.Timeouts.Write = def.Write
+	}
+	if o.Timeouts.Idle <= 0 {
+		o.Timeouts.Idle = def.Idle
+	}
+	return o
+}
+
+// NewTransport returns a transport for requests that are safe to repeat.
+func NewTransport(o Options) *http.Transport {
+	o = o.withDefaults()
+	return &http.Transport{
+		Proxy:                  nil,
+		DialContext:            o.dial,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeader,
+		MaxIdleConns:           maxIdle,
+		MaxIdleConnsPerHost:    maxIdlePeer,
+		IdleConnTimeout:        keepIdle,
+		ResponseHeaderTimeout:  o.Timeouts.Idle,
+	}
+}
+
+// dial opens a connection within the dial timeout.
+func (o Options) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.Timeouts.Dial)
+	defer cancel()
+	c, err := o.Dial(ctx, network, address)
+	if err != nil {
+		return nil, errors.Wrap(err, "srconn: dial")
+	}
+	return New(c, o.Timeouts), nil
+}
--- /dev/null
+++ b/internal/peer/srendpoint/client.go
@@ -0,0 +1,219 @@
+// Package srendpoint talks to model engines over HTTP, by the protocol in
+// docs/PROTOCOLS.md.
+//
+// # Usage
+//
+//	c := srendpoint.New(srendpoint.Options{Conn: srconn.Options{Dial: dial}})
+//	defer c.Close()
+//	s, err := c.Dispatch(ctx, "10.0.0.7:8000", d)
+//	for {
+//		t, err := s.Next(ctx)
+//	}
+//
+// A dispatch is sent on a connection of its own and never repeated. The end of
+// the context given to Dispatch or Resume has no effect on a stream once it is
+// returned; Close ends it.
+package srendpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srconn"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srwire"
+)
+
+var _ sr.Engine = (*Client)(nil)
+
+// Limits bound what an engine may send.
+type Limits struct {
+	// Line is the greatest length of a line of an answer in bytes.
+	Line int
+	// Answer is the greatest length of an answer in bytes.
+	Answer int64
+	// Load is the greatest length of a load report in bytes.
+	Load int64
+	// Window is the most tokens read ahead of Next.
+	Window int
+}
+
+// DefaultLimits returns limits for answers of some ten thousand tokens.
+func DefaultLimits() Limits {
+	return Limits{Line: 16 << 10, Answer: 16 << 20, Load: 1 << 20, Window: 32}
+}
+
+// Options configure a Client.
+type Options struct {
+	Conn   srconn.Options
+	Limits Limits
+}
+
+// Client talks to model engines. It is safe for concurrent use.
+type Client struct {
+	limits Limits
+	once   *srconn.Once
+	repeat *http.Transport
+}
+
+// New returns a Client. Limits that are not set have their defaults.
+func New(o Options) *Client {
+	return &Client{
+		limits: o.Limits.withDefaults(),
+		once:   srconn.NewOnce(o.Conn),
+		repeat: srconn.NewTransport(o.Conn),
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.repeat.CloseIdleConnections() }
+
+// Dispatch implements sr.Engine.
+func (c *Client) Dispatch(ctx context.Context, address string, d sr.Dispatch) (sr.Stream, error) {
+	req, err := newDispatch(address, d)
+	if err != nil {
+		return nil, errors.Wrapf(sr.ErrNotSent, "srendpoint: %v", err)
+	}
+	resp, cancel, err := send(ctx, req, c.once.Send)
+	if err != nil {
+		return nil, errors.Wrapf(err, "srendpoint: dispatch to %s", address)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer cancel()
+		return nil, errors.Wrapf(refusal(resp), "srendpoint: %s answered status %d", address, resp.StatusCode)
+	}
+	return newStream(resp.Body, cancel, c.limits, 0), nil
+}
+
+// Resume implements sr.Engine.
+func (c *Client) Resume(ctx context.Context, address, stream string, after int) (sr.Stream, error) {
+	path := fmt.Sprintf("%s?after=%d", streamPath(stream), after)
+	req, err := newRequest(http.MethodGet, address, path)
+	if err != nil {
+		return nil, err
+	}
+	resp, cancel, err := send(ctx, req, c.repeat.RoundTrip)
+	if err != nil {
+		return nil, errors.Wrapf(sr.ErrUnreachable, "srendpoint: resume at %s: %v", address, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer cancel()
+		return nil, unexpected(resp, address)
+	}
+	return newStream(resp.Body, cancel, c.limits, after), nil
+}
+
+// Cancel implements sr.Engine.
+func (c *Client) Cancel(ctx context.Context, address, stream string) error {
+	req, err := newRequest(http.MethodDelete, address, streamPath(stream))
+	if err != nil {
+		return err
+	}
+	resp, err := c.repeat.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return errors.Wrapf(sr.ErrUnreachable, "srendpoint: cancel at %s: %v", address, err)
+	}
+	defer srconn.CloseBody(resp)
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusNoContent, http.StatusNotFound:
+		return nil
+	}
+	return errors.Wrapf(sr.ErrUnreachable, "srendpoint: %s answered status %d", address, resp.StatusCode)
+}
+
+// Load implements sr.Engine.
+func (c *Client) Load(ctx context.Context, address string, after uint64) (sr.Load, error) {
+	req, err := newRequest(http.MethodGet, address, fmt.Sprintf("/v1/load?after=%d", after))
+	if err != nil {
+		return sr.Load{}, err
+	}
+	l, err := srconn.Load(c.repeat, req.WithContext(ctx), c.limits.Load)
+	return l, errors.Wrap(err, "srendpoint: load")
+}
+
+func (l Limits) withDefaults() Limits {
+	def := DefaultLimits()
+	if l.Line <= 0 {
+		l.Line = def.Line
+	}
+	if l.Answer <= 0 {
+		l.Answer = def.Answer
+	}
+	if l.Load <= 0 {
+		l.Load = def.Load
+	}
+	if l.Window <= 0 {
+		l.Window = def.Window
+	}
+	return l
+}
+
+func newDispatch(address string, d sr.Dispatch) (*http.Request, error) {
+	body, err := json.Marshal(srwire.Dispatch(d))
+	if err != nil {
+		return nil, err
+	}
+	u, err := srconn.URL(address, "/v1/generate")
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequest(http.MethodPost, u, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody net/http has no means to send the body again.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", srwire.JSON)
+	return req, nil
+}
+
+func newRequest(method, address, path string) (*http.Request, error) {
+	u, err := srconn.URL(address, path)
+	if err != nil {
+		return nil, errors.Wrap(err, "srendpoint")
+	}
+	req, err := http.NewRequest(method, u, nil)
+	return req, errors.Wrap(err, "srendpoint")
+}
+
+func streamPath(stream string) string { return "/v1/streams/" + url.PathEscape(stream) }
+
+// send sends req so that ctx counts until the response and no longer.
+func send(ctx context.Context, req *http.Request, do func(*http.Request) (*http.Response, error)) (*http.Response, context.CancelFunc, error) {
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	defer stop()
+	resp, err := do(req.WithContext(own))
+	if err != nil {
+		cancel()
+		return nil, nil, err
+	}
+	return resp, cancel, nil
+}
+
+// refusal tells a request that was not taken from one that may run.
+func refusal(resp *http.Response) error {
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return sr.ErrBroken
+	}
+	body, err := srconn.ReadRefusal(resp)
+	if err == nil && srconn.NotTaken(body) {
+		return sr.ErrNotTaken
+	}
+	return sr.ErrBroken
+}
+
+func unexpected(resp *http.Response, address string) error {
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound {
+		return errors.Wrapf(sr.ErrNoStream, "srendpoint: %s", address)
+	}
+	return errors.Wrapf(sr.ErrUnreachable, "srendpoint: %s answered status %d", address, resp.StatusCode)
+}
--- /dev/null
+++ b/internal/peer/srservice/client.go
@@ -0,0 +1,130 @@
+// Package srservice talks to plain services over HTTP, by the protocol in
+// docs/PROTOCOLS.md.
+//
+// # Usage
+//
+//	c := srservice.New(srservice.Options{Conn: srconn.Options{Dial: dial}})
+//	defer c.Close()
+//	answer, err := c.Call(ctx, "10.0.0.9:8000", call)
+//
+// A call is sent on a connection of its own and never repeated. Any status but
+// a refusal is an answer.
+package srservice
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srconn"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srwire"
+)
+
+var _ sr.Service = (*Client)(nil)
+
+// Limits bound what a service may send.
+type Limits struct {
+	// Answer is the greatest length of an answer in bytes.
+	Answer int64
+	// Load is the greatest length of a load report in bytes.
+	Load int64
+}
+
+// DefaultLimits returns limits for answers of records.
+func DefaultLimits() Limits { return Limits{Answer: 1 << 20, Load: 64 << 10} }
+
+// Options configure a Client.
+type Options struct {
+	Conn   srconn.Options
+	Limits Limits
+}
+
+// Client talks to plain services. It is safe for concurrent use.
+type Client struct {
+	limits Limits
+	once   *srconn.Once
+	repeat *http.Transport
+}
+
+// New returns a Client. Limits that are not set have their defaults.
+func New(o Options) *Client {
+	return &Client{
+		limits: o.Limits.withDefaults(),
+		once:   srconn.NewOnce(o.Conn),
+		repeat: srconn.NewTransport(o.Conn),
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.repeat.CloseIdleConnections() }
+
+// Call implements sr.Service.
+func (c *Client) Call(ctx context.Context, address string, call sr.Call) (sr.Answer, error) {
+	req, err := newCall(address, call)
+	if err != nil {
+		return sr.Answer{}, errors.Wrapf(sr.ErrNotSent, "srservice: %v", err)
+	}
+	resp, err := c.once.Send(req.WithContext(ctx))
+	if err != nil {
+		return sr.Answer{}, errors.Wrapf(err, "srservice: call at %s", address)
+	}
+	defer resp.Body.Close()
+	body, err := srconn.ReadBody(resp, c.limits.Answer)
+	if err != nil {
+		return sr.Answer{}, errors.Wrapf(sr.ErrBroken, "srservice: answer of %s: %v", address, err)
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && srconn.NotTaken(body) {
+		return sr.Answer{}, errors.Wrapf(sr.ErrNotTaken, "srservice: %s", address)
+	}
+	return sr.Answer{Code: resp.StatusCode, Body: string(body)}, nil
+}
+
+// Probe implements sr.Service.
+func (c *Client) Probe(ctx context.Context, address string) (sr.Load, error) {
+	u, err := srconn.URL(address, "/v1/load")
+	if err != nil {
+		return sr.Load{}, errors.Wrap(err, "srservice")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return sr.Load{}, errors.Wrap(err, "srservice")
+	}
+	l, err := srconn.Load(c.repeat, req, c.limits.Load)
+	return l, errors.Wrap(err, "srservice: probe")
+}
+
+func (l Limits) withDefaults() Limits {
+	def := DefaultLimits()
+	if l.Answer <= 0 {
+		l.Answer = def.Answer
+	}
+	if l.Load <= 0 {
+		l.Load = def.Load
+	}
+	return l
+}
+
+func newCall(address string, call sr.Call) (*http.Request, error) {
+	switch call.Operation {
+	case "", ".", "..":
+		return nil, errors.Wrapf(sr.ErrInvalid, "operation %q", call.Operation)
+	}
+	u, err := srconn.URL(address, "/v1/"+url.PathEscape(call.Operation))
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequest(http.MethodPost, u, strings.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody net/http has no means to send the body again.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", srwire.Text)
+	req.Header.Set(srwire.HeaderRequestID, call.ID)
+	req.Header.Set(srwire.HeaderWorkspace, call.Workspace)
+	return req, nil
+}
--- /dev/null
+++ b/internal/standin/srconfig/config.go
@@ -0,0 +1,305 @@
+// Package srconfig is a stand-in for the platform: a configuration service that
+// can be read and watched, and a lagging list of entry instances. Its setters
+// belong to the operators' side; the system only reads.
+//
+// # Usage
+//
+//	s := srconfig.New(srconfig.DefaultConfig())
+//	err := s.Set("manifest", data)
+//	v, err := s.Watch(ctx, "manifest", 0)
+//
+// Store implements sr.Platform without a network; Handler serves it over HTTP.
+package srconfig
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+const (
+	// MaxValue is the greatest size of a value in bytes.
+	MaxValue = 1 << 20
+	// MaxKeys is the most keys.
+	MaxKeys = 1024
+	// MaxInstances is the most published instances.
+	MaxInstances = 4096
+	// history is the number of old values kept for each key.
+	history = 16
+	// lists is the number of instance lists kept while they wait to be published.
+	lists = 256
+)
+
+var _ sr.Platform = (*Store)(nil)
+
+// Config describes the service.
+type Config struct {
+	// Rate is the most calls a second, all readers together.
+	Rate int
+	// Burst is how many calls may come at once.
+	Burst int
+	// Wait is how long a watch waits before it is counted as another call.
+	Wait time.Duration
+	// Lag is how late the list of instances is.
+	Lag time.Duration
+}
+
+// DefaultConfig returns a service of ordinary limits.
+func DefaultConfig() Config {
+	return Config{Rate: 2000, Burst: 2000, Wait: 30 * time.Second, Lag: 3 * time.Second}
+}
+
+// Store is the configuration service. It is safe for concurrent use.
+type Store struct {
+	cfg Config
+
+	mu       sync.Mutex
+	revision uint64
+	values   map[string][]sr.Value
+	// stale is the last revision shown, while the service is stale.
+	stale   uint64
+	isStale bool
+	stopped bool
+	changed chan struct{}
+	lists   []list
+	tokens  float64
+	filled  time.Time
+	calls   Calls
+}
+
+type list struct {
+	from      time.Time
+	instances []sr.Instance
+}
+
+// Calls counts what readers did. A waiting watch is one call.
+type Calls struct {
+	Reads     int `json:"reads"`
+	Watches   int `json:"watches"`
+	Instances int `json:"instances"`
+	Limited   int `json:"limited"`
+	// Failed counts calls while the service was stopped.
+	Failed int `json:"failed"`
+}
+
+// Total returns the number of calls of all kinds.
+func (c Calls) Total() int { return c.Reads + c.Watches + c.Instances + c.Limited + c.Failed }
+
+// New returns an empty service.
+func New(cfg Config) *Store {
+	cfg.Rate = max(cfg.Rate, 1)
+	cfg.Burst = max(cfg.Burst, 1)
+	if cfg.Wait <= 0 {
+		cfg.Wait = DefaultConfig().Wait
+	}
+	return &Store{
+		cfg:     cfg,
+		values:  make(map[string][]sr.Value),
+		changed: make(chan struct{}),
+		tokens:  float64(cfg.Burst),
+		filled:  time.Now(),
+	}
+}
+
+// Read implements sr.Platform. ErrLimited above the rate, ErrUnreachable while
+// the service is stopped.
+func (s *Store) Read(_ context.Context, key string) (sr.Value, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.admit(&s.calls.Reads); err != nil {
+		return sr.Value{}, err
+	}
+	return s.shown(key)
+}
+
+// Watch implements sr.Platform.
+func (s *Store) Watch(ctx context.Context, key string, after uint64) (sr.Value, error) {
+	for {
+		v, ok, err := s.Poll(ctx, key, after, s.cfg.Wait)
+		if ok || err != nil {
+			return v, err
+		}
+	}
+}
+
+// Poll waits at most wait for a revision of key above after. It is one call.
+func (s *Store) Poll(ctx context.Context, key string, after uint64, wait time.Duration) (v sr.Value, ok bool, err error) {
+	timeout := time.NewTimer(min(wait, s.cfg.Wait))
+	defer timeout.Stop()
+	s.mu.Lock()
+	err = s.admit(&s.calls.Watches)
+	for err == nil {
+		if v, err = s.shown(key); err == nil && v.Revision > after {
+			s.mu.Unlock()
+			return v, true, nil
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return sr.Value{}, false, errors.Wrap(ctx.Err(), "srconfig: watch")
+		case <-timeout.C:
+			return sr.Value{}, false, nil
+		case <-changed:
+		}
+		s.mu.Lock()
+		err = s.running()
+	}
+	s.mu.Unlock()
+	return sr.Value{}, false, err
+}
+
+// Instances implements sr.Platform.
+func (s *Store) Instances(context.Context) ([]sr.Instance, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.admit(&s.calls.Instances); err != nil {
+		return nil, err
+	}
+	s.publish()
+	if len(s.lists) == 0 || s.lists[0].from.After(time.Now()) {
+		return nil, nil
+	}
+	return slices.Clone(s.lists[0].instances), nil
+}
+
+// Set publishes a value and returns its revision.
+func (s *Store) Set(key string, data []byte) (uint64, error) {
+	if len(data) > MaxValue {
+		return 0, errors.Wrapf(sr.ErrInvalid, "srconfig: value of %d bytes, at most %d", len(data), MaxValue)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.set(key, data)
+}
+
+// Replay publishes an old value of key again, as a new revision.
+func (s *Store) Replay(key string, revision uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.values[key] {
+		if v.Revision == revision {
+			return s.set(key, v.Data)
+		}
+	}
+	return 0, errors.Wrapf(sr.ErrMissing, "srconfig: key %q revision %d", key, revision)
+}
+
+// SetInstances changes the list of instances. Readers see it after the lag.
+func (s *Store) SetInstances(instances []sr.Instance) error {
+	if len(instances) > MaxInstances {
+		return errors.Wrapf(sr.ErrInvalid, "srconfig: %d instances, at most %d", len(instances), MaxInstances)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.publish()
+	if len(s.lists) == lists {
+		return errors.Wrapf(sr.ErrLimited, "srconfig: %d lists wait to be published", lists)
+	}
+	s.lists = append(s.lists, list{from: time.Now().Add(s.cfg.Lag), instances: slices.Clone(instances)})
+	return nil
+}
+
+// SetStopped stops the service or starts it again. Waiting watches fail.
+func (s *Store) SetStopped(stopped bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = stopped
+	s.notify()
+}
+
+// SetStale makes the service show the values of now until it is called with false.
+func (s *Store) SetStale(stale bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isStale = stale
+	s.stale = s.revision
+	s.notify()
+}
+
+// SetStaleAt makes the service show the values as of a revision.
+func (s *Store) SetStaleAt(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isStale = true
+	s.stale = revision
+	s.notify()
+}
+
+// Calls returns what readers did so far.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) set(key string, data []byte) (uint64, error) {
+	values, ok := s.values[key]
+	if !ok && len(s.values) == MaxKeys {
+		return 0, errors.Wrapf(sr.ErrLimited, "srconfig: %d keys", MaxKeys)
+	}
+	if len(values) == history {
+		values = values[1:]
+	}
+	s.revision++
+	s.values[key] = append(values, sr.Value{Revision: s.revision, Data: bytes.Clone(data)})
+	s.notify()
+	return s.revision, nil
+}
+
+// shown returns the value that readers see.
+func (s *Store) shown(key string) (sr.Value, error) {
+	values := s.values[key]
+	for i := len(values) - 1; i >= 0; i-- {
+		if v := values[i]; !s.isStale || v.Revision <= s.stale {
+			v.Data = bytes.Clone(v.Data)
+			return v, nil
+		}
+	}
+	return sr.Value{}, errors.Wrapf(sr.ErrMissing, "srconfig: key %q", key)
+}
+
+// admit counts a call, or refuses it.
+func (s *Store) admit(counter *int) error {
+	if err := s.running(); err != nil {
+		s.calls.Failed++
+		return err
+	}
+	now := time.Now()
+	s.tokens += now.Sub(s.filled).Seconds() * float64(s.cfg.Rate)
+	s.tokens = min(s.tokens, float64(s.cfg.Burst))
+	s.filled = now
+	if s.tokens < 1 {
+		s.calls.Limited++
+		return errors.Wrapf(sr.ErrLimited, "srconfig: more than %d calls a second", s.cfg.Rate)
+	}
+	s.tokens--
+	*counter++
+	return nil
+}
+
+func (s *Store) running() error {
+	if s.stopped {
+		return errors.Wrap(sr.ErrUnreachable, "srconfig: service is stopped")
+	}
+	return nil
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// publish drops the lists that a newer one has replaced.
+func (s *Store) publish() {
+	now := time.Now()
+	for len(s.lists) > 1 && !s.lists[1].from.After(now) {
+		s.lists = s.lists[1:]
+	}
+}
--- /dev/null
+++ b/internal/standin/srdesk/fleet.go
@@ -0,0 +1,95 @@
+package srdesk
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+var _ sr.Service = (*Fleet)(nil)
+
+// Fleet puts desks behind addresses. It implements sr.Service without a network.
+type Fleet struct {
+	mu    sync.Mutex
+	desks map[string]*Desk
+	cut   map[string]bool
+}
+
+// NewFleet returns a fleet with desks by address.
+func NewFleet(desks map[string]*Desk) *Fleet {
+	f := &Fleet{desks: make(map[string]*Desk), cut: make(map[string]bool)}
+	for address, d := range desks {
+		f.desks[address] = d
+	}
+	return f
+}
+
+// Add puts a desk behind an address.
+func (f *Fleet) Add(address string, d *Desk) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.desks[address] = d
+}
+
+// Desk returns the desk behind an address, nil when there is none.
+func (f *Fleet) Desk(address string) *Desk {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.desks[address]
+}
+
+// Cut refuses connections to an address until Join.
+func (f *Fleet) Cut(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[address] = true
+}
+
+// Join ends a Cut.
+func (f *Fleet) Join(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.cut, address)
+}
+
+// Call implements sr.Service.
+func (f *Fleet) Call(ctx context.Context, address string, c sr.Call) (sr.Answer, error) {
+	d, err := f.reach(address, sr.ErrNotSent)
+	if err != nil {
+		return sr.Answer{}, err
+	}
+	return d.Call(ctx, c)
+}
+
+// Probe implements sr.Service.
+func (f *Fleet) Probe(ctx context.Context, address string) (sr.Load, error) {
+	d, err := f.reach(address, sr.ErrUnreachable)
+	if err != nil {
+		return sr.Load{}, err
+	}
+	return d.Load(ctx)
+}
+
+// Runs returns how many calls with id have run at all desks.
+func (f *Fleet) Runs(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, d := range f.desks {
+		n += d.Runs(id)
+	}
+	return n
+}
+
+func (f *Fleet) reach(address string, failure error) (*Desk, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d, ok := f.desks[address]
+	if !ok || f.cut[address] {
+		return nil, errors.Wrapf(failure, "srdesk: %s cannot be reached", address)
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/standin/srengine/cache.go
@@ -0,0 +1,59 @@
+package srengine
+
+import "container/list"
+
+// cache holds prefix blocks and evicts the least recently used one.
+type cache struct {
+	size   int
+	order  *list.List
+	blocks map[uint64]*list.Element
+	// changed is called for each block that enters or leaves.
+	changed func(block uint64, added bool)
+}
+
+func newCache(size int, changed func(uint64, bool)) *cache {
+	return &cache{size: size, order: list.New(), blocks: make(map[uint64]*list.Element), changed: changed}
+}
+
+func (c *cache) len() int { return len(c.blocks) }
+
+// match returns how many leading blocks are cached, and marks them as used.
+func (c *cache) match(blocks []uint64) int {
+	for i, b := range blocks {
+		el, ok := c.blocks[b]
+		if !ok {
+			return i
+		}
+		c.order.MoveToFront(el)
+	}
+	return len(blocks)
+}
+
+// add inserts the blocks of a prompt. The last ones are evicted first.
+func (c *cache) add(blocks []uint64) {
+	for i := len(blocks) - 1; i >= 0; i-- {
+		c.insert(blocks[i])
+	}
+}
+
+func (c *cache) insert(block uint64) {
+	if el, ok := c.blocks[block]; ok {
+		c.order.MoveToFront(el)
+		return
+	}
+	if c.size <= 0 {
+		return
+	}
+	if len(c.blocks) == c.size {
+		c.evict()
+	}
+	c.blocks[block] = c.order.PushFront(block)
+	c.changed(block, true)
+}
+
+func (c *cache) evict() {
+	el := c.order.Back()
+	block, _ := c.order.Remove(el).(uint64)
+	delete(c.blocks, block)
+	c.changed(block, false)
+}
--- /dev/null
+++ b/internal/standin/srengine/report.go
@@ -0,0 +1,126 @@
+package srengine
+
+import (
+	"math/rand/v2"
+	"time"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+// sampleParts is how many samples of the load are kept for one LoadLag.
+const sampleParts = 16
+
+// sample is the load from a point in time until the next sample.
+type sample struct {
+	at      time.Time
+	running int
+	waiting int
+	cached  int
+}
+
+// event is a cache event and when readers may see it.
+type event struct {
+	sr.CacheEvent
+	visible time.Time
+}
+
+// report is what one run of the engine publishes about itself.
+type report struct {
+	cfg     Config
+	rng     *rand.Rand
+	samples []sample
+	shown   time.Time
+	events  []event
+	seq     uint64
+}
+
+func newReport(cfg Config, rng *rand.Rand) *report {
+	return &report{cfg: cfg, rng: rng}
+}
+
+// record takes the present load. It replaces a sample that is younger than a
+// sixteenth of LoadLag, so that the newest one is always right.
+func (r *report) record(s sample) {
+	if n := len(r.samples); n > 0 && s.at.Sub(r.samples[n-1].at) < r.cfg.LoadLag/sampleParts {
+		s.at = r.samples[n-1].at
+		r.samples[n-1] = s
+		return
+	}
+	r.samples = append(r.samples, s)
+	r.prune(s.at.Add(-r.cfg.LoadLag))
+}
+
+// prune drops samples that no report can show any more.
+func (r *report) prune(oldest time.Time) {
+	for len(r.samples) > 1 && !r.samples[1].at.After(oldest) {
+		r.samples = r.samples[1:]
+	}
+}
+
+// changed records a cache event, or loses it.
+func (r *report) changed(block uint64, added bool) {
+	r.seq++
+	if r.rng.Float64() < r.cfg.EventLoss {
+		return
+	}
+	visible := time.Now().Add(r.lag(r.cfg.EventLag))
+	if n := len(r.events); n > 0 && r.events[n-1].visible.After(visible) {
+		visible = r.events[n-1].visible
+	}
+	if len(r.events) == r.cfg.Events {
+		r.events = r.events[1:]
+	}
+	r.events = append(r.events, event{sr.CacheEvent{Seq: r.seq, Block: block, Added: added}, visible})
+}
+
+// load returns the load at a point in time up to LoadLag ago. Later calls
+// never go back behind it.
+func (r *report) load(now time.Time, after uint64) sr.Load {
+	at := now.Add(-r.lag(r.cfg.LoadLag))
+	if at.Before(r.shown) {
+		at = r.shown
+	}
+	if first := r.samples[0].at; at.Before(first) {
+		at = first
+	}
+	r.shown = at
+	s := r.at(at)
+	return sr.Load{
+		Age:     now.Sub(at),
+		Running: s.running,
+		Waiting: s.waiting,
+		Cached:  s.cached,
+		Events:  r.visible(now, after),
+	}
+}
+
+func (r *report) at(at time.Time) sample {
+	s := r.samples[0]
+	for _, next := range r.samples[1:] {
+		if next.at.After(at) {
+			break
+		}
+		s = next
+	}
+	return s
+}
+
+func (r *report) visible(now time.Time, after uint64) []sr.CacheEvent {
+	var events []sr.CacheEvent
+	for _, ev := range r.events {
+		if ev.visible.After(now) {
+			break
+		}
+		if ev.Seq > after {
+			events = append(events, ev.CacheEvent)
+		}
+	}
+	return events
+}
+
+func (r *report) lag(most time.Duration) time.Duration {
+	if most <= 0 {
+		return 0
+	}
+	return time.Duration(r.rng.Int64N(int64(most) + 1))
+}
--- /dev/null
+++ b/internal/standin/srengine/step.go
@@ -0,0 +1,128 @@
+package srengine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srprefix"
+)
+
+// admit moves waiting requests into the batch.
+func (e *Engine) admit() {
+	for len(e.waiting) > 0 && len(e.running) < e.cfg.Slots {
+		j := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		cached := e.cache.match(j.blocks) * srprefix.BlockTokens
+		prompt := srprefix.Tokens(j.d.Prompt)
+		j.prefill = max(prompt-cached, 1)
+		e.counts.prompted += prompt
+		e.counts.prefilled += j.prefill
+		e.running = append(e.running, j)
+	}
+}
+
+// schedule plans the next step of the batch and waits for its end.
+func (e *Engine) schedule() {
+	if e.timer != nil || e.frozen {
+		return
+	}
+	e.admit()
+	if len(e.running) == 0 {
+		return
+	}
+	d := e.planStep()
+	plan := e.plan
+	e.timer = time.AfterFunc(d, func() { e.step(plan) })
+}
+
+// planStep shares out one step and returns how long it takes.
+func (e *Engine) planStep() time.Duration {
+	left, decoding := e.cfg.Chunk, 0
+	for _, j := range e.running {
+		j.chunk = min(j.prefill, left)
+		left -= j.chunk
+		j.decoding = j.prefill == 0
+		if j.decoding {
+			decoding++
+		}
+	}
+	d := float64(e.cfg.Chunk-left) / e.cfg.Prefill * float64(time.Second)
+	if decoding > 0 {
+		d += float64(e.cfg.Step) * (1 + e.cfg.Growth*float64(decoding-1))
+	}
+	return time.Duration(d / e.speed)
+}
+
+// step applies a planned step.
+func (e *Engine) step(plan uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if plan != e.plan {
+		return
+	}
+	e.stop()
+	for _, j := range slices.Clone(e.running) {
+		e.advance(j)
+	}
+	e.record()
+	e.schedule()
+}
+
+func (e *Engine) advance(j *job) {
+	if j.chunk > 0 {
+		j.prefill -= j.chunk
+		if j.prefill > 0 {
+			return
+		}
+		e.cache.add(j.blocks)
+	} else if !j.decoding {
+		return
+	}
+	j.made++
+	e.counts.decoded++
+	if j.made == j.length {
+		e.remove(j)
+		e.completed++
+		e.finish(j, "")
+		return
+	}
+	j.wake()
+}
+
+// remove takes a job out of the batch and the waiting list.
+func (e *Engine) remove(j *job) {
+	is := func(other *job) bool { return other == j }
+	e.running = slices.DeleteFunc(e.running, is)
+	e.waiting = slices.DeleteFunc(e.waiting, is)
+}
+
+// finish ends a job and keeps its stream for the retention time.
+func (e *Engine) finish(j *job, cut string) {
+	j.ended = true
+	j.endedAt = time.Now()
+	j.cut = cut
+	e.ended = append(e.ended, j)
+	j.wake()
+	e.expire()
+}
+
+// expire drops ended streams that are too old or too many.
+func (e *Engine) expire() {
+	for len(e.ended) > 0 {
+		j := e.ended[0]
+		if len(e.ended) <= e.cfg.Retained && time.Since(j.endedAt) < e.cfg.Retention {
+			return
+		}
+		delete(e.jobs, j.d.Stream)
+		e.ended = e.ended[1:]
+	}
+}
+
+// stop drops the planned step.
+func (e *Engine) stop() {
+	e.plan++
+	if e.timer != nil {
+		e.timer.Stop()
+		e.timer = nil
+	}
+}
--- /dev/null
+++ b/internal/standin/srengine/stream.go
@@ -0,0 +1,75 @@
+package srengine
+
+import (
+	"context"
+	"io"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+// stream is one connection that reads the answer of a job.
+type stream struct {
+	e      *Engine
+	j      *job
+	after  int
+	ready  chan struct{}
+	broken bool
+	closed bool
+	ended  bool
+}
+
+// Next returns the next token, io.EOF behind the last one.
+func (s *stream) Next(ctx context.Context) (sr.Token, error) {
+	for {
+		t, ok, err := s.poll()
+		if ok || err != nil {
+			return t, err
+		}
+		select {
+		case <-ctx.Done():
+			return sr.Token{}, errors.Wrap(ctx.Err(), "srengine: next token")
+		case <-s.ready:
+		}
+	}
+}
+
+// Close ends the connection. The engine goes on with the request.
+func (s *stream) Close() error {
+	s.e.mu.Lock()
+	defer s.e.mu.Unlock()
+	s.closed = true
+	delete(s.j.streams, s)
+	s.wake()
+	return nil
+}
+
+func (s *stream) poll() (t sr.Token, ok bool, err error) {
+	s.e.mu.Lock()
+	defer s.e.mu.Unlock()
+	switch {
+	case s.closed:
+		return t, false, errors.New("srengine: stream is closed")
+	case s.ended:
+		return t, false, io.EOF
+	case s.broken:
+		return t, false, errors.Wrapf(sr.ErrBroken, "srengine: stream %s", s.j.d.Stream)
+	case s.after < s.j.made:
+		s.after++
+		return sr.Token{Seq: s.after, Text: word(s.j.digest, s.after-1)}, true, nil
+	case s.j.ended:
+		s.ended = true
+		delete(s.j.streams, s)
+		return sr.Token{Seq: s.after + 1, End: true, Cut: s.j.cut}, true, nil
+	}
+	return t, false, nil
+}
+
+// wake lets Next look again. The engine's lock is held.
+func (s *stream) wake() {
+	select {
+	case s.ready <- struct{}{}:
+	default:
+	}
+}
