--- /dev/null
+++ b/internal/policy/srwarm/ramp_test.go
@@ -0,0 +1,103 @@
+package srwarm_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srwarm"
+)
+
+var class = sr.Class{Name: "a", Slots: 6, Cold: 2}
+
+func warm(r *srwarm.Ramp) {
+	for r.Cold() {
+		r.Completed(r.Run(), 0, 0)
+	}
+}
+
+func TestLimitClimbsOnlyWithCompletedRequests(t *testing.T) {
+	r := srwarm.New(srwarm.Options{}, class)
+	r.Report("s1")
+	var limits []int
+	for range 6 {
+		limits = append(limits, r.Limit())
+		r.Report("s1")
+		r.Completed(r.Run(), 0, 0)
+	}
+	assert.DeepEqual(t, limits, []int{2, 2, 3, 3, 3, 4})
+}
+
+func TestNoClimbBeforeTheFirstReport(t *testing.T) {
+	r := srwarm.New(srwarm.Options{}, class)
+	for range 20 {
+		r.Completed(r.Run(), 0, 0)
+	}
+	assert.Equal(t, r.Limit(), 2)
+}
+
+func TestDoubtMakesCold(t *testing.T) {
+	doubts := map[string]func(*srwarm.Ramp){
+		"another start":  func(r *srwarm.Ramp) { assert.Assert(t, r.Report("s2")) },
+		"no start":       func(r *srwarm.Ramp) { r.Report("") },
+		"refused":        func(r *srwarm.Ramp) { r.Refused() },
+		"missing report": func(r *srwarm.Ramp) { r.ReportMissing(); r.ReportMissing() },
+		"slow first":     func(r *srwarm.Ramp) { r.Completed(r.Run(), 2*time.Second, 100*time.Millisecond) },
+		"another class":  func(r *srwarm.Ramp) { r.SetClass(sr.Class{Name: "b", Slots: 6, Cold: 2}) },
+	}
+	for name, doubt := range doubts {
+		t.Run(name, func(t *testing.T) {
+			r := srwarm.New(srwarm.Options{}, class)
+			r.Report("s1")
+			warm(r)
+			before := r.Run()
+			doubt(r)
+			assert.Equal(t, r.Limit(), 2)
+			for range 20 {
+				r.Completed(before, 0, 0)
+			}
+			assert.Equal(t, r.Limit(), 2, "requests of the run before count for nothing")
+		})
+	}
+}
+
+func TestStateMovesToTheNextOwner(t *testing.T) {
+	old := srwarm.New(srwarm.Options{}, class)
+	old.Report("s1")
+	warm(old)
+	next := srwarm.New(srwarm.Options{}, class)
+	next.Import(old.Export("r1"))
+	assert.Assert(t, !next.Report("s1"))
+	assert.Assert(t, !next.Cold())
+	assert.Assert(t, next.Report("s2"))
+	assert.Assert(t, next.Cold())
+
+	next.Import(old.Export("r1"))
+	assert.Assert(t, next.Cold(), "a state of another run is ignored")
+}
+
+func TestLimitStaysBetweenColdAndSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := srwarm.New(srwarm.Options{Step: rapid.IntRange(1, 5).Draw(t, "step")}, class)
+		t.Repeat(map[string]func(*rapid.T){
+			"report":   func(t *rapid.T) { r.Report(rapid.SampledFrom([]string{"", "s1", "s2"}).Draw(t, "start")) },
+			"missing":  func(*rapid.T) { r.ReportMissing() },
+			"refused":  func(*rapid.T) { r.Refused() },
+			"complete": func(*rapid.T) { r.Completed(r.Run(), 0, 0) },
+			"class": func(t *rapid.T) {
+				c := class
+				c.Slots = rapid.IntRange(1, 9).Draw(t, "slots")
+				r.SetClass(c)
+			},
+			"import": func(t *rapid.T) {
+				r.Import(sr.WarmState{Start: "s1", Limit: rapid.IntRange(-1, 20).Draw(t, "limit")})
+			},
+			"": func(t *rapid.T) {
+				assert.Assert(t, r.Limit() >= 1 && r.Limit() <= r.Class().Slots, "limit %d", r.Limit())
+			},
+		})
+	})
+}
