Add the owner's decision logic for a pool

An owner has to say which waiting request gets which slot, and must hold its limits while holders die, owners change and reports lag. One queue per pool is ordered by tier, then by start-time fair queueing among workspaces, then by deadline; leases are counted until they are released or a report taken later shows them gone. Ruled out: freeing a lost holder's leases after a time, since engines run on; and comparing a busy endpoint's report with the present leases alone, since it never shows which of them it counts. Reports are kept open until the leases they may count have ended, whose releases say when they ran. Without a handover nothing is granted at an endpoint before its next report.

--- /dev/null
+++ b/internal/policy/srslot/pool_test.go
@@ -0,0 +1,354 @@
+package srslot_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srslot"
+)
+
+const lowest sr.Tier = 3
+
+var (
+	poolID = sr.PoolID{Target: "m", Domain: "d"}
+	owner  = sr.InstanceID{Address: "10.0.0.1:1", Incarnation: 1}
+	holder = sr.InstanceID{Address: "10.0.0.2:1", Incarnation: 1}
+	other  = sr.InstanceID{Address: "10.0.0.3:1", Incarnation: 1}
+	class  = sr.Class{Name: "a", Slots: 4, Cold: 1}
+	epoch  = time.Unix(1000, 0)
+)
+
+// rig drives one pool by hand.
+type rig struct {
+	*srslot.Pool
+	t      *testing.T
+	now    time.Time
+	placer *leastLoaded
+	grants map[string]sr.Lease
+	refuse map[string]sr.Refusal
+	revoke []sr.Revoke
+	floors []sr.Tier
+}
+
+func config(endpoints ...string) sr.PoolConfig {
+	c := sr.PoolConfig{Pool: poolID, Kind: sr.KindModel, Owner: owner, Lowest: lowest}
+	for _, name := range endpoints {
+		c.Endpoints = append(c.Endpoints, sr.PoolEndpoint{Name: name, Address: name + ":1", Class: class, Usable: true})
+	}
+	return c
+}
+
+// newRig returns an owner of warm endpoints.
+func newRig(t *testing.T, opts srslot.Options, endpoints ...string) *rig {
+	r := newColdRig(t, opts, endpoints...)
+	h := sr.Handover{Yielded: true}
+	for _, name := range endpoints {
+		h.Warm = append(h.Warm, sr.WarmState{Endpoint: name, Start: "s1", Warm: true})
+	}
+	r.Adopt(r.now, h)
+	r.SetMode(r.now, sr.PoolMode{Own: true, Majority: true})
+	return r
+}
+
+// newColdRig returns a pool that owns nothing yet.
+func newColdRig(t *testing.T, opts srslot.Options, endpoints ...string) *rig {
+	r := &rig{
+		t:      t,
+		now:    epoch,
+		placer: &leastLoaded{service: time.Second},
+		grants: make(map[string]sr.Lease),
+		refuse: make(map[string]sr.Refusal),
+	}
+	r.Pool = srslot.New(opts, r.placer, rand.New(rand.NewPCG(1, 2)))
+	r.Configure(r.now, config(endpoints...))
+	return r
+}
+
+func ask(id string, tier sr.Tier) sr.Ask {
+	return sr.Ask{
+		ID: id, Holder: holder, Pool: poolID, Tier: tier, Workspace: "w", Share: 1,
+		Work: sr.Work{Prefill: 50, Decode: 50}, Cancellable: true,
+		Budget: 20 * time.Second, First: 10 * time.Second,
+	}
+}
+
+// tick runs the pool for d in steps of its own choice.
+func (r *rig) tick(d time.Duration) {
+	end := r.now.Add(d)
+	for {
+		for _, a := range r.Tick(r.now) {
+			r.take(a)
+		}
+		next := r.Next(r.now)
+		if next.After(end) {
+			r.now = end
+			return
+		}
+		r.now = next
+	}
+}
+
+func (r *rig) take(a sr.Action) {
+	switch a.Kind {
+	case sr.ActionGrant:
+		r.grants[a.Ask] = a.Grant.Lease
+	case sr.ActionRefuse:
+		r.refuse[a.Ask] = a.Grant.Refusal
+	case sr.ActionRevoke:
+		r.revoke = append(r.revoke, a.Revoke)
+	case sr.ActionFloor:
+		r.floors = append(r.floors, a.Tier)
+	}
+}
+
+func (r *rig) ask(n int, prefix string, tier sr.Tier) {
+	for i := range n {
+		r.Ask(r.now, ask(fmt.Sprintf("%s%d", prefix, i), tier))
+	}
+}
+
+func (r *rig) release(id string, result sr.ReleaseResult) {
+	r.Release(r.now, sr.Release{Lease: r.grants[id].ID, Pool: poolID, Holder: holder, Result: result, Total: time.Second})
+}
+
+func (r *rig) report(endpoint, start string, running int) {
+	r.Report(r.now, endpoint, sr.Load{Start: start, Running: running})
+}
+
+func TestNothingIsGrantedWithoutOwnership(t *testing.T) {
+	r := newColdRig(t, srslot.Options{}, "e1")
+	r.ask(1, "a", 1)
+	r.tick(0)
+	assert.Equal(t, r.refuse["a0"].Name, "not-owner")
+	assert.Equal(t, len(r.grants), 0)
+}
+
+func TestTakeoverWithoutHandoverWaitsForAReport(t *testing.T) {
+	r := newColdRig(t, srslot.Options{}, "e1")
+	r.SetMode(r.now, sr.PoolMode{Own: true, Majority: true})
+	r.ask(5, "a", 1)
+	r.report("e1", "s1", 0)
+	r.tick(time.Second)
+	assert.Equal(t, len(r.grants), 0, "the report was taken before the takeover or just then")
+	r.report("e1", "s1", 1)
+	r.tick(time.Second)
+	assert.Equal(t, len(r.grants), 0, "the one cold slot is taken by a foreign request")
+	r.report("e1", "s1", 0)
+	r.tick(time.Second)
+	assert.Equal(t, len(r.grants), 1)
+}
+
+func TestColdEndpointsNeedAMajority(t *testing.T) {
+	r := newColdRig(t, srslot.Options{}, "e1")
+	r.SetMode(r.now, sr.PoolMode{Own: true})
+	r.tick(time.Second)
+	r.report("e1", "s1", 0)
+	r.ask(1, "a", 1)
+	r.tick(time.Second)
+	assert.Equal(t, len(r.grants), 0)
+	r.SetMode(r.now, sr.PoolMode{Own: true, Majority: true})
+	r.tick(time.Second)
+	assert.Equal(t, len(r.grants), 1)
+}
+
+func TestRepeatedAskReturnsTheSameLease(t *testing.T) {
+	r := newRig(t, srslot.Options{}, "e1")
+	r.ask(1, "a", 1)
+	r.tick(300 * time.Millisecond)
+	first := r.grants["a0"]
+	r.ask(1, "a", 1)
+	r.tick(0)
+	again := r.grants["a0"]
+	assert.Equal(t, again.ID, first.ID)
+	assert.Equal(t, again.Waited+again.TTL, 700*time.Millisecond, "the holder may start it no later than the first time")
+	r.release("a0", sr.ReleaseDone)
+	r.ask(1, "a", 1)
+	r.tick(0)
+	assert.Equal(t, r.refuse["a0"].Name, "withdrawn")
+}
+
+func TestHeldFreesOnlyExpiredLeases(t *testing.T) {
+	r := newRig(t, srslot.Options{HeldDelay: time.Second}, "e1")
+	r.ask(4, "a", 1)
+	r.ask(1, "b", 1)
+	r.tick(time.Second)
+	r.Held(r.now, holder, nil)
+	r.tick(time.Second)
+	assert.Equal(t, len(r.grants), 4, "the list may be older than the TTL")
+	r.Held(r.now, other, nil)
+	r.Held(r.now, holder, []sr.LeaseID{r.grants["a0"].ID, r.grants["a1"].ID, r.grants["a2"].ID})
+	r.tick(0)
+	assert.Equal(t, len(r.grants), 5)
+}
+
+func TestOrphansOfABusyEndpointAreClearedByLaterReleases(t *testing.T) {
+	r := newRig(t, srslot.Options{}, "e1")
+	lost := ask("lost", 1)
+	lost.Holder = other
+	r.Ask(r.now, lost)
+	r.ask(3, "a", 1)
+	r.tick(2 * time.Second)
+	r.HolderLost(r.now, other)
+	r.tick(2 * time.Second)
+	r.report("e1", "s1", 3)
+	assert.Equal(t, r.Dump(r.now).Endpoints[0].Orphans, 1, "one of the three may be the orphan")
+	r.tick(2 * time.Second)
+	for i := range 3 {
+		id := fmt.Sprintf("a%d", i)
+		r.Release(r.now, sr.Release{
+			Lease: r.grants[id].ID, Holder: holder, Result: sr.ReleaseDone, Total: 6 * time.Second,
+		})
+	}
+	assert.Equal(t, r.Dump(r.now).Endpoints[0].Orphans, 0, "the three ran when the report was taken")
+}
+
+func TestPressureIsAnnouncedBeforeATierIsShed(t *testing.T) {
+	r := newRig(t, srslot.Options{PreemptOff: true}, "e1")
+	r.placer.service = 30 * time.Second
+	r.ask(4, "a", 2)
+	r.tick(0)
+	r.ask(4, "b", 2)
+	r.tick(time.Second)
+	assert.DeepEqual(t, r.floors, []sr.Tier{2, 2})
+	assert.Equal(t, len(r.refuse), 0)
+	r.SetFloor(r.now, sr.FloorState{InForce: 2})
+	r.tick(time.Second)
+	assert.Equal(t, len(r.refuse), 0, "the floor is not settled")
+	r.SetFloor(r.now, sr.FloorState{InForce: 2, Settled: 2})
+	r.tick(time.Second)
+	assert.Equal(t, len(r.refuse), 4)
+	assert.Equal(t, r.refuse["b0"].Name, "late")
+	assert.Assert(t, r.refuse["b0"].Retry > 0)
+}
+
+func TestLowestTierIsRefusedEarly(t *testing.T) {
+	r := newRig(t, srslot.Options{}, "e1")
+	r.placer.service = 8 * time.Second
+	r.ask(4, "a", lowest)
+	r.tick(0)
+	r.ask(10, "b", lowest)
+	r.tick(100 * time.Millisecond)
+	kept := 10 - len(r.refuse)
+	assert.Assert(t, kept >= 4 && kept <= 6, "4 slots of 8 s start 4 to 6 more asks within 12 s, not %d", kept)
+	assert.Equal(t, r.refuse["b9"].Name, "late")
+}
+
+func TestMostRecentLowestLeaseIsRevoked(t *testing.T) {
+	r := newRig(t, srslot.Options{}, "e1")
+	r.placer.service = 30 * time.Second
+	r.ask(1, "mid", 2)
+	r.ask(2, "low", lowest)
+	r.tick(time.Second)
+	r.ask(1, "new", lowest)
+	r.tick(time.Second)
+	r.ask(1, "top", 1)
+	r.tick(time.Second / 2)
+	assert.DeepEqual(t, r.revoke, []sr.Revoke{{Lease: r.grants["new0"].ID, Pool: poolID, For: 1}})
+	r.release("new0", sr.ReleaseCut)
+	r.tick(0)
+	assert.Assert(t, r.grants["top0"].ID != 0)
+}
+
+func TestNothingIsRevokedWithPreemptOff(t *testing.T) {
+	r := newRig(t, srslot.Options{PreemptOff: true}, "e1")
+	r.placer.service = 30 * time.Second
+	r.ask(4, "low", lowest)
+	r.tick(0)
+	r.ask(1, "top", 1)
+	r.tick(time.Second)
+	assert.Equal(t, len(r.revoke), 0)
+}
+
+func TestHeadroomIsKeptForHighTiers(t *testing.T) {
+	r := newRig(t, srslot.Options{Headroom: 1, HeadroomTier: 1}, "e1")
+	r.ask(5, "low", lowest)
+	r.tick(0)
+	assert.Equal(t, len(r.grants), 3)
+	r.ask(1, "top", 1)
+	r.tick(0)
+	assert.Assert(t, r.grants["top0"].ID != 0)
+}
+
+func TestQueueEvictsTheNewestOfTheLowestTier(t *testing.T) {
+	r := newRig(t, srslot.Options{Queue: 4, PreemptOff: true}, "e1")
+	r.ask(4, "run", 1)
+	r.tick(0)
+	r.ask(3, "low", lowest)
+	r.ask(3, "top", 1)
+	r.tick(100 * time.Millisecond)
+	assert.Equal(t, r.refuse["low2"].Name, "overloaded")
+	assert.Equal(t, r.refuse["low1"].Name, "overloaded")
+	assert.Equal(t, len(r.refuse), 2)
+}
+
+func TestAvoidedEndpointIsNotChosen(t *testing.T) {
+	r := newRig(t, srslot.Options{}, "e1", "e2")
+	a := ask("a", 1)
+	a.Avoid = []string{"e1"}
+	b := ask("b", 1)
+	b.Avoid = []string{"e1", "e2"}
+	r.Ask(r.now, a)
+	r.Ask(r.now, b)
+	r.tick(0)
+	assert.Equal(t, r.grants["a"].Endpoint, "e2")
+	assert.Equal(t, r.refuse["b"].Name, "empty")
+}
+
+func TestLongRequestIsNotHeldBackByShortOnes(t *testing.T) {
+	r := newRig(t, srslot.Options{SlotWork: 100}, "e1")
+	r.ask(2, "short", 1)
+	r.tick(0)
+	long := ask("long", 1)
+	long.Workspace = "x"
+	long.Work = sr.Work{Decode: 400}
+	r.Ask(r.now, long)
+	r.tick(0)
+	r.ask(3, "later", 1)
+	r.tick(0)
+	assert.Equal(t, len(r.grants), 2, "the endpoint is kept free for the long request")
+	r.release("short0", sr.ReleaseDone)
+	r.release("short1", sr.ReleaseDone)
+	r.tick(0)
+	assert.Assert(t, r.grants["long"].ID != 0)
+}
+
+func TestWorkspacesGetTheirShares(t *testing.T) {
+	hog, light := serveTwo(t, srslot.Options{})
+	assert.Assert(t, hog >= 45 && hog <= 55, "hog %d, light %d", hog, light)
+	hog, light = serveTwo(t, srslot.Options{Without: srslot.Without{FairShare: true}})
+	assert.Assert(t, hog > 80, "without fair shares: hog %d, light %d", hog, light)
+}
+
+// serveTwo returns how many of 100 grants go to a workspace that asks for ten
+// times as much as the other.
+func serveTwo(t *testing.T, opts srslot.Options) (hog, light int) {
+	r := newRig(t, opts, "e1")
+	for i := range 1000 {
+		a := ask(fmt.Sprintf("a%d", i), 2)
+		a.Workspace = "hog"
+		a.Budget, a.First = 0, 0
+		if i%10 == 0 {
+			a.Workspace = "light"
+		}
+		r.Ask(r.now, a)
+	}
+	for done := 0; done < 100; {
+		r.tick(0)
+		for id := range r.grants {
+			r.release(id, sr.ReleaseDone)
+			delete(r.grants, id)
+			done++
+			if id[len(id)-1] == '0' {
+				light++
+			} else {
+				hog++
+			}
+		}
+	}
+	return hog, light
+}
--- /dev/null
+++ b/internal/policy/srslot/report.go
@@ -0,0 +1,39 @@
+package srslot
+
+import (
+	"time"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+// Report takes a load report. One taken before the last one is ignored.
+func (p *Pool) Report(now time.Time, endpoint string, l sr.Load) {
+	e := p.endpoints[endpoint]
+	if e == nil {
+		return
+	}
+	taken := now.Add(-max(l.Age, 0))
+	if e.reported && taken.Before(e.reportedAt) {
+		return
+	}
+	e.reported = true
+	e.reportedAt = taken
+	sure := span{from: taken.Add(-p.opts.NetDelay), to: taken}
+	if e.ramp.Report(l.Start) {
+		p.cleared(e.restarted(sure))
+		p.placer.Forget(endpoint)
+	}
+	p.cleared(e.sight(sure, max(l.Running, 0)+max(l.Waiting, 0)))
+	p.placer.Report(now, endpoint, l)
+	p.forgetGone()
+}
+
+// ReportFailed says that no load report could be had.
+func (p *Pool) ReportFailed(_ time.Time, endpoint string) {
+	e := p.endpoints[endpoint]
+	if e == nil {
+		return
+	}
+	e.ramp.ReportMissing()
+	p.dirty = true
+}
--- a/internal/policy/srwarm/ramp.go
+++ b/internal/policy/srwarm/ramp.go
@@ -81,6 +81,9 @@
 // Limit returns the number of requests that the endpoint bears at once.
 func (r *Ramp) Limit() int { return r.limit }
 
+// ColdLimit returns the limit with which the ramp starts.
+func (r *Ramp) ColdLimit() int { return coldLimit(r.class) }
+
 // Cold reports whether the endpoint bears less than its class does.
 func (r *Ramp) Cold() bool { return r.limit < r.class.Slots }
 
