Add placement over unlike engines

The Picker orders pools by the owners' news, own asks since, and a rendezvous hash on the first prefix block that is not common, so that a prefix larger than a pool's even share is divided by what follows it.

--- /dev/null
+++ b/internal/policy/srroute/picker_test.go
@@ -0,0 +1,109 @@
+package srroute
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"gotest.tools/v3/assert"
+)
+
+func testNews(free ...int) []sr.PoolNews {
+	var news []sr.PoolNews
+	for i, n := range free {
+		id := sr.PoolID{Target: "llama", Domain: fmt.Sprint("d", i)}
+		news = append(news, sr.PoolNews{Pool: id, Free: n, Slots: 32, Wait: make([]time.Duration, 5), Age: 100 * time.Millisecond})
+	}
+	return news
+}
+
+func TestPickersAgreeOnUnseenPrefix(t *testing.T) {
+	news := testNews(32, 32, 32, 32)
+	chosen := make(map[sr.PoolID]int)
+	for id := range 200 {
+		a := testAsk(id, chain(uint64(id), 40))
+		one := NewPicker(PickerOptions{Seed: 1}).Pick(start, a, news)
+		two := NewPicker(PickerOptions{Seed: 2}).Pick(start, a, news)
+		assert.Equal(t, len(one), 4)
+		assert.Equal(t, one[0], two[0])
+		chosen[one[0]]++
+	}
+	assert.Equal(t, len(chosen), 4)
+}
+
+func TestPickDividesCommonPrefix(t *testing.T) {
+	k := NewPicker(PickerOptions{Seed: 1})
+	common := chain(1, 16)
+	chosen := make(map[sr.PoolID]int)
+	for id := range 400 {
+		blocks := append(common[:16:16], chain(uint64(1000+id), 40)...)
+		a := testAsk(id, blocks)
+		news := testNews(32, 32, 32, 32)
+		for i := range news {
+			news[i].Age = 0
+		}
+		ids := k.Pick(start.Add(time.Duration(id)*time.Second), a, news)
+		k.Asked(start.Add(time.Duration(id)*time.Second), a, ids[0])
+		chosen[ids[0]]++
+	}
+	for id, n := range chosen {
+		assert.Assert(t, n < 200, "%s has %d of 400", id, n)
+	}
+}
+
+func TestPickAvoidsBusyPools(t *testing.T) {
+	news := testNews(0, 0, 16, 0)
+	news[0].Wait[1], news[1].Wait[1], news[3].Wait[1] = time.Second, time.Second, time.Second
+	for id := range 50 {
+		ids := NewPicker(PickerOptions{Seed: 1}).Pick(start, testAsk(id, chain(uint64(id), 10)), news)
+		assert.Equal(t, ids[0], news[2].Pool)
+	}
+}
+
+func TestPickPutsEmptyPoolsLast(t *testing.T) {
+	news := testNews(0, 4, 4)
+	news[0].Slots = 0
+	ids := NewPicker(PickerOptions{Seed: 1}).Pick(start, testAsk(1, nil), news)
+	assert.Equal(t, len(ids), 3)
+	assert.Equal(t, ids[2], news[0].Pool)
+}
+
+func TestPickCountsOwnAsks(t *testing.T) {
+	k := NewPicker(PickerOptions{Seed: 1, NoAffinity: true})
+	news := testNews(10, 10, 10)
+	chosen := make(map[sr.PoolID]int)
+	for id := range 30 {
+		a := testAsk(id, nil)
+		pool := k.Pick(start, a, news)[0]
+		k.Asked(start, a, pool)
+		chosen[pool]++
+	}
+	for _, n := range news {
+		assert.Assert(t, chosen[n.Pool] >= 5 && chosen[n.Pool] <= 15, "%v", chosen)
+	}
+}
+
+func TestPickAvoidsRefusingPool(t *testing.T) {
+	k := NewPicker(PickerOptions{Seed: 1})
+	news := testNews(8, 8)
+	a := testAsk(1, chain(1, 10))
+	first := k.Pick(start, a, news)[0]
+	k.Asked(start, a, first)
+	k.Refused(start, first)
+	assert.Assert(t, k.Pick(start, a, news)[0] != first)
+	for i := range news {
+		news[i].Age = 0
+	}
+	assert.Equal(t, k.Pick(start.Add(time.Second), a, news)[0], first)
+}
+
+func TestPickerBoundsPools(t *testing.T) {
+	k := NewPicker(PickerOptions{Seed: 1, Blocks: 64})
+	for id := range 3 * maxPools {
+		pool := sr.PoolID{Target: fmt.Sprint(id)}
+		k.Asked(start, testAsk(id, chain(uint64(id), 4)), pool)
+		k.Pick(start, testAsk(id, chain(uint64(id), 4)), []sr.PoolNews{{Pool: pool, Slots: 1}})
+		assert.Assert(t, len(k.list) <= maxPools)
+	}
+}
