Free leases by lists made after their lifetime

Cause: a bound on the delay of a list is a guess; a paused owner reads old lists late and would free leases that run. Change: Held takes the time before which the list cannot have been made, the send time of the heartbeat it answers; the pool alone remembers its grants.

--- a/internal/app/srowner/duty.go
+++ b/internal/app/srowner/duty.go
@@ -16,8 +16,6 @@
 	maxEvents = 1024
 	// acquireWait is how long an ask waits before its holder asks again.
 	acquireWait = time.Second
-	// keepGrant is how long a grant is kept for a holder that asks again.
-	keepGrant = 10 * time.Second
 	// minTick bounds how often the pool is ticked by its own timer.
 	minTick = time.Millisecond
 	// sendTimeout bounds a message to a holder.
@@ -39,9 +37,8 @@
 	once   sync.Once
 	sends  chan struct{}
 
-	// waiters and grants are used by the duty's goroutine alone.
+	// waiters is used by the duty's goroutine alone.
 	waiters map[string]*waiter
-	grants  map[string]grantRecord
 
 	mu     sync.Mutex
 	news   sr.PoolNews
@@ -51,14 +48,7 @@
 
 // waiter is an Acquire call that waits for its answer.
 type waiter struct {
-	received time.Time
-	reply    chan sr.Grant
-}
-
-// grantRecord keeps a lease for a holder that asks again.
-type grantRecord struct {
-	lease sr.Lease
-	at    time.Time
+	reply chan sr.Grant
 }
 
 func newDuty(id sr.PoolID, deps Deps) *duty {
@@ -70,7 +60,6 @@
 		done:    make(chan struct{}),
 		sends:   make(chan struct{}, maxSends),
 		waiters: make(map[string]*waiter),
-		grants:  make(map[string]grantRecord),
 		news:    sr.PoolNews{Pool: id, Owner: deps.Self},
 		newsAt:  time.Now(),
 	}
@@ -121,7 +110,7 @@
 }
 
 func (d *duty) acquire(ctx context.Context, a sr.Ask) (sr.Grant, error) {
-	w := &waiter{received: time.Now(), reply: make(chan sr.Grant, 1)}
+	w := &waiter{reply: make(chan sr.Grant, 1)}
 	if !d.post(func(now time.Time) { d.ask(now, a, w) }) {
 		return sr.Grant{}, errors.Wrapf(sr.ErrNotOwner, "srowner: pool %s", d.id)
 	}
@@ -140,12 +129,6 @@
 }
 
 func (d *duty) ask(now time.Time, a sr.Ask, w *waiter) {
-	if g, ok := d.grants[a.ID]; ok {
-		lease := g.lease
-		lease.Waited = g.at.Sub(w.received)
-		w.reply <- sr.Grant{Lease: lease}
-		return
-	}
 	d.waiters[a.ID] = w
 	d.pool.Ask(now, a)
 }
@@ -159,10 +142,6 @@
 func (d *duty) withdraw(now time.Time, ask string) {
 	delete(d.waiters, ask)
 	d.pool.Withdraw(now, ask)
-	if g, ok := d.grants[ask]; ok {
-		delete(d.grants, ask)
-		d.pool.Release(now, sr.Release{Lease: g.lease.ID, Pool: d.id, Result: sr.ReleaseUnused})
-	}
 }
 
 // drainEvents carries out the events that are already waiting.
@@ -184,11 +163,6 @@
 	for _, a := range d.pool.Tick(now) {
 		d.carryOut(now, a)
 	}
-	for ask, g := range d.grants {
-		if now.Sub(g.at) > keepGrant {
-			delete(d.grants, ask)
-		}
-	}
 	d.setNews(now)
 	return max(d.pool.Next(now).Sub(now), minTick)
 }
@@ -197,11 +171,10 @@
 	switch a.Kind {
 	case sr.ActionGrant:
 		count(d.deps.Metrics, "pool.grants", 1)
-		d.grants[a.Ask] = grantRecord{lease: a.Grant.Lease, at: now}
-		d.answer(now, a)
+		d.answer(a)
 	case sr.ActionRefuse:
 		count(d.deps.Metrics, "pool.refusals."+a.Grant.Refusal.Name, 1)
-		d.answer(now, a)
+		d.answer(a)
 	case sr.ActionRevoke:
 		count(d.deps.Metrics, "pool.revokes", 1)
 		d.revoke(a)
@@ -211,15 +184,14 @@
 	}
 }
 
-func (d *duty) answer(now time.Time, a sr.Action) {
+// answer replies to the holder that waits; one that does not will ask again.
+func (d *duty) answer(a sr.Action) {
 	w, ok := d.waiters[a.Ask]
 	if !ok {
 		return
 	}
 	delete(d.waiters, a.Ask)
-	g := a.Grant
-	g.Lease.Waited = now.Sub(w.received)
-	w.reply <- g
+	w.reply <- a.Grant
 }
 
 // revoke tells a holder to cut a request; without an answer the pool's own
--- a/internal/policy/srslot/lease.go
+++ b/internal/policy/srslot/lease.go
@@ -170,9 +170,9 @@
 	return true
 }
 
-// Held takes a holder's full list of its leases: others of that holder whose
-// TTL has passed are freed.
-func (p *Pool) Held(now time.Time, holder sr.InstanceID, leases []sr.LeaseID) {
+// Held takes a holder's full list of its leases, made not before made: others
+// of that holder whose TTL had passed by then are freed.
+func (p *Pool) Held(now, made time.Time, holder sr.InstanceID, leases []sr.LeaseID) {
 	held := p.holders[holder]
 	if len(held) == 0 {
 		return
@@ -182,7 +182,7 @@
 		named[id] = struct{}{}
 	}
 	for id, l := range held {
-		if _, ok := named[id]; ok || now.Before(l.startBy.Add(p.opts.HeldDelay)) {
+		if _, ok := named[id]; ok || made.Before(l.startBy) {
 			continue
 		}
 		if l.adopted {
--- a/internal/policy/srslot/options.go
+++ b/internal/policy/srslot/options.go
@@ -10,7 +10,6 @@
 // Defaults of Options.
 const (
 	defaultGrantTTL    = time.Second
-	defaultHeldDelay   = time.Second
 	defaultNetDelay    = 250 * time.Millisecond
 	defaultBlindWait   = 10 * time.Second
 	defaultFloorEvery  = 500 * time.Millisecond
@@ -33,9 +32,6 @@
 type Options struct {
 	// GrantTTL is how long after its grant a lease may be started.
 	GrantTTL time.Duration
-	// HeldDelay is the longest time between the making and the arrival of a
-	// holder's list of leases.
-	HeldDelay time.Duration
 	// NetDelay is the longest time that a load report or a release takes to
 	// arrive: what they say about a time is sure only beyond it.
 	NetDelay time.Duration
@@ -102,7 +98,6 @@
 
 func (o Options) withDefaults() Options {
 	orDuration(&o.GrantTTL, defaultGrantTTL)
-	orDuration(&o.HeldDelay, defaultHeldDelay)
 	orDuration(&o.NetDelay, defaultNetDelay)
 	orDuration(&o.BlindWait, defaultBlindWait)
 	orDuration(&o.FloorEvery, defaultFloorEvery)
