Read settings and manifest, and decide membership and pool ownership

Cause: instances need checked settings, the operators' manifest and one rule for who owns a pool before the entry instance can be put together.

sr.Heartbeat gains Ownership, a list of sr.Claim: the sender's own claims and those it heard at first hand. A claimant that hears a majority learns through them of each owner that acts with a majority. PoolNews carries neither the phase of a claim nor whether it was made with a majority, so it did not do.

Ruled out: a table by reflection on struct tags, since bounds and units would have to be parsed from text.

Not yet there: the duty that follows the configuration service, and the simulation of ownership under cuts.

--- /dev/null
+++ b/internal/state/srsettings/settings.go
@@ -0,0 +1,103 @@
+// Package srsettings reads the settings of one process from an INI file.
+//
+// # Usage
+//
+//	cfg, err := srsettings.Load("instance.ini")
+//	if err != nil {
+//		return err // lists every problem with file, section and key
+//	}
+//	listen(cfg.Listen)
+package srsettings
+
+import (
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srini"
+)
+
+// Settings are the settings of one process. They are checked in full and do
+// not change while the process runs. Addresses are IP:port.
+type Settings struct {
+	// Listen is where callers connect, Operate operators, Peer other instances.
+	Listen  string
+	Operate string
+	Peer    string
+	Domain  string
+
+	// Platform is the address of the configuration service, Root the key of
+	// the manifest's root value.
+	Platform string
+	Root     string
+	Seeds    []string
+
+	// Body is in bytes, the other limits are counts.
+	Body    int
+	Tickets int
+	Waiting int
+	Records int
+	Batch   int
+	Events  int
+	Streams int
+
+	Heartbeat time.Duration
+	Lapse     time.Duration
+	Lease     time.Duration
+	Ticket    time.Duration
+	Drain     time.Duration
+	Retain    time.Duration
+	Poll      time.Duration
+	Connect   time.Duration
+	Header    time.Duration
+	Idle      time.Duration
+
+	// Level is LevelError, LevelInfo or LevelDebug.
+	Level string
+}
+
+// Log levels.
+const (
+	LevelError = "error"
+	LevelInfo  = "info"
+	LevelDebug = "debug"
+)
+
+// Load reads and checks the settings at path.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "srsettings")
+	}
+	return Parse(path, data)
+}
+
+// Parse checks the settings in data; name is the file's name in errors, which
+// wrap sr.ErrInvalid.
+func Parse(name string, data []byte) (Settings, error) {
+	var s Settings
+	var ps srini.Problems
+	p := parser{file: name, table: keys(&s), problems: &ps}
+	sections := srini.Read(name, data, &ps)
+	if sections != nil || len(ps.List) == 0 {
+		p.fill(sections)
+		s.check(name, &ps)
+	}
+	if err := ps.Err("srsettings"); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// WithDomain returns a copy for another failure domain.
+func (s Settings) WithDomain(domain string) Settings {
+	s.Domain = domain
+	return s
+}
+
+// ID returns the identity of a run of the process.
+func (s Settings) ID(incarnation uint64) sr.InstanceID {
+	return sr.InstanceID{Address: s.Peer, Incarnation: incarnation}
+}
--- /dev/null
+++ b/internal/state/srsettings/table.go
@@ -0,0 +1,134 @@
+package srsettings
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srini"
+)
+
+// maxSeeds is the most seed addresses.
+const maxSeeds = 64
+
+// MinBeats is the least number of heartbeats in a lapse.
+const MinBeats = 3
+
+// keys describes every key and binds it to its field.
+func keys(s *Settings) []srini.Key {
+	return []srini.Key{
+		{Section: "instance", Name: "listen", Value: srini.ListenAddress(&s.Listen), Required: true, About: "where callers connect"},
+		{Section: "instance", Name: "operate", Value: srini.ListenAddress(&s.Operate), Required: true, About: "where operators connect"},
+		{Section: "instance", Name: "peer", Value: srini.Address(&s.Peer), Required: true, About: "where other instances connect; the address that the platform lists"},
+		{Section: "instance", Name: "domain", Value: srini.Word(&s.Domain), Required: true, About: "failure domain of this process"},
+
+		{Section: "platform", Name: "address", Value: srini.Address(&s.Platform), Required: true, About: "configuration service"},
+		{Section: "platform", Name: "root", Value: srini.Word(&s.Root), Default: "manifest", About: "key of the manifest's root value"},
+
+		{Section: "peers", Name: "seeds", Value: srini.Addresses(&s.Seeds, maxSeeds), About: "instances to ask until the platform's list is there"},
+
+		{Section: "limits", Name: "body", Value: srini.Int(&s.Body, "bytes", 1<<10, 64<<20), Default: "1048576", About: "largest request body"},
+		{Section: "limits", Name: "tickets", Value: srini.Int(&s.Tickets, "tickets", 1, 1_000_000), Default: "20000", About: "most tickets in use"},
+		{Section: "limits", Name: "waiting", Value: srini.Int(&s.Waiting, "requests", 1, 1_000_000), Default: "2000", About: "most requests that wait at this instance"},
+		{Section: "limits", Name: "records", Value: srini.Int(&s.Records, "steps", 100, 10_000_000), Default: "20000", About: "steps kept for explanations"},
+		{Section: "limits", Name: "batch", Value: srini.Int(&s.Batch, "tickets", 1, 10_000), Default: "100", About: "most tickets in one call"},
+		{Section: "limits", Name: "events", Value: srini.Int(&s.Events, "events", 16, 1_000_000), Default: "8192", About: "most events kept of one answer"},
+		{Section: "limits", Name: "streams", Value: srini.Int(&s.Streams, "streams", 1, 1_000_000), Default: "2000", About: "most answers read by callers at once"},
+
+		{Section: "times", Name: "heartbeat", Value: srini.Duration(&s.Heartbeat, 10*time.Millisecond, 10*time.Second), Default: "250ms", About: "time between heartbeats"},
+		{Section: "times", Name: "lapse", Value: srini.Duration(&s.Lapse, 30*time.Millisecond, time.Minute), Default: "2s", About: "time after which an instance that was not heard counts as gone"},
+		{Section: "times", Name: "lease", Value: srini.Duration(&s.Lease, 10*time.Millisecond, time.Minute), Default: "1s", About: "time in which a granted slot may be used"},
+		{Section: "times", Name: "ticket", Value: srini.Duration(&s.Ticket, time.Second, 24*time.Hour), Default: "10m", About: "lifetime of a ticket that is not in use"},
+		{Section: "times", Name: "drain", Value: srini.Duration(&s.Drain, time.Second, 24*time.Hour), Default: "10m", About: "longest graceful shutdown"},
+		{Section: "times", Name: "retain", Value: srini.Duration(&s.Retain, time.Second, 24*time.Hour), Default: "10m", About: "time for which an ended request is kept"},
+		{Section: "times", Name: "poll", Value: srini.Duration(&s.Poll, 10*time.Millisecond, time.Minute), Default: "500ms", About: "time between load reports"},
+		{Section: "times", Name: "connect", Value: srini.Duration(&s.Connect, 10*time.Millisecond, time.Minute), Default: "1s", About: "longest time to connect"},
+		{Section: "times", Name: "header", Value: srini.Duration(&s.Header, 10*time.Millisecond, time.Minute), Default: "5s", About: "longest time to read a request's header"},
+		{Section: "times", Name: "idle", Value: srini.Duration(&s.Idle, time.Second, time.Hour), Default: "2m", About: "time after which an unused connection is closed"},
+
+		{Section: "log", Name: "level", Value: srini.Choice(&s.Level, LevelError, LevelInfo, LevelDebug), Default: LevelInfo, About: "least important lines that are written"},
+	}
+}
+
+// rule is a condition on several keys.
+type rule struct {
+	section string
+	key     string
+	// others are the keys that the condition compares with.
+	others   []string
+	holds    bool
+	expected string
+}
+
+// check reports what several keys break together. Keys that are wrong by
+// themselves are left out.
+func (s Settings) check(file string, ps *srini.Problems) {
+	wrong := make(map[string]bool)
+	for _, p := range ps.List {
+		wrong[p.Key] = true
+	}
+	for _, r := range s.rules() {
+		if !r.holds && !slices.ContainsFunc(append(r.others, r.key), func(k string) bool { return wrong[k] }) {
+			ps.Addf(file, r.section, r.key, "%s", r.expected)
+		}
+	}
+}
+
+func (s Settings) rules() []rule {
+	return []rule{
+		{
+			"times", "lapse",
+			[]string{"heartbeat"},
+			s.Lapse >= MinBeats*s.Heartbeat,
+			fmt.Sprintf("at least %d heartbeats of %v, found %v", MinBeats, s.Heartbeat, s.Lapse),
+		},
+		{
+			"times", "lease",
+			[]string{"lapse"},
+			s.Lease <= s.Lapse,
+			fmt.Sprintf("at most the lapse of %v, found %v", s.Lapse, s.Lease),
+		},
+		{
+			"times", "lease",
+			[]string{"heartbeat"},
+			s.Lease >= 2*s.Heartbeat,
+			fmt.Sprintf("at least 2 heartbeats of %v, found %v", s.Heartbeat, s.Lease),
+		},
+		{
+			"times", "connect",
+			[]string{"lapse"},
+			s.Connect <= s.Lapse,
+			fmt.Sprintf("at most the lapse of %v, found %v", s.Lapse, s.Connect),
+		},
+		{
+			"limits", "batch",
+			[]string{"tickets"},
+			s.Batch <= s.Tickets,
+			fmt.Sprintf("at most the limit of %d tickets, found %d", s.Tickets, s.Batch),
+		},
+		{
+			"limits", "waiting",
+			[]string{"tickets"},
+			s.Waiting <= s.Tickets,
+			fmt.Sprintf("at most the limit of %d tickets, found %d", s.Tickets, s.Waiting),
+		},
+		{
+			"instance", "operate",
+			[]string{"listen"},
+			s.Operate != s.Listen,
+			"another address than listen, found " + s.Operate,
+		},
+		{
+			"instance", "peer",
+			[]string{"listen", "operate"},
+			s.Peer != s.Listen && s.Peer != s.Operate,
+			"another address than listen and operate, found " + s.Peer,
+		},
+		{
+			"platform", "address",
+			[]string{"listen", "operate", "peer"},
+			s.Platform != s.Listen && s.Platform != s.Operate && s.Platform != s.Peer,
+			"another address than those of [instance], found " + s.Platform,
+		},
+	}
+}
--- a/peer.go
+++ b/peer.go
@@ -32,6 +32,19 @@
 	Left time.Duration
 }
 
+// Claim says that an instance owns a pool or is about to take it over.
+type Claim struct {
+	Pool  PoolID
+	Owner InstanceID
+	// Grants reports whether the owner grants slots already.
+	Grants bool
+	// Majority reports whether the owner heard a majority when it claimed.
+	Majority bool
+	// Age is how long ago the sender of the heartbeat heard the claim from its
+	// owner, 0 for its own claims.
+	Age time.Duration
+}
+
 // Heartbeat is exchanged between instances; the answer is a heartbeat too.
 type Heartbeat struct {
 	From    InstanceID
@@ -43,7 +56,10 @@
 	Heard []InstanceID
 	// Claims lists the pools that the sender owns or is taking over.
 	Claims []PoolNews
-	Floors []Floor
+	// Ownership lists the claims that the sender makes, and those it heard
+	// from their owners within lapse and lease time.
+	Ownership []Claim
+	Floors    []Floor
 	// Held lists the leases that the sender holds from the receiver, in full.
 	Held []LeaseID
 }
