--- a/peer.go
+++ b/peer.go
@@ -32,6 +32,19 @@
 	Left time.Duration
 }
 
+// Claim says that an instance owns a pool or is about to take it over.
+type Claim struct {
+	Pool  PoolID
+	Owner InstanceID
+	// Grants reports whether the owner grants slots already.
+	Grants bool
+	// Majority reports whether the owner heard a majority when it claimed.
+	Majority bool
+	// Age is how long ago the sender of the heartbeat heard the claim from its
+	// owner, 0 for its own claims.
+	Age time.Duration
+}
+
 // Heartbeat is exchanged between instances; the answer is a heartbeat too.
 type Heartbeat struct {
 	From    InstanceID
@@ -41,9 +54,12 @@
 	// Heard lists the instances with which an exchange succeeded within the
 	// heartbeat lapse.
 	Heard []InstanceID
-	// Claims lists the pools that the sender owns or is taking over.
+	// Claims summarises the pools whose slots the sender grants.
 	Claims []PoolNews
-	Floors []Floor
+	// Ownership lists the claims that the sender makes, and those it heard
+	// from their owners within lapse and lease time.
+	Ownership []Claim
+	Floors    []Floor
 	// Held, in an answer, lists the sender's leases of each pool that the
 	// heartbeat it answers claims, in full.
 	Held []HeldPool
