--- a/internal/policy/srslot/world_test.go
+++ b/internal/policy/srslot/world_test.go
@@ -70,7 +70,6 @@
 
 func newWorld(opts srslot.Options, pick func(n int) int) *world {
 	opts.GrantTTL = worldTTL
-	opts.HeldDelay = worldDelay
 	opts.NetDelay = worldDelay
 	opts.ShedHold = worldHold
 	opts.Queue = worldQueue
@@ -427,7 +426,7 @@
 			ids = append(ids, g.lease.ID)
 		}
 	}
-	w.pool.Held(w.now, h, ids)
+	w.pool.Held(w.now, w.now, h, ids)
 }
 
 // holderLost cuts a holder off from the owner; a new run takes its place.
