--- a/internal/policy/srslot/world_test.go
+++ b/internal/policy/srslot/world_test.go
@@ -43,8 +43,8 @@
 
 // granted is a lease in its holder's hands.
 type granted struct {
-	lease    sr.Lease
-	ask      sr.Ask
+	lease sr.Lease
+	ask   sr.Ask
 	// by is the owner that granted the lease, owner the one that counts it.
 	by       uint64
 	owner    uint64
--- /dev/null
+++ b/internal/policy/srtier/floors_test.go
@@ -0,0 +1,194 @@
+package srtier_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srtier"
+)
+
+const bound = 600 * time.Millisecond
+
+var (
+	a     = sr.InstanceID{Address: "a"}
+	b     = sr.InstanceID{Address: "b"}
+	c     = sr.InstanceID{Address: "c"}
+	epoch = time.Unix(1000, 0)
+)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func TestFloorSettlesOnceEachLivePeerKnewItForTheBound(t *testing.T) {
+	f := srtier.New(a, bound)
+	f.SetLive(at(0), []sr.InstanceID{a, b, c})
+	f.Announce(at(0), "m", 2)
+	assert.Equal(t, f.State(at(0), "m"), sr.FloorState{InForce: 2})
+	f.Ack(at(100), b, at(50))
+	f.Ack(at(1000), c, at(0))
+	assert.Equal(t, f.State(at(1000), "m"), sr.FloorState{InForce: 2}, "c answered what was sent before")
+	f.Announce(at(1000), "m", 2)
+	f.Ack(at(1100), c, at(1050))
+	f.Ack(at(1100), b, at(1050))
+	assert.Equal(t, f.State(at(1600), "m"), sr.FloorState{InForce: 2})
+	assert.Equal(t, f.State(at(1700), "m"), sr.FloorState{InForce: 2, Settled: 2})
+	assert.Equal(t, f.State(at(1700), "other"), sr.FloorState{})
+	assert.Equal(t, f.State(at(3000), "m"), sr.FloorState{}, "it has run out")
+}
+
+func TestUnreachablePeerCountsUntilItHasLapsed(t *testing.T) {
+	f := srtier.New(a, bound)
+	f.SetLive(at(0), []sr.InstanceID{b})
+	f.Announce(at(0), "m", 1)
+	assert.Equal(t, f.State(at(900), "m").Settled, sr.Tier(0))
+	f.SetLive(at(900), nil)
+	assert.Equal(t, f.State(at(900), "m").Settled, sr.Tier(1))
+	f.SetLive(at(1000), []sr.InstanceID{b})
+	assert.Equal(t, f.State(at(1000), "m").Settled, sr.Tier(0), "a peer that comes back must know it anew")
+}
+
+func TestFloorsOfDifferentTiersStandSideBySide(t *testing.T) {
+	f := srtier.New(a, bound)
+	f.SetLive(at(0), []sr.InstanceID{b})
+	f.Hear(at(0), b, []sr.Floor{{Target: "m", Tier: 1, Left: time.Second}})
+	f.Announce(at(0), "m", 2)
+	f.Ack(at(100), b, at(50))
+	assert.Equal(t, f.State(at(800), "m"), sr.FloorState{InForce: 1, Settled: 2})
+	f.Announce(at(800), "m", 1)
+	assert.Equal(t, f.State(at(900), "m"), sr.FloorState{InForce: 1, Settled: 2},
+		"an own higher floor settles by itself and leaves the lower one settled")
+	assert.DeepEqual(t, f.Floors(at(900)), []sr.Floor{
+		{Target: "m", Tier: 1, Left: 1900 * time.Millisecond},
+		{Target: "m", Tier: 2, Left: 1100 * time.Millisecond},
+	})
+}
+
+func TestBadFloorsAreIgnored(t *testing.T) {
+	f := srtier.New(a, bound)
+	f.Hear(at(0), b, []sr.Floor{{Target: "m", Tier: 0, Left: time.Second}, {Target: "m", Tier: 1}})
+	f.Hear(at(0), a, []sr.Floor{{Target: "m", Tier: 1, Left: time.Second}})
+	assert.Equal(t, f.State(at(0), "m"), sr.FloorState{})
+	f.Hear(at(0), b, []sr.Floor{{Target: "m", Tier: 1, Left: 1000 * time.Hour}})
+	assert.Equal(t, f.State(at(60_000), "m"), sr.FloorState{}, "no floor is believed for ever")
+	for i := range 2 * srtier.MaxFloors {
+		f.Announce(at(0), fmt.Sprint(i), 1)
+	}
+	assert.Equal(t, len(f.Floors(at(0))), srtier.MaxFloors)
+}
+
+// fleet is a few instances whose heartbeats are delayed and lost.
+type fleet struct {
+	now    time.Time
+	ids    []sr.InstanceID
+	floors []*srtier.Floors
+	calls  []call
+	// since is when an instance last could have granted a tier, by instance and tier.
+	granted [][]time.Time
+}
+
+// call is a heartbeat on its way, or its answer.
+type call struct {
+	from, to int
+	sent     time.Time
+	floors   []sr.Floor
+	answer   bool
+}
+
+func newFleet() *fleet {
+	f := &fleet{now: epoch, ids: []sr.InstanceID{a, b, c}}
+	for _, id := range f.ids {
+		x := srtier.New(id, bound)
+		x.SetLive(f.now, f.ids)
+		f.floors = append(f.floors, x)
+		f.granted = append(f.granted, make([]time.Time, 4))
+	}
+	return f
+}
+
+func (f *fleet) step(pick func(n int) int) error {
+	f.now = f.now.Add(time.Duration(pick(120)) * time.Millisecond)
+	i := pick(len(f.ids))
+	switch pick(8) {
+	case 0:
+		f.floors[i].Announce(f.now, "m", sr.Tier(1+pick(3)))
+	case 1, 2, 3:
+		f.calls = append(f.calls, call{from: i, to: pick(len(f.ids)), sent: f.now, floors: f.floors[i].Floors(f.now)})
+	case 4, 5, 6:
+		f.deliver(pick)
+	}
+	return f.check()
+}
+
+func (f *fleet) deliver(pick func(n int) int) {
+	if len(f.calls) == 0 {
+		return
+	}
+	i := pick(len(f.calls))
+	x := f.calls[i]
+	f.calls = slices.Delete(f.calls, i, i+1)
+	if pick(5) == 0 {
+		return
+	}
+	if x.answer {
+		f.floors[x.from].Ack(f.now, f.ids[x.to], x.sent)
+		return
+	}
+	f.floors[x.to].Hear(f.now, f.ids[x.from], x.floors)
+	x.answer = true
+	f.calls = append(f.calls, x)
+}
+
+// check lets each instance grant what its floors allow, and reports a settled
+// tier below which somebody granted within the bound.
+func (f *fleet) check() error {
+	for i, x := range f.floors {
+		in := x.State(f.now, "m").InForce
+		for t := sr.Tier(1); t <= 3; t++ {
+			if in == 0 || !in.Outranks(t) {
+				f.granted[i][t] = f.now
+			}
+		}
+	}
+	for _, x := range f.floors {
+		settled := x.State(f.now, "m").Settled
+		if settled == 0 {
+			continue
+		}
+		for i := range f.ids {
+			for t := settled + 1; t <= 3; t++ {
+				if f.now.Sub(f.granted[i][t]) < bound {
+					return fmt.Errorf("tier %d is settled but %d granted tier %d", settled, i, t)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func TestNobodyGrantsBelowASettledFloor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		for range 150 {
+			err := f.step(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "n") })
+			assert.NilError(t, err)
+		}
+	})
+	settled := 0
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		f := newFleet()
+		for range 500 {
+			assert.NilError(t, f.step(rng.IntN))
+			if f.floors[0].State(f.now, "m").Settled != 0 {
+				settled++
+			}
+		}
+	}
+	assert.Assert(t, settled > 0, "no floor was ever settled")
+}
