--- a/internal/standin/srengine/fault.go
+++ b/internal/standin/srengine/fault.go
@@ -116,6 +116,7 @@
 // crash loses the state of the process and begins another run.
 func (e *Engine) crash() {
 	for _, j := range e.jobs {
+		j.lost = true
 		j.disconnect()
 	}
 	for _, j := range e.held {
--- a/internal/standin/srengine/job.go
+++ b/internal/standin/srengine/job.go
@@ -22,7 +22,9 @@
 	ended    bool
 	endedAt  time.Time
 	cut      string
-	streams  map[*stream]struct{}
+	// lost marks a job whose engine process has ended.
+	lost    bool
+	streams map[*stream]struct{}
 	// admitted is closed when a frozen engine has thawed and read the request.
 	admitted chan struct{}
 	err      error
--- a/internal/standin/srengine/stream.go
+++ b/internal/standin/srengine/stream.go
@@ -53,7 +53,7 @@
 		return t, false, errors.New("srengine: stream is closed")
 	case s.ended:
 		return t, false, io.EOF
-	case s.broken:
+	case s.broken, s.j.lost:
 		return t, false, errors.Wrapf(sr.ErrBroken, "srengine: stream %s", s.j.d.Stream)
 	case s.after < s.j.made:
 		s.after++
