Serve the whole path in separate processes

Cause: the parts need to be seen working together before they are proved. Ruled out: curl in the demo; a caller must hold a ticket, retry under it and resume, so the command line got a client of its own.

--- /dev/null
+++ b/internal/app/srcli/ask.go
@@ -0,0 +1,123 @@
+package srcli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+const (
+	// askTimeout bounds a question to a running instance.
+	askTimeout = 10 * time.Second
+	// maxAnswerBytes is the size of the largest answer.
+	maxAnswerBytes = 64 << 20
+)
+
+type dumpCommand struct {
+	Operate string `required:"" help:"Operator address of the instance, IP:PORT."`
+}
+
+// Run prints the state of an instance.
+func (c dumpCommand) Run(o *output) error {
+	body, err := get(c.Operate, "/v1/dump")
+	if err != nil {
+		return err
+	}
+	return printJSON(o.out, body)
+}
+
+type explainCommand struct {
+	Operate string `required:"" help:"Operator address of any instance, IP:PORT."`
+	JSON    bool   `help:"Print JSON for programs." name:"json"`
+	Ticket  string `arg:"" help:"Ticket of the request."`
+}
+
+// explanation is the JSON of an explanation.
+type explanation struct {
+	Ticket   string `json:"ticket"`
+	Instance string `json:"instance"`
+	Summary  string `json:"summary"`
+	Steps    []struct {
+		At     string `json:"at"`
+		Step   string `json:"step"`
+		Detail string `json:"detail"`
+	} `json:"steps"`
+}
+
+// Run prints the decisions taken for a ticket.
+func (c explainCommand) Run(o *output) error {
+	body, err := get(c.Operate, "/v1/explain/"+url.PathEscape(c.Ticket))
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(o.out, body)
+	}
+	var e explanation
+	if err := json.Unmarshal(body, &e); err != nil {
+		return errors.Wrap(err, "srcli: answer of the instance")
+	}
+	return e.print(o.out)
+}
+
+func (e explanation) print(w io.Writer) error {
+	fmt.Fprintf(w, "%s\nRecord kept by %s.\n", e.Summary, e.Instance)
+	for _, s := range e.Steps {
+		if _, err := fmt.Fprintf(w, "  %-30s %-12s %s\n", s.At, s.Step, s.Detail); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// get reads one answer of an instance's operator interface.
+func get(address, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return nil, errors.Wrapf(sr.ErrInvalid, "srcli: address %q", address)
+	}
+	client := &http.Client{Transport: &http.Transport{Proxy: nil}}
+	res, err := client.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "srcli")
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "srcli: read answer")
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, refusal(res.StatusCode, body)
+	}
+	return body, nil
+}
+
+func refusal(status int, body []byte) error {
+	var p struct {
+		Reason string `json:"reason"`
+	}
+	if json.Unmarshal(body, &p) == nil && p.Reason != "" {
+		return errors.Errorf("srcli: %s", p.Reason)
+	}
+	return errors.Errorf("srcli: the instance answered with status %d", status)
+}
+
+func printJSON(w io.Writer, body []byte) error {
+	var v any
+	if err := json.Unmarshal(body, &v); err != nil {
+		return errors.Wrap(err, "srcli: answer of the instance")
+	}
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
--- /dev/null
+++ b/internal/app/srcli/cli.go
@@ -0,0 +1,117 @@
+// Package srcli is the command line.
+//
+// # Usage
+//
+//	sassafrasrail serve --settings instance.ini
+//	sassafrasrail check --settings instance.ini --manifest manifest/
+//	sassafrasrail bundle --manifest manifest/ --number 7
+//	sassafrasrail dump --operate 127.0.0.1:7200
+//	sassafrasrail explain --operate 127.0.0.1:7200 TICKET
+//	sassafrasrail send --to 127.0.0.1:7100 --key KEY --model MODEL PROMPT
+//	sassafrasrail call --to 127.0.0.1:7100 --key KEY --service S --operation O BODY
+//	sassafrasrail version
+//
+// Exit codes: 0 done, 1 the work failed, 2 the input is not valid, 3 a second
+// signal cut requests.
+package srcli
+
+import (
+	"fmt"
+	"io"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/app/srserve"
+)
+
+// Exit codes.
+const (
+	ExitDone    = 0
+	ExitFailed  = 1
+	ExitInvalid = 2
+	ExitCut     = 3
+)
+
+// commands is the grammar of the command line.
+type commands struct {
+	Serve   serveCommand   `cmd:"" help:"Run an entry instance."`
+	Check   checkCommand   `cmd:"" help:"Check settings and a manifest without using them."`
+	Bundle  bundleCommand  `cmd:"" help:"Write the root value of a manifest for its parts."`
+	Dump    dumpCommand    `cmd:"" help:"Print the state of a running instance as JSON."`
+	Ready   readyCommand   `cmd:"" help:"Ask whether an instance takes requests."`
+	Explain explainCommand `cmd:"" help:"Print the decisions taken for a ticket."`
+	Send    sendCommand    `cmd:"" help:"Send a model request."`
+	Call    callCommand    `cmd:"" help:"Call a plain service once."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+// output is where commands print.
+type output struct {
+	out io.Writer
+	err io.Writer
+}
+
+// Run carries out the command line and returns the exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	var c commands
+	parser, err := kong.New(&c,
+		kong.Name("sassafrasrail"),
+		kong.Description("Request scheduler for unlike engines."),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(int) {}),
+	)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitInvalid
+	}
+	if askedForHelp(args) {
+		_, _ = parser.Parse(args)
+		return ExitDone
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(stderr, "sassafrasrail: %v\n", err)
+		return ExitInvalid
+	}
+	err = ctx.Run(&output{out: stdout, err: stderr})
+	if err != nil {
+		fmt.Fprintf(stderr, "sassafrasrail: %v\n", err)
+	}
+	return exitCode(err)
+}
+
+func askedForHelp(args []string) bool {
+	for _, a := range args {
+		if a == "--help" || a == "-h" {
+			return true
+		}
+	}
+	return false
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.Is(err, srserve.ErrCut):
+		return ExitCut
+	case errors.Is(err, sr.ErrInvalid), errors.Is(err, sr.ErrMissing):
+		return ExitInvalid
+	}
+	return ExitFailed
+}
+
+type versionCommand struct{}
+
+// Run prints the version.
+func (versionCommand) Run(o *output) error {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+	}
+	_, err := fmt.Fprintln(o.out, version)
+	return err
+}
--- /dev/null
+++ b/internal/app/srserve/process.go
@@ -0,0 +1,208 @@
+package srserve
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srcaller"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srconn"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srendpoint"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srinstance"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/sroperator"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srplatform"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srservice"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srsettings"
+)
+
+const (
+	// readBodyTimeout and writeTimeout bound the parts of an exchange with a caller.
+	readBodyTimeout = 30 * time.Second
+	writeTimeout    = 30 * time.Second
+	// closeTimeout bounds the end of the listeners.
+	closeTimeout = 5 * time.Second
+)
+
+// ErrCut means that a second signal stopped the process before its requests
+// had ended.
+var ErrCut = errors.New("stopped at once")
+
+// Process is an entry instance with its sockets.
+type Process struct {
+	cfg      srsettings.Settings
+	log      logr.Logger
+	instance *Instance
+	peers    *srinstance.Peers
+	rpc      *srinstance.Server
+	callers  *http.Server
+	operator *http.Server
+	listen   listeners
+}
+
+// listeners are the sockets of a process.
+type listeners struct {
+	callers  net.Listener
+	operator net.Listener
+	peers    net.Listener
+}
+
+// New opens the sockets and returns a Process that serves once Run is called.
+func New(cfg srsettings.Settings, log logr.Logger) (*Process, error) {
+	dialer := &net.Dialer{Timeout: cfg.Connect}
+	platform, err := srplatform.New(srplatform.Options{Address: cfg.Platform, Conn: connOptions(dialer, cfg)})
+	if err != nil {
+		return nil, errors.Wrap(err, "srserve")
+	}
+	seed, incarnation, err := drawSeeds()
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{cfg: cfg, log: log, peers: srinstance.New(dialer.DialContext, cfg.Connect)}
+	p.instance, err = NewInstance(Deps{
+		Settings: cfg,
+		Self:     cfg.ID(incarnation),
+		Engine:   srendpoint.New(srendpoint.Options{Conn: connOptions(dialer, cfg)}),
+		Service:  srservice.New(srservice.Options{Conn: connOptions(dialer, cfg)}),
+		Platform: platform,
+		Peers:    p.peers,
+		Random:   crand.Reader,
+		Seed:     seed,
+		Log:      log,
+		Metrics:  metrics.NewRegistry(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	if p.listen, err = open(cfg); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Run serves until ctx ends, a signal arrives, or a listener fails. The first
+// signal drains the instance, the second one stops it at once with ErrCut.
+func (p *Process) Run(ctx context.Context, signals <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	failed := make(chan error, 3)
+	var wg sync.WaitGroup
+	if err := p.serve(ctx, &wg, failed); err != nil {
+		return err
+	}
+	wg.Go(func() { p.instance.Run(ctx) })
+	p.log.Info("serving", "callers", p.cfg.Listen, "operators", p.cfg.Operate, "instances", p.cfg.Peer, "domain", p.cfg.Domain)
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	case <-signals:
+		err = p.drain(ctx, signals)
+	}
+	p.close(err)
+	cancel()
+	wg.Wait()
+	p.log.Info("stopped")
+	return err
+}
+
+// drain lets the requests end unless a second signal arrives.
+func (p *Process) drain(ctx context.Context, signals <-chan struct{}) error {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.Drain)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- p.instance.Drain(ctx) }()
+	var err error
+	select {
+	case err = <-done:
+	case <-signals:
+		err = ErrCut
+	}
+	if err == nil {
+		return nil
+	}
+	waiting, sent := p.instance.Left()
+	p.log.Info("requests cut", "waiting", waiting, "sent", sent)
+	return errors.Wrapf(ErrCut, "srserve: %d waiting and %d sent requests were cut", waiting, sent)
+}
+
+func (p *Process) serve(ctx context.Context, wg *sync.WaitGroup, failed chan<- error) error {
+	rpc, err := srinstance.NewServer(ctx, p.instance)
+	if err != nil {
+		return err
+	}
+	p.rpc = rpc
+	p.callers = srcaller.NewServer(srcaller.New(p.instance.Entry(), p.instance.Current, srcaller.Options{
+		Body:       int64(p.cfg.Body),
+		ReadHeader: p.cfg.Header,
+		ReadBody:   readBodyTimeout,
+		Write:      writeTimeout,
+		Idle:       p.cfg.Idle,
+	}))
+	p.operator = sroperator.NewServer(sroperator.New(p.instance), p.cfg.Header, p.cfg.Idle)
+	wg.Go(func() { report(failed, p.rpc.Serve(p.listen.peers)) })
+	wg.Go(func() { report(failed, p.callers.Serve(p.listen.callers)) })
+	wg.Go(func() { report(failed, p.operator.Serve(p.listen.operator)) })
+	return nil
+}
+
+// close ends the sockets; after a drain the callers' last bytes go out first.
+func (p *Process) close(err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err == nil {
+		_ = p.callers.Shutdown(ctx)
+	}
+	p.callers.Close()
+	p.operator.Close()
+	p.listen.peers.Close()
+	p.rpc.Close()
+	p.peers.Close()
+}
+
+func report(failed chan<- error, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		failed <- errors.Wrap(err, "srserve")
+	}
+}
+
+// open opens the three sockets, or none.
+func open(cfg srsettings.Settings) (listeners, error) {
+	var l listeners
+	var err error
+	if l.callers, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return l, errors.Wrap(err, "srserve: [instance] listen")
+	}
+	if l.operator, err = net.Listen("tcp", cfg.Operate); err != nil {
+		l.callers.Close()
+		return l, errors.Wrap(err, "srserve: [instance] operate")
+	}
+	if l.peers, err = net.Listen("tcp", cfg.Peer); err != nil {
+		l.callers.Close()
+		l.operator.Close()
+		return l, errors.Wrap(err, "srserve: [instance] peer")
+	}
+	return l, nil
+}
+
+func connOptions(dialer *net.Dialer, cfg srsettings.Settings) srconn.Options {
+	timeouts := srconn.DefaultTimeouts()
+	timeouts.Dial = cfg.Connect
+	return srconn.Options{Dial: dialer.DialContext, Timeouts: timeouts}
+}
+
+func drawSeeds() (seed, incarnation uint64, err error) {
+	var b [16]byte
+	if _, err := crand.Read(b[:]); err != nil {
+		return 0, 0, errors.Wrap(err, "srserve: read random")
+	}
+	return binary.BigEndian.Uint64(b[:]), binary.BigEndian.Uint64(b[8:]), nil
+}
--- /dev/null
+++ b/internal/peer/sroperator/operator.go
@@ -0,0 +1,107 @@
+// Package sroperator is the operator interface: the state dump, the metrics,
+// explanations, liveness and readiness.
+//
+// # Usage
+//
+//	server := sroperator.NewServer(sroperator.New(instance), header, idle)
+//	go server.Serve(listener)
+package sroperator
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	goahttp "goa.design/goa/v3/http"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/gen/http/operator/server"
+	"github.com/sassafrasrail/sassafrasrail/gen/operator"
+)
+
+// maxHeaderBytes bounds the header of a request.
+const maxHeaderBytes = 16 << 10
+
+// dumpTimeout bounds the collection of a dump.
+const dumpTimeout = 5 * time.Second
+
+// Instance is what operators look at.
+type Instance interface {
+	Ready() (bool, string)
+	// State returns the state for JSON.
+	State(ctx context.Context) any
+	Metrics() map[string]map[string]any
+	Ask(ctx context.Context, ticket string) (sr.Explanation, error)
+}
+
+// Operator implements the generated operator service.
+type Operator struct {
+	instance Instance
+}
+
+// New returns an Operator.
+func New(i Instance) *Operator { return &Operator{instance: i} }
+
+// NewServer returns an HTTP server for the operator interface.
+func NewServer(o *Operator, header, idle time.Duration) *http.Server {
+	mux := goahttp.NewMuxer()
+	s := server.New(operator.NewEndpoints(o), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil)
+	server.Mount(mux, s)
+	return &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: header,
+		IdleTimeout:       idle,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// Dump returns the state of the process.
+func (o *Operator) Dump(ctx context.Context) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
+	defer cancel()
+	return o.instance.State(ctx), nil
+}
+
+// Metrics returns every metric by name.
+func (o *Operator) Metrics(context.Context) (any, error) { return o.instance.Metrics(), nil }
+
+// Explain returns the decisions for a ticket.
+func (o *Operator) Explain(ctx context.Context, p *operator.ExplainPayload) (*operator.Explanation, error) {
+	e, err := o.instance.Ask(ctx, p.Ticket)
+	if err != nil {
+		return nil, &operator.Problem{Name: "missing", Reason: reason(err), Outcome: string(sr.OutcomeUnknown)}
+	}
+	return newExplanation(e), nil
+}
+
+// Live answers as long as the process runs.
+func (o *Operator) Live(context.Context) (string, error) { return "live", nil }
+
+// Ready answers when new requests should be sent here.
+func (o *Operator) Ready(context.Context) (string, error) {
+	ok, why := o.instance.Ready()
+	if !ok {
+		return "", &operator.Problem{Name: "not-ready", Reason: why, Outcome: string(sr.OutcomeNotRun)}
+	}
+	return "ready", nil
+}
+
+func reason(err error) string {
+	if errors.Is(err, sr.ErrNotIssuer) || errors.Is(err, sr.ErrUnreachable) {
+		return "the instance that issued the ticket is gone, and its record with it: " + err.Error()
+	}
+	return err.Error()
+}
+
+func newExplanation(e sr.Explanation) *operator.Explanation {
+	steps := make([]*operator.ExplanationStep, 0, len(e.Steps))
+	for _, s := range e.Steps {
+		steps = append(steps, &operator.ExplanationStep{
+			At:     s.At.UTC().Format(time.RFC3339Nano),
+			Step:   s.Step,
+			Detail: s.Detail,
+		})
+	}
+	return &operator.Explanation{Ticket: e.Ticket, Instance: e.Instance, Summary: e.Summary, Steps: steps}
+}
--- a/internal/state/srmanifest/dir.go
+++ b/internal/state/srmanifest/dir.go
@@ -14,7 +14,8 @@
 const extension = ".ini"
 
 // ReadDir reads a manifest from a directory: root.ini holds the root value,
-// each other file NAME.ini the part NAME.
+// each other file NAME.ini the part NAME. Without root.ini it returns the parts
+// and ErrMissing.
 func ReadDir(dir string) (sr.ManifestText, error) {
 	paths, err := filepath.Glob(filepath.Join(dir, "*"+extension))
 	if err != nil {
@@ -34,7 +35,7 @@
 		t.Parts[name] = data
 	}
 	if t.Root == nil {
-		return sr.ManifestText{}, errors.Wrapf(sr.ErrMissing, "srmanifest: %s", filepath.Join(dir, RootName+extension))
+		return t, errors.Wrapf(sr.ErrMissing, "srmanifest: %s", filepath.Join(dir, RootName+extension))
 	}
 	return t, nil
 }
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,101 @@
+#!/usr/bin/env bash
+# Runs stand-ins and three instances as separate processes on loopback, sends a
+# few requests of two tiers and one booking, prints the answers and an
+# explanation, and stops everything again.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+config=examples/demo
+logs=$(mktemp -d)
+pids=()
+callers=127.0.0.1:23001,127.0.0.1:23002,127.0.0.1:23003
+operator=127.0.0.1:23011
+
+# stop_all ends the processes that this script started.
+stop_all() {
+  local pid
+  for pid in "${pids[@]}"; do
+    kill "$pid" 2>/dev/null || true
+  done
+  for pid in "${pids[@]}"; do
+    wait "$pid" 2>/dev/null || true
+  done
+  rm -rf "$logs"
+}
+trap stop_all EXIT
+
+start() {
+  local name=$1
+  shift
+  "$@" >"$logs/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+# wait_ready waits until an instance takes requests.
+wait_ready() {
+  local address=$1 tries
+  for tries in $(seq 150); do
+    if bin/sassafrasrail ready --operate "$address" >/dev/null 2>&1; then
+      return 0
+    fi
+    sleep 0.2
+  done
+  echo "instance at $address did not become ready:" >&2
+  tail -n 20 "$logs"/*.log >&2
+  return 1
+}
+
+expect() {
+  local answer=$1 outcome=$2
+  echo "$answer"
+  if ! grep -q "^outcome: $outcome$" <<<"$answer"; then
+    echo "expected the outcome $outcome" >&2
+    tail -n 20 "$logs"/*.log >&2
+    exit 1
+  fi
+}
+
+sets=()
+for part in "$config"/manifest/*.ini; do
+  name=$(basename "$part" .ini)
+  key=manifest/$name
+  [ "$name" = root ] && key=manifest
+  sets+=(--set "$key=$part")
+done
+
+start platform bin/standin platform --listen 127.0.0.1:23090 "${sets[@]}" \
+  --instance 127.0.0.1:23021@brno-a --instance 127.0.0.1:23022@brno-a --instance 127.0.0.1:23023@brno-b
+start runner01 bin/standin engine --listen 127.0.0.1:23101 --slots 4 --cold 1 --prefill 4000 --step 25ms
+start runner02 bin/standin engine --listen 127.0.0.1:23102 --slots 8 --cold 2 --prefill 8000 --step 20ms
+start runner03 bin/standin engine --listen 127.0.0.1:23103 --slots 8 --cold 2 --prefill 8000 --step 20ms
+start booking01 bin/standin service --listen 127.0.0.1:23111 --once book
+for i in 1 2 3; do
+  start "instance$i" bin/sassafrasrail serve --settings "$config/instance$i.ini"
+done
+for i in 1 2 3; do
+  wait_ready "127.0.0.1:2301$i"
+done
+echo "processes: ${pids[*]}"
+
+echo "== two questions of the tier urgent"
+for question in "Which loads wait at gate 2?" "Draft the freshness report of load 17."; do
+  urgent=$(bin/sassafrasrail send --to "$callers" --key demo-urgent-key --model intake-assistant --tokens 24 "$question")
+  expect "$urgent" complete
+done
+
+echo "== one draft of the tier batch"
+batch=$(bin/sassafrasrail send --to "$callers" --key demo-batch-key --model intake-assistant --tokens 24 "Summarise last week's loads.")
+expect "$batch" complete
+
+echo "== one booking"
+booking=$(bin/sassafrasrail call --to "$callers" --key demo-urgent-key --service intake --operation book "load 17, gate 2")
+expect "$booking" complete
+
+echo "== why the last question went where it did"
+ticket=$(sed -n 's/^ticket: //p' <<<"$urgent")
+bin/sassafrasrail explain --operate "$operator" "$ticket"
+
+echo "== stopping"
+stop_all
+trap - EXIT
+echo "demo: done"
