--- /dev/null
+++ b/internal/proof/srhistory/checks.go
@@ -0,0 +1,280 @@
+package srhistory
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srdesk"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srengine"
+)
+
+const (
+	// OutBound is the time after an order in which work may still arrive.
+	OutBound = 3 * time.Second
+	// ForceBound is the time in which an accepted manifest is in force.
+	ForceBound = 5 * time.Second
+)
+
+// Checker returns a breach of one promise.
+type Checker func(Events) error
+
+// Once checks that no request that may not be repeated was taken twice.
+func Once(e Events) error {
+	repeatable := make(map[string]bool)
+	for _, r := range e.Requests {
+		repeatable[r.Body] = r.Repeatable
+	}
+	first := make(map[string]Arrival)
+	for _, a := range e.Arrivals {
+		if !a.Taken {
+			continue
+		}
+		f, again := first[a.Body]
+		if again && !repeatable[a.Body] {
+			return errors.Errorf("%q was taken at %s at %v and at %s at %v", a.Body, f.Endpoint, f.At, a.Endpoint, a.At)
+		}
+		first[a.Body] = a
+	}
+	return nil
+}
+
+// NotRun checks that no request that was refused as "not run" arrived at an
+// endpoint that took it, before or after the refusal.
+func NotRun(e Events) error {
+	taken := make(map[string]Arrival)
+	for _, a := range e.Arrivals {
+		if a.Taken {
+			taken[a.Body] = a
+		}
+	}
+	bodies := bodiesByTicket(e)
+	for _, a := range e.Answers {
+		if a.Outcome != sr.OutcomeNotRun {
+			continue
+		}
+		if at, ran := taken[bodies[a.Ticket]]; ran {
+			return errors.Errorf("%q was called not run (%s) at %v and taken at %s at %v", at.Body, a.Name, a.Ended, at.Endpoint, at.At)
+		}
+	}
+	return nil
+}
+
+// Whole checks that callers received whole answers to their own requests, in
+// order, or the beginning of one that is not called complete.
+func Whole(e Events) error {
+	requests := make(map[string]Request)
+	for _, r := range e.Requests {
+		requests[r.Ticket] = r
+	}
+	for _, a := range e.Answers {
+		r, ok := requests[a.Ticket]
+		if !ok {
+			return errors.Errorf("answer for the unknown ticket %s", a.Ticket)
+		}
+		if err := wholeAnswer(r, a); err != nil {
+			return errors.WithMessagef(err, "%q via %s", r.Body, a.Via)
+		}
+	}
+	return nil
+}
+
+func wholeAnswer(r Request, a Answer) error {
+	if r.Kind == sr.KindCall {
+		want := srdesk.Reply(r.Operation, r.Ticket, r.Body)
+		if a.Outcome == sr.OutcomeComplete && a.Body != want {
+			return errors.Errorf("answer is %q, expected %q", a.Body, want)
+		}
+		return nil
+	}
+	want := srengine.Answer(r.Body, r.Tokens)
+	last := a.After
+	for _, event := range a.Events {
+		if event.Seq != last+1 {
+			return errors.Errorf("event %d follows event %d", event.Seq, last)
+		}
+		last = event.Seq
+		if event.Type == sr.EventText && (event.Seq-2 >= len(want) || event.Text != want[event.Seq-2]) {
+			return errors.Errorf("event %d is not the request's own token", event.Seq)
+		}
+	}
+	if complete := len(want) + 2; a.Outcome == sr.OutcomeComplete && last != complete {
+		return errors.Errorf("complete with %d of %d events", last, complete)
+	}
+	return nil
+}
+
+// Shed returns a checker that no request of a lower tier was taken for a
+// target in the window before one of a higher tier was refused for capacity.
+//
+// A tier is shed once each live instance has known its floor for the whole
+// propagation bound; a lease granted before may be started for the lease time.
+// The window is therefore the bound less the lease time.
+func Shed(window time.Duration) Checker {
+	return func(e Events) error {
+		requests := make(map[string]Request)
+		bodies := make(map[string]Request)
+		for _, r := range e.Requests {
+			requests[r.Ticket] = r
+			bodies[r.Body] = r
+		}
+		for _, a := range e.Answers {
+			if !shed(a) {
+				continue
+			}
+			high := requests[a.Ticket]
+			for _, low := range e.Arrivals {
+				r := bodies[low.Body]
+				if r.Target == high.Target && high.Tier.Outranks(r.Tier) && low.Taken && low.At > a.Ended-window && low.At < a.Ended {
+					return errors.Errorf("%q of tier %d was shed (%s) at %v, %q of tier %d was taken at %v", high.Body, high.Tier, a.Reason, a.Ended, r.Body, r.Tier, low.At)
+				}
+			}
+		}
+		return nil
+	}
+}
+
+func shed(a Answer) bool { return a.Outcome == sr.OutcomeNotRun && a.Name == "overloaded" }
+
+// Cold checks that no cold endpoint received more than it bears.
+func Cold(e Events) error {
+	for _, f := range e.Falls {
+		if f.Times > 0 {
+			return errors.Errorf("cold endpoint %s fell over %d times", f.Endpoint, f.Times)
+		}
+	}
+	return nil
+}
+
+// Out checks that nothing arrived at what operators took out from OutBound
+// after the order on, but from instances that no news had reached meanwhile.
+func Out(e Events) error {
+	for i, o := range e.Orders {
+		if !o.Out {
+			continue
+		}
+		until := undone(e.Orders[i+1:], o)
+		for _, a := range e.Arrivals {
+			if a.Domain != o.Domain && a.Endpoint != o.Endpoint {
+				continue
+			}
+			if a.At <= o.At+OutBound || a.At >= until || dark(e.Darks, a, o) {
+				continue
+			}
+			return errors.Errorf("%s%s was taken out at %v, %q from %s arrived at %s at %v", o.Domain, o.Endpoint, o.At, a.Body, a.Issuer, a.Endpoint, a.At)
+		}
+	}
+	return nil
+}
+
+// undone returns when an order was taken back, or replaced.
+func undone(later []Order, o Order) time.Duration {
+	for _, l := range later {
+		if l.Domain == o.Domain && l.Endpoint == o.Endpoint {
+			return l.At
+		}
+	}
+	return 1<<63 - 1
+}
+
+// dark reports whether the issuer had no news since the order until the
+// arrival, or for less than OutBound again.
+func dark(darks []Dark, a Arrival, o Order) bool {
+	for _, d := range darks {
+		if d.Instance == a.Issuer && d.From <= o.At+OutBound && a.At <= d.To+OutBound {
+			return true
+		}
+	}
+	return false
+}
+
+// InForce checks that each published manifest, or a newer one, is in force at
+// every instance that runs within ForceBound, unless no news reached it.
+func InForce(e Events) error {
+	for _, p := range e.Published {
+		for _, f := range e.Forces {
+			if f.At <= p.At+ForceBound || f.Version.Number >= p.Version.Number {
+				continue
+			}
+			if !inDark(e.Darks, f) {
+				return errors.Errorf("version %d was published at %v, %s still had %d at %v", p.Version.Number, p.At, f.Instance.Address, f.Version.Number, f.At)
+			}
+		}
+	}
+	return nil
+}
+
+func inDark(darks []Dark, f Force) bool {
+	for _, d := range darks {
+		if d.Instance == f.Instance.Address && d.From <= f.At && f.At <= d.To+ForceBound {
+			return true
+		}
+	}
+	return false
+}
+
+// NeverBack checks that no run of an instance goes back to an older manifest,
+// and that a version number never has two contents.
+func NeverBack(e Events) error {
+	last := make(map[sr.InstanceID]sr.Version)
+	digests := make(map[uint64]sr.Digest)
+	for _, f := range e.Forces {
+		if f.Version.Number < last[f.Instance].Number {
+			return errors.Errorf("%s went from version %d to %d at %v", f.Instance.Address, last[f.Instance].Number, f.Version.Number, f.At)
+		}
+		last[f.Instance] = f.Version
+		known, ok := digests[f.Version.Number]
+		if ok && known != f.Version.Digest {
+			return errors.Errorf("version %d has two contents, at %s at %v", f.Version.Number, f.Instance.Address, f.At)
+		}
+		digests[f.Version.Number] = f.Version.Digest
+	}
+	return nil
+}
+
+// Graceful checks that shutdowns ended well and broke no answer.
+func Graceful(e Events) error {
+	for _, s := range e.Shutdowns {
+		if s.Err != nil {
+			return errors.Errorf("the shutdown of %s failed: %v", s.Instance, s.Err)
+		}
+		for _, a := range e.Answers {
+			if a.Via == s.Instance && a.Began < s.Ended && a.Ended >= s.Ended && cut(a) {
+				return errors.Errorf("%s broke off at %v, when %s shut down", a.Ticket, a.Ended, s.Instance)
+			}
+		}
+	}
+	return nil
+}
+
+func cut(a Answer) bool { return a.Broke() || a.Outcome == sr.OutcomeCutShort }
+
+// Answered checks that every request got an outcome other than "unknown" in
+// one of its answers.
+func Answered(e Events) error {
+	known := make(map[string]bool)
+	for _, a := range e.Answers {
+		known[a.Ticket] = known[a.Ticket] || !a.Broke() && a.Outcome != sr.OutcomeUnknown
+	}
+	var missing []string
+	for _, r := range e.Requests {
+		if !known[r.Ticket] {
+			missing = append(missing, fmt.Sprintf("%q", r.Body))
+		}
+	}
+	if len(missing) > 0 {
+		return errors.Errorf("no outcome for %s", strings.Join(missing, ", "))
+	}
+	return nil
+}
+
+func bodiesByTicket(e Events) map[string]string {
+	bodies := make(map[string]string)
+	for _, r := range e.Requests {
+		bodies[r.Ticket] = r.Body
+	}
+	return bodies
+}
--- /dev/null
+++ b/internal/proof/srhistory/ticket.go
@@ -0,0 +1,95 @@
+package srhistory
+
+import (
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+// ticketState is the state of a ticket as a register.
+type ticketState uint8
+
+const (
+	stateIssued ticketState = iota
+	stateSent
+	stateComplete
+	stateRefused
+)
+
+// ticketInput is an operation on a ticket: its arrival at an endpoint, or a
+// caller's attempt, which has an outcome.
+type ticketInput struct {
+	ticket  string
+	arrival bool
+}
+
+// ticketModel says that a ticket is sent at most once, never after a refusal
+// that said "not run", and complete only after it was sent.
+var ticketModel = porcupine.Model{
+	Partition: partition,
+	Init:      func() any { return stateIssued },
+	Step: func(state, input, output any) (bool, any) {
+		s := state.(ticketState)
+		if input.(ticketInput).arrival {
+			return s == stateIssued, stateSent
+		}
+		switch output.(sr.Outcome) {
+		case sr.OutcomeNotRun:
+			return s == stateIssued || s == stateRefused, stateRefused
+		case sr.OutcomeComplete:
+			return s == stateSent || s == stateComplete, stateComplete
+		}
+		return true, s
+	},
+}
+
+// Register checks that each ticket of a request that may not be repeated is
+// linearizable as a register that goes from issued to sent to ended. Answers
+// without a known outcome bind nothing.
+func Register(e Events) error {
+	tickets := make(map[string]string)
+	for _, r := range e.Requests {
+		if !r.Repeatable {
+			tickets[r.Body] = r.Ticket
+		}
+	}
+	bodies := bodiesByTicket(e)
+	var ops []porcupine.Operation
+	for _, a := range e.Arrivals {
+		t, ok := tickets[a.Body]
+		if ok && a.Taken {
+			ops = append(ops, operation(len(ops), ticketInput{ticket: t, arrival: true}, sr.OutcomeNone, a.At, a.At))
+		}
+	}
+	for _, a := range e.Answers {
+		// A request that never arrived may still be cut short: its first byte
+		// may have left.
+		if _, ok := tickets[bodies[a.Ticket]]; ok && a.Outcome != sr.OutcomeCutShort {
+			ops = append(ops, operation(len(ops), ticketInput{ticket: a.Ticket}, a.Outcome, a.Began, a.Ended))
+		}
+	}
+	if !porcupine.CheckOperations(ticketModel, ops) {
+		return errors.New("a ticket is not linearizable as a register")
+	}
+	return nil
+}
+
+func operation(client int, in ticketInput, out sr.Outcome, from, to time.Duration) porcupine.Operation {
+	return porcupine.Operation{ClientId: client, Input: in, Output: out, Call: int64(from), Return: int64(to)}
+}
+
+func partition(ops []porcupine.Operation) [][]porcupine.Operation {
+	by := make(map[string][]porcupine.Operation)
+	for _, op := range ops {
+		t := op.Input.(ticketInput).ticket
+		by[t] = append(by[t], op)
+	}
+	parts := make([][]porcupine.Operation, 0, len(by))
+	for _, part := range by {
+		parts = append(parts, part)
+	}
+	return parts
+}
