Run seven instances in virtual time and prove tickets and answers

srrig runs the real instance code over a network in memory with seeded delays, cuts, pauses, kills and connection faults, and records a history. The tests submit a ticket at all instances at once, kill and pause its issuer around the send, break, repeat and lose parts of answers, and check the histories.

--- /dev/null
+++ b/internal/proof/srrig/caller.go
@@ -0,0 +1,209 @@
+package srrig
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/gen/requests"
+	"github.com/sassafrasrail/sassafrasrail/internal/proof/srhistory"
+)
+
+const (
+	// askTries is how often a caller comes back for its answer.
+	askTries = 12
+	// askPause is the pause before a caller comes back.
+	askPause = 300 * time.Millisecond
+	// askTime is how long a caller waits for one answer.
+	askTime = 5 * time.Minute
+)
+
+// Question returns a short model request of the top tier.
+func Question(body string) srhistory.Request { return ModelRequest(body, 1, 20) }
+
+// ModelRequest returns a model request of a tier.
+func ModelRequest(body string, tier sr.Tier, tokens int) srhistory.Request {
+	return srhistory.Request{Kind: sr.KindModel, Workspace: tiers[tier], Tier: tier, Target: Model, Body: body, Tokens: tokens}
+}
+
+// Booking returns a call that may not be repeated.
+func Booking(body string) srhistory.Request {
+	return srhistory.Request{Kind: sr.KindCall, Workspace: tiers[1], Tier: 1, Target: Service, Operation: Book, Body: body}
+}
+
+// Ticket returns the request with a ticket of a process, and records it.
+func (r *Rig) Ticket(p *Process, q srhistory.Request) (srhistory.Request, error) {
+	tickets, err := p.Instance.Entry().Tickets(q.Workspace, 1)
+	if err != nil {
+		return q, errors.Wrap(err, "srrig")
+	}
+	q.Ticket = tickets[0]
+	r.History.AddRequest(q)
+	return q, nil
+}
+
+// Ask gets a ticket from instance issuer, sends the request there, and comes
+// back for the answer at the others in turn until there is an outcome.
+func (r *Rig) Ask(q srhistory.Request, issuer int, others ...int) srhistory.Answer {
+	q, err := r.Ticket(r.Process(issuer), q)
+	if err != nil {
+		return srhistory.Answer{Name: "draining", Reason: err.Error()}
+	}
+	return r.Follow(q, append([]int{issuer}, others...)...)
+}
+
+// Follow sends a request that has its ticket to the given instances in turn
+// until there is an outcome.
+func (r *Rig) Follow(q srhistory.Request, vias ...int) srhistory.Answer {
+	after, receipt := 0, ""
+	var a srhistory.Answer
+	for try := range askTries {
+		p := r.Process(vias[try%len(vias)])
+		if after > 0 {
+			a = r.Resume(p, q, receipt, after)
+		} else {
+			a = r.Send(p, q)
+		}
+		for _, e := range a.Events {
+			after = e.Seq
+			if e.Receipt != "" {
+				receipt = e.Receipt
+			}
+		}
+		if !a.Broke() && a.Outcome != sr.OutcomeUnknown {
+			return a
+		}
+		time.Sleep(askPause)
+	}
+	return a
+}
+
+// Send sends a request to a process and records what came back.
+func (r *Rig) Send(p *Process, q srhistory.Request) srhistory.Answer {
+	return r.exchange(p, q, 0, func(ctx context.Context, s *sink) error {
+		if q.Kind == sr.KindCall {
+			return s.call(ctx, q)
+		}
+		return p.caller.Generate(ctx, &requests.GeneratePayload{
+			Key: bearer(q.Workspace), Ticket: &q.Ticket, Model: q.Target, Prompt: q.Body, Tokens: q.Tokens, Tier: &tiers[q.Tier],
+		}, s)
+	})
+}
+
+// Resume asks a process for the rest of an answer.
+func (r *Rig) Resume(p *Process, q srhistory.Request, receipt string, after int) srhistory.Answer {
+	return r.exchange(p, q, after, func(ctx context.Context, s *sink) error {
+		return p.caller.Resume(ctx, &requests.ResumePayload{Key: bearer(q.Workspace), Ticket: q.Ticket, Receipt: &receipt, After: after}, s)
+	})
+}
+
+func bearer(workspace string) *string {
+	key := "Bearer " + Key(workspace)
+	return &key
+}
+
+// exchange runs one exchange of a caller with a process.
+func (r *Rig) exchange(p *Process, q srhistory.Request, after int, f func(context.Context, *sink) error) srhistory.Answer {
+	ctx, cancel := context.WithTimeout(p.ctx, askTime)
+	defer cancel()
+	s := &sink{p: p, answer: srhistory.Answer{Ticket: q.Ticket, Via: p.ID.Address, Began: r.Now(), After: after}}
+	done := make(chan srhistory.Answer, 1)
+	go func() {
+		if !p.wait() || !r.pass("caller", p.ID.Address) {
+			done <- s.answer
+			return
+		}
+		err := f(ctx, s)
+		if p.wait() && r.pass(p.ID.Address, "caller") && p.Alive() {
+			s.finish(err)
+		}
+		done <- s.answer
+	}()
+	a := <-done
+	a.Ended = r.Now()
+	r.History.AddAnswer(a)
+	return a
+}
+
+// sink receives what a process sends to a caller.
+type sink struct {
+	p      *Process
+	answer srhistory.Answer
+}
+
+var _ requests.GenerateServerStream = (*sink)(nil)
+
+// Send implements requests.GenerateServerStream.
+func (s *sink) Send(e *requests.Event) error { return s.SendWithContext(context.Background(), e) }
+
+// SendWithContext implements requests.GenerateServerStream.
+func (s *sink) SendWithContext(_ context.Context, e *requests.Event) error {
+	if !s.p.wait() {
+		return errors.New("srrig: connection to the caller broke")
+	}
+	seq, err := strconv.Atoi(e.ID)
+	if err != nil {
+		return errors.Wrap(err, "srrig")
+	}
+	event := sr.Event{
+		Seq: seq, Type: sr.EventType(e.Type), Receipt: text(e.Data.Receipt),
+		Endpoint: text(e.Data.Endpoint), Text: text(e.Data.Text), Outcome: sr.Outcome(text(e.Data.Outcome)), Reason: text(e.Data.Reason),
+	}
+	s.answer.Events = append(s.answer.Events, event)
+	return nil
+}
+
+// Close implements requests.GenerateServerStream.
+func (s *sink) Close() error { return nil }
+
+func (s *sink) call(ctx context.Context, q srhistory.Request) error {
+	result, err := s.p.caller.Call(ctx, &requests.CallPayload{
+		Key: bearer(q.Workspace), Ticket: &q.Ticket, Service: q.Target, Operation: q.Operation, Body: &q.Body,
+	})
+	if err != nil {
+		return err
+	}
+	s.answer.Outcome = sr.Outcome(result.Outcome)
+	s.answer.Reason = text(result.Reason)
+	s.answer.Body = text(result.Body)
+	return nil
+}
+
+// finish takes the outcome from the last event or the refusal.
+func (s *sink) finish(err error) {
+	var problem *requests.Problem
+	if errors.As(err, &problem) {
+		s.answer.Outcome = sr.Outcome(problem.Outcome)
+		s.answer.Name = problem.Name
+		s.answer.Reason = problem.Reason
+		return
+	}
+	if err != nil {
+		s.answer.Reason = err.Error()
+		return
+	}
+	if n := len(s.answer.Events); n > 0 && s.answer.Events[n-1].Type == sr.EventEnd {
+		s.answer.Outcome = s.answer.Events[n-1].Outcome
+		s.answer.Reason = s.answer.Events[n-1].Reason
+	}
+}
+
+func text(s *string) string {
+	if s == nil {
+		return ""
+	}
+	return *s
+}
+
+// Bodies returns n bodies that differ from each other and across names.
+func Bodies(name string, n int) []string {
+	bodies := make([]string, n)
+	for i := range bodies {
+		bodies[i] = fmt.Sprintf("%s %d", name, i)
+	}
+	return bodies
+}
--- /dev/null
+++ b/internal/proof/srrig/manifest.go
@@ -0,0 +1,171 @@
+package srrig
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/proof/srhistory"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srmanifest"
+)
+
+const (
+	// Model and Service are the targets of a rig, Book its operation.
+	Model   = "intake-assistant"
+	Service = "intake"
+	Book    = "book"
+	// rootKey is the key of the manifest's root value.
+	rootKey = "manifest"
+)
+
+// tiers are the names of the tiers by rank; workspaces bear the same names.
+var tiers = []string{"", "dawn", "shift", "batch"}
+
+var domains = []string{"brno-a", "brno-b", "praha-a", "praha-b"}
+
+// manifest is what operators have published.
+type manifest struct {
+	version uint64
+	opts    Options
+	models  []sr.Endpoint
+	desks   []sr.Endpoint
+	out     map[string]bool
+	leaving map[string]bool
+}
+
+func newManifest(opts Options) manifest {
+	m := manifest{opts: opts, out: make(map[string]bool), leaving: make(map[string]bool)}
+	for i, d := range domains {
+		m.models = append(m.models, sr.Endpoint{Name: fmt.Sprintf("runner%d", i+1), Address: fmt.Sprintf("10.1.0.%d:80", i+1), Domain: d})
+		m.desks = append(m.desks, sr.Endpoint{Name: fmt.Sprintf("booking%d", i+1), Address: fmt.Sprintf("10.2.0.%d:80", i+1), Domain: d})
+	}
+	return m
+}
+
+// Key returns the key of a workspace.
+func Key(workspace string) string { return "key of " + workspace }
+
+// endpoint returns the endpoint at an address.
+func (r *Rig) endpoint(address string) sr.Endpoint {
+	for _, e := range append(r.manifest.models[:len(r.manifest.models):len(r.manifest.models)], r.manifest.desks...) {
+		if e.Address == address {
+			return e
+		}
+	}
+	return sr.Endpoint{Name: address}
+}
+
+// Text returns the next version of the manifest.
+func (r *Rig) Text() sr.ManifestText {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.manifest.version++
+	return srmanifest.Bundle(r.manifest.version, r.manifest.parts())
+}
+
+// Publish publishes the next version of the manifest.
+func (r *Rig) Publish() (sr.Version, error) {
+	t := r.Text()
+	root, err := srmanifest.ParseRoot(t.Root)
+	if err != nil {
+		return sr.Version{}, err
+	}
+	if err := r.Set(t); err != nil {
+		return sr.Version{}, err
+	}
+	r.History.AddPublished(srhistory.Published{At: r.Now(), Version: root.Version})
+	return root.Version, nil
+}
+
+// Set publishes a manifest as it is, parts first.
+func (r *Rig) Set(t sr.ManifestText) error {
+	for name, data := range t.Parts {
+		if _, err := r.Platform.Set(rootKey+"/"+name, data); err != nil {
+			return errors.Wrap(err, "srrig")
+		}
+	}
+	_, err := r.Platform.Set(rootKey, t.Root)
+	return errors.Wrap(err, "srrig")
+}
+
+// TakeOut takes a failure domain out, or brings it back.
+func (r *Rig) TakeOut(domain string, out bool) error {
+	r.mu.Lock()
+	r.manifest.out[domain] = out
+	r.mu.Unlock()
+	r.History.AddOrder(srhistory.Order{At: r.Now(), Domain: domain, Out: out})
+	_, err := r.Publish()
+	return err
+}
+
+// Remove makes an endpoint leave, or brings it back.
+func (r *Rig) Remove(endpoint string, leaving bool) error {
+	r.mu.Lock()
+	r.manifest.leaving[endpoint] = leaving
+	r.mu.Unlock()
+	r.History.AddOrder(srhistory.Order{At: r.Now(), Endpoint: endpoint, Out: leaving})
+	_, err := r.Publish()
+	return err
+}
+
+func (m manifest) parts() map[string][]byte {
+	return map[string][]byte{
+		"tiers":      []byte(tierPart()),
+		"workspaces": []byte(workspacePart()),
+		"domains":    []byte(m.domainPart()),
+		"classes":    []byte(m.classPart()),
+		"endpoints":  []byte(m.endpointPart()),
+	}
+}
+
+func tierPart() string {
+	var b strings.Builder
+	for rank, name := range tiers[1:] {
+		fmt.Fprintf(&b, "[tier %s]\nrank = %d\nfirst = 1s\ngap = 100ms\nbudget = 30s\n", name, rank+1)
+	}
+	return b.String()
+}
+
+func workspacePart() string {
+	var b strings.Builder
+	for _, name := range tiers[1:] {
+		sum := sha256.Sum256([]byte(Key(name)))
+		fmt.Fprintf(&b, "[workspace %s]\ntier = %s\nkeys = %s\n", name, name, hex.EncodeToString(sum[:]))
+	}
+	return b.String()
+}
+
+func (m manifest) domainPart() string {
+	var b strings.Builder
+	for _, d := range domains {
+		fmt.Fprintf(&b, "[domain %s]\nregion = cz-central\nout = %s\n", d, yesNo(m.out[d]))
+	}
+	return b.String()
+}
+
+func (m manifest) classPart() string {
+	return fmt.Sprintf("[class gen1]\nprefill = 8000\ndecode = 50\nslots = %d\ncold = %d\ncache = 4096\n[class desk]\nslots = 8\n", m.opts.Slots, m.opts.Cold)
+}
+
+func (m manifest) endpointPart() string {
+	var b strings.Builder
+	for _, e := range m.models {
+		fmt.Fprintf(&b, "[endpoint %s]\naddress = %s\ndomain = %s\nclass = gen1\nmodel = %s\nleaving = %s\n", e.Name, e.Address, e.Domain, Model, yesNo(m.leaving[e.Name]))
+	}
+	for _, e := range m.desks {
+		fmt.Fprintf(&b, "[endpoint %s]\naddress = %s\ndomain = %s\nclass = desk\nservice = %s\nleaving = %s\n", e.Name, e.Address, e.Domain, Service, yesNo(m.leaving[e.Name]))
+	}
+	fmt.Fprintf(&b, "[service %s]\nrepeatable = stock\n", Service)
+	return b.String()
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/internal/proof/srrig/network.go
@@ -0,0 +1,328 @@
+package srrig
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/proof/srhistory"
+)
+
+const (
+	// callTimeout bounds a call between instances without a deadline.
+	callTimeout = 2 * time.Second
+	// connectTimeout is how long a connection into the dark takes to fail.
+	connectTimeout = time.Second
+	// deadPause is the pace of the goroutines of a dead process.
+	deadPause = 500 * time.Millisecond
+	// watchWait is how long one call of a watch waits.
+	watchWait = 2 * time.Second
+)
+
+var (
+	_ sr.Peers    = peers{}
+	_ sr.Handler  = handler{}
+	_ sr.Engine   = engine{}
+	_ sr.Service  = service{}
+	_ sr.Platform = platform{}
+)
+
+// peers are the other instances as one process reaches them.
+type peers struct{ p *Process }
+
+// Peer returns the handler at an address, whichever run is there.
+func (n peers) Peer(address string) sr.Handler { return handler{n.p, address} }
+
+type handler struct {
+	p  *Process
+	to string
+}
+
+type reply[T any] struct {
+	value T
+	err   error
+}
+
+// call carries a call over the network. It gives up with ctx, while the
+// message goes on.
+func call[T any](ctx context.Context, h handler, f func(context.Context, sr.Handler) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	replies := make(chan reply[T], 1)
+	go deliver(h, replies, f)
+	var r reply[T]
+	select {
+	case r = <-replies:
+	case <-ctx.Done():
+		r.err = errors.Wrapf(sr.ErrUnreachable, "srrig: %s", h.to)
+	case <-h.p.ctx.Done():
+		r.err = errors.Wrap(sr.ErrUnreachable, "srrig: process is dead")
+	}
+	h.p.wait()
+	h.p.lapse()
+	return r.value, r.err
+}
+
+// deliver takes one message to its receiver and the answer back, unless it is
+// lost on the way.
+func deliver[T any](h handler, replies chan<- reply[T], f func(context.Context, sr.Handler) (T, error)) {
+	r := h.p.rig
+	if !h.p.wait() || !r.pass(h.p.ID.Address, h.to) {
+		return
+	}
+	q := r.At(h.to)
+	if q == nil || !q.Alive() {
+		replies <- reply[T]{err: errors.Wrapf(sr.ErrUnreachable, "srrig: %s refuses the connection", h.to)}
+		return
+	}
+	if !q.wait() {
+		return
+	}
+	value, err := f(q.ctx, q.Instance)
+	if !q.wait() || !r.pass(h.to, h.p.ID.Address) {
+		return
+	}
+	replies <- reply[T]{value, err}
+}
+
+type none struct{}
+
+func (h handler) Heartbeat(ctx context.Context, hb sr.Heartbeat) (sr.Heartbeat, error) {
+	return call(ctx, h, func(ctx context.Context, to sr.Handler) (sr.Heartbeat, error) { return to.Heartbeat(ctx, hb) })
+}
+
+func (h handler) Acquire(ctx context.Context, a sr.Ask) (sr.Grant, error) {
+	return call(ctx, h, func(ctx context.Context, to sr.Handler) (sr.Grant, error) { return to.Acquire(ctx, a) })
+}
+
+func (h handler) Withdraw(ctx context.Context, pool sr.PoolID, ask string) error {
+	_, err := call(ctx, h, func(ctx context.Context, to sr.Handler) (none, error) { return none{}, to.Withdraw(ctx, pool, ask) })
+	return err
+}
+
+func (h handler) Release(ctx context.Context, rel sr.Release) error {
+	_, err := call(ctx, h, func(ctx context.Context, to sr.Handler) (none, error) { return none{}, to.Release(ctx, rel) })
+	return err
+}
+
+func (h handler) Revoke(ctx context.Context, rev sr.Revoke) error {
+	_, err := call(ctx, h, func(ctx context.Context, to sr.Handler) (none, error) { return none{}, to.Revoke(ctx, rev) })
+	return err
+}
+
+func (h handler) Yield(ctx context.Context, y sr.Yield) (sr.Handover, error) {
+	return call(ctx, h, func(ctx context.Context, to sr.Handler) (sr.Handover, error) { return to.Yield(ctx, y) })
+}
+
+func (h handler) Submit(ctx context.Context, s sr.Submission) (sr.Status, error) {
+	return call(ctx, h, func(ctx context.Context, to sr.Handler) (sr.Status, error) { return to.Submit(ctx, s) })
+}
+
+func (h handler) Poll(ctx context.Context, p sr.Poll) (sr.Events, error) {
+	return call(ctx, h, func(ctx context.Context, to sr.Handler) (sr.Events, error) { return to.Poll(ctx, p) })
+}
+
+func (h handler) Explain(ctx context.Context, ticket string) (sr.Explanation, error) {
+	return call(ctx, h, func(ctx context.Context, to sr.Handler) (sr.Explanation, error) { return to.Explain(ctx, ticket) })
+}
+
+func (h handler) Manifest(ctx context.Context, v sr.Version) (sr.ManifestText, error) {
+	return call(ctx, h, func(ctx context.Context, to sr.Handler) (sr.ManifestText, error) { return to.Manifest(ctx, v) })
+}
+
+// engine is the model engines as one process reaches them.
+type engine struct{ p *Process }
+
+// Dispatch implements sr.Engine and records what arrives.
+func (e engine) Dispatch(ctx context.Context, address string, d sr.Dispatch) (sr.Stream, error) {
+	r := e.p.rig
+	fault := r.faultOf(d.Prompt)
+	if err := e.p.open(address, fault); err != nil {
+		return nil, err
+	}
+	if fault == FaultLost {
+		return nil, errors.Wrap(sr.ErrBroken, "srrig: connection reset")
+	}
+	if fault == FaultLate {
+		go func() {
+			time.Sleep(lateBy)
+			_, _ = e.arrive(r.ctx, address, d)
+		}()
+		return nil, errors.Wrap(sr.ErrBroken, "srrig: connection reset")
+	}
+	s, err := e.arrive(ctx, address, d)
+	if !e.p.wait() {
+		return nil, errors.Wrap(sr.ErrBroken, "srrig: process is dead")
+	}
+	if err != nil {
+		return nil, err
+	}
+	if fault == FaultReset {
+		s.Close()
+		return nil, errors.Wrap(sr.ErrBroken, "srrig: connection reset")
+	}
+	return &stream{Stream: s, p: e.p, fault: fault}, nil
+}
+
+func (e engine) arrive(ctx context.Context, address string, d sr.Dispatch) (sr.Stream, error) {
+	r := e.p.rig
+	endpoint := r.endpoint(address)
+	taken := r.History.AddArrival(srhistory.Arrival{
+		At: r.Now(), Endpoint: endpoint.Name, Domain: endpoint.Domain, Issuer: e.p.ID.Address,
+		Stream: d.Stream, Workspace: d.Workspace, Body: d.Prompt, Taken: true,
+	})
+	s, err := r.Engines.Dispatch(ctx, address, d)
+	taken(!errors.Is(err, sr.ErrNotSent) && !errors.Is(err, sr.ErrNotTaken))
+	return s, err
+}
+
+// Resume implements sr.Engine.
+func (e engine) Resume(ctx context.Context, address, name string, after int) (sr.Stream, error) {
+	if err := e.p.reach(address); err != nil {
+		return nil, err
+	}
+	s, err := e.p.rig.Engines.Resume(ctx, address, name, after)
+	if !e.p.wait() {
+		return nil, errors.Wrap(sr.ErrUnreachable, "srrig: process is dead")
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &stream{Stream: s, p: e.p}, nil
+}
+
+// Cancel implements sr.Engine.
+func (e engine) Cancel(ctx context.Context, address, name string) error {
+	if err := e.p.reach(address); err != nil {
+		return err
+	}
+	return e.p.rig.Engines.Cancel(ctx, address, name)
+}
+
+// Load implements sr.Engine.
+func (e engine) Load(ctx context.Context, address string, after uint64) (sr.Load, error) {
+	if err := e.p.reach(address); err != nil {
+		return sr.Load{}, err
+	}
+	l, err := e.p.rig.Engines.Load(ctx, address, after)
+	e.p.wait()
+	return l, err
+}
+
+// service is the plain services as one process reaches them.
+type service struct{ p *Process }
+
+// Call implements sr.Service and records what arrives.
+func (s service) Call(ctx context.Context, address string, c sr.Call) (sr.Answer, error) {
+	r := s.p.rig
+	fault := r.faultOf(c.Body)
+	if err := s.p.open(address, fault); err != nil {
+		return sr.Answer{}, err
+	}
+	if fault == FaultLost {
+		return sr.Answer{}, errors.Wrap(sr.ErrBroken, "srrig: connection reset")
+	}
+	if fault == FaultLate {
+		go func() {
+			time.Sleep(lateBy)
+			_, _ = s.arrive(r.ctx, address, c)
+		}()
+		return sr.Answer{}, errors.Wrap(sr.ErrBroken, "srrig: connection reset")
+	}
+	answer, err := s.arrive(ctx, address, c)
+	if !s.p.wait() || fault == FaultReset {
+		return sr.Answer{}, errors.Wrap(sr.ErrBroken, "srrig: connection reset")
+	}
+	return answer, err
+}
+
+func (s service) arrive(ctx context.Context, address string, c sr.Call) (sr.Answer, error) {
+	r := s.p.rig
+	endpoint := r.endpoint(address)
+	taken := r.History.AddArrival(srhistory.Arrival{
+		At: r.Now(), Endpoint: endpoint.Name, Domain: endpoint.Domain, Issuer: s.p.ID.Address,
+		ID: c.ID, Workspace: c.Workspace, Body: c.Body, Taken: true,
+	})
+	answer, err := r.Desks.Call(ctx, address, c)
+	taken(!errors.Is(err, sr.ErrNotSent) && !errors.Is(err, sr.ErrNotTaken))
+	return answer, err
+}
+
+// Probe implements sr.Service.
+func (s service) Probe(ctx context.Context, address string) (sr.Load, error) {
+	if err := s.p.reach(address); err != nil {
+		return sr.Load{}, err
+	}
+	l, err := s.p.rig.Desks.Probe(ctx, address)
+	s.p.wait()
+	return l, err
+}
+
+// open opens a connection for a dispatch or call.
+func (p *Process) open(address string, fault Fault) error {
+	if !p.write() {
+		p.lapse()
+		return errors.Wrap(sr.ErrNotSent, "srrig: no connection")
+	}
+	if !p.rig.pass(p.ID.Address, address) {
+		time.Sleep(connectTimeout)
+		return errors.Wrapf(sr.ErrNotSent, "srrig: %s cannot be reached", address)
+	}
+	if fault == FaultRefused {
+		return errors.Wrapf(sr.ErrNotSent, "srrig: %s refuses the connection", address)
+	}
+	if !p.Alive() {
+		return errors.Wrap(sr.ErrBroken, "srrig: process is dead")
+	}
+	return nil
+}
+
+// reach opens a connection for any other exchange with an endpoint.
+func (p *Process) reach(address string) error {
+	if !p.wait() {
+		p.lapse()
+		return errors.Wrap(sr.ErrUnreachable, "srrig: process is dead")
+	}
+	if !p.rig.pass(p.ID.Address, address) {
+		time.Sleep(connectTimeout)
+		return errors.Wrapf(sr.ErrUnreachable, "srrig: %s", address)
+	}
+	return nil
+}
+
+// platform is the platform as one process reaches it.
+type platform struct{ p *Process }
+
+// Read implements sr.Platform.
+func (f platform) Read(ctx context.Context, key string) (sr.Value, error) {
+	if err := f.p.reach(PlatformAddress); err != nil {
+		return sr.Value{}, err
+	}
+	return f.p.rig.Platform.Read(ctx, key)
+}
+
+// Watch implements sr.Platform. It repeats a call that brought nothing.
+func (f platform) Watch(ctx context.Context, key string, after uint64) (sr.Value, error) {
+	for {
+		if err := f.p.reach(PlatformAddress); err != nil {
+			return sr.Value{}, err
+		}
+		v, ok, err := f.p.rig.Platform.Poll(ctx, key, after, watchWait)
+		if rerr := f.p.reach(PlatformAddress); rerr != nil {
+			return sr.Value{}, rerr
+		}
+		if ok || err != nil {
+			return v, err
+		}
+	}
+}
+
+// Instances implements sr.Platform.
+func (f platform) Instances(ctx context.Context) ([]sr.Instance, error) {
+	if err := f.p.reach(PlatformAddress); err != nil {
+		return nil, err
+	}
+	return f.p.rig.Platform.Instances(ctx)
+}
--- /dev/null
+++ b/internal/proof/srrig/once_test.go
@@ -0,0 +1,153 @@
+package srrig
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/proof/srhistory"
+)
+
+// everywhere sends a request to all instances at once and follows each.
+func everywhere(r *Rig, wg *sync.WaitGroup, q srhistory.Request) {
+	for i := range Instances {
+		wg.Go(func() { r.Follow(q, i, (i+1)%Instances) })
+	}
+}
+
+// tickets returns requests of both kinds whose tickets instance i issued.
+func tickets(t *testing.T, r *Rig, i, n int) []srhistory.Request {
+	t.Helper()
+	var qs []srhistory.Request
+	for k := range n {
+		for _, q := range []srhistory.Request{
+			Question(fmt.Sprintf("question %d of %d", k, i)),
+			ModelRequest(fmt.Sprintf("draft %d of %d", k, i), 3, 60),
+			Booking(fmt.Sprintf("reservation %d of %d", k, i)),
+		} {
+			q, err := r.Ticket(r.Process(i), q)
+			assert.NilError(t, err)
+			qs = append(qs, q)
+		}
+	}
+	return qs
+}
+
+// seeded runs f for each seed of the test.
+func seeded(t *testing.T, f func(t *testing.T, seed uint64)) {
+	t.Helper()
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { f(t, seed) })
+	}
+}
+
+func TestSameTicketEverywhereAtOnceRunsOnce(t *testing.T) {
+	seeded(t, func(t *testing.T, seed uint64) {
+		run(t, Options{Seed: seed}, func(t *testing.T, r *Rig) {
+			r.SetFaults(r.SeededFaults(4))
+			var wg sync.WaitGroup
+			for _, q := range tickets(t, r, int(seed)%Instances, 4) {
+				everywhere(r, &wg, q)
+			}
+			wg.Wait()
+		}, srhistory.Answered)
+	})
+}
+
+func TestIssuerKilledAroundTheSendRunsOnce(t *testing.T) {
+	seeded(t, func(t *testing.T, seed uint64) {
+		run(t, Options{Seed: seed, Delay: 40 * time.Millisecond}, func(t *testing.T, r *Rig) {
+			r.SetFaults(r.SeededFaults(6))
+			issuer := int(seed) % Instances
+			var wg sync.WaitGroup
+			for _, q := range tickets(t, r, issuer, 4) {
+				everywhere(r, &wg, q)
+			}
+			time.Sleep(time.Duration(r.intN(400)) * time.Millisecond)
+			r.Process(issuer).Kill()
+			time.Sleep(time.Duration(r.intN(3000)) * time.Millisecond)
+			_, err := r.Start(issuer)
+			assert.NilError(t, err)
+			wg.Wait()
+		})
+	})
+}
+
+func TestIssuerPausedAroundTheSendRunsOnce(t *testing.T) {
+	seeded(t, func(t *testing.T, seed uint64) {
+		run(t, Options{Seed: seed, Delay: 40 * time.Millisecond}, func(t *testing.T, r *Rig) {
+			issuer := r.Process(int(seed) % Instances)
+			var wg sync.WaitGroup
+			for _, q := range tickets(t, r, int(seed)%Instances, 4) {
+				everywhere(r, &wg, q)
+			}
+			time.Sleep(time.Duration(r.intN(400)) * time.Millisecond)
+			if seed%2 == 0 {
+				issuer.Pause()
+			} else {
+				issuer.PauseInWrite()
+			}
+			time.Sleep(time.Duration(1+r.intN(60)) * time.Second)
+			issuer.Wake()
+			wg.Wait()
+		})
+	})
+}
+
+func TestTicketPastItsExpiryDoesNotRun(t *testing.T) {
+	run(t, Options{Seed: 1}, func(t *testing.T, r *Rig) {
+		issuer := r.Process(0)
+		late, err := r.Ticket(issuer, Question("late"))
+		assert.NilError(t, err)
+		used, err := r.Ticket(issuer, Booking("used"))
+		assert.NilError(t, err)
+		assert.Equal(t, r.Follow(used, 0).Outcome, sr.OutcomeComplete)
+		issuer.Pause()
+		time.Sleep(21 * time.Minute)
+		issuer.Wake()
+		for _, q := range []srhistory.Request{late, used} {
+			a := r.Send(issuer, q)
+			assert.Equal(t, a.Outcome, sr.OutcomeUnknown, a.Reason)
+			assert.Equal(t, a.Name, "expired")
+		}
+		assert.Equal(t, r.Engines.Runs("late"), 0)
+	})
+}
+
+func TestBookingIsNeitherCancelledNorTriedAgain(t *testing.T) {
+	for _, f := range []Fault{FaultLost, FaultReset, FaultLate} {
+		run(t, Options{Seed: uint64(f)}, func(t *testing.T, r *Rig) {
+			r.SetFaults(func(string) Fault { return f })
+			a := r.Ask(Booking("lot 7"), 2, 3)
+			assert.Equal(t, a.Outcome, sr.OutcomeCutShort, a.Reason)
+			time.Sleep(2 * lateBy)
+			want := 1
+			if f == FaultLost {
+				want = 0
+			}
+			assert.Equal(t, runs(r, "lot 7"), want)
+		})
+	}
+}
+
+// runs counts what the plain services themselves ran.
+func runs(r *Rig, body string) int {
+	n := 0
+	for _, e := range r.manifest.desks {
+		n += r.Desks.Desk(e.Address).BodyRuns(Book, body)
+	}
+	return n
+}
+
+func TestUnusedTicketIsNotCalledNotRun(t *testing.T) {
+	run(t, Options{Seed: 5}, func(t *testing.T, r *Rig) {
+		q, err := r.Ticket(r.Process(0), Question("slow to arrive"))
+		assert.NilError(t, err)
+		r.Resume(r.Process(1), q, "", 0)
+		r.Follow(q, 0)
+	})
+}
--- /dev/null
+++ b/internal/proof/srrig/process.go
@@ -0,0 +1,169 @@
+package srrig
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/app/srserve"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srcaller"
+	"github.com/sassafrasrail/sassafrasrail/internal/proof/srhistory"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srsettings"
+)
+
+// Process is one run of an entry instance.
+type Process struct {
+	ID       sr.InstanceID
+	Domain   string
+	Instance *srserve.Instance
+	Metrics  metrics.Registry
+
+	rig    *Rig
+	caller *srcaller.Caller
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	paused chan struct{}
+	held   bool
+}
+
+func (r *Rig) newProcess(i int) (*Process, error) {
+	p := &Process{
+		ID:      sr.InstanceID{Address: Address(i), Incarnation: r.incarnation()},
+		Domain:  instanceDomains[i],
+		Metrics: metrics.NewRegistry(),
+		rig:     r,
+	}
+	p.ctx, p.cancel = context.WithCancel(r.ctx)
+	cfg, err := settings(p.ID.Address, p.Domain)
+	if err != nil {
+		return nil, err
+	}
+	var seed [32]byte
+	for n := range seed {
+		seed[n] = byte(r.intN(256))
+	}
+	p.Instance, err = srserve.NewInstance(srserve.Deps{
+		Settings: cfg,
+		Self:     p.ID,
+		Engine:   engine{p},
+		Service:  service{p},
+		Platform: platform{p},
+		Peers:    peers{p},
+		Random:   rand.NewChaCha8(seed),
+		Seed:     uint64(r.intN(1 << 30)),
+		Log:      logr.Discard(),
+		Metrics:  p.Metrics,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "srrig")
+	}
+	p.caller = srcaller.New(p.Instance.Entry(), p.Instance.Current, srcaller.Options{})
+	return p, nil
+}
+
+func settings(address, domain string) (srsettings.Settings, error) {
+	return srsettings.Parse("rig.ini", []byte(`
+[instance]
+listen = 10.9.0.1:7100
+operate = 10.9.0.1:7200
+peer = `+address+`
+domain = `+domain+`
+[platform]
+address = 10.9.0.9:80
+`))
+}
+
+// Alive reports whether the process runs.
+func (p *Process) Alive() bool { return p.ctx.Err() == nil }
+
+// Kill ends the process: nothing it sends arrives from now on.
+func (p *Process) Kill() { p.cancel() }
+
+// Pause stops all messages into and out of the process until Wake.
+func (p *Process) Pause() { p.pause(false) }
+
+// PauseInWrite is like Pause, but a dispatch that the process is about to
+// write leaves it at Wake, as one stopped between its last check and the write.
+func (p *Process) PauseInWrite() { p.pause(true) }
+
+func (p *Process) pause(held bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused == nil {
+		p.paused = make(chan struct{})
+		p.held = held
+	}
+}
+
+// Wake ends a pause.
+func (p *Process) Wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused != nil {
+		close(p.paused)
+		p.paused = nil
+	}
+}
+
+// Shutdown drains the process and ends it, and records that.
+func (p *Process) Shutdown() {
+	began := p.rig.Now()
+	err := p.Instance.Drain(p.ctx)
+	p.rig.History.AddShutdown(srhistory.Shutdown{Instance: p.ID.Address, Began: began, Ended: p.rig.Now(), Err: err})
+	p.Kill()
+}
+
+// Count returns the value of a counter.
+func (p *Process) Count(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, p.Metrics).Count()
+}
+
+func (p *Process) run() { p.Instance.Run(p.ctx) }
+
+// wait returns when the process is not paused, false when it is dead.
+func (p *Process) wait() bool {
+	for {
+		p.mu.Lock()
+		paused := p.paused
+		p.mu.Unlock()
+		if paused == nil {
+			return p.Alive()
+		}
+		select {
+		case <-paused:
+		case <-p.ctx.Done():
+			return false
+		}
+	}
+}
+
+// write returns when the process may write a request to an endpoint, false
+// when the request never leaves.
+func (p *Process) write() bool {
+	p.mu.Lock()
+	lost := p.paused != nil && !p.held
+	p.mu.Unlock()
+	return p.wait() && !lost
+}
+
+// bind returns a context that ends with ctx or with the process.
+func (p *Process) bind(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(p.ctx, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
+// lapse passes time for a dead process, whose goroutines nobody sees.
+func (p *Process) lapse() {
+	if !p.Alive() {
+		time.Sleep(deadPause)
+	}
+}
--- /dev/null
+++ b/internal/proof/srrig/rig.go
@@ -0,0 +1,330 @@
+// Package srrig runs seven entry instances over a network in memory, with the
+// stand-ins as endpoints and platform, and records a history of the run. It is
+// used inside a testing/synctest bubble, whose time it keeps.
+//
+// Messages take seeded times and can be cut in one direction or both, for one
+// process only or between many. A process can be paused, killed and replaced.
+//
+// # Usage
+//
+//	rig, err := srrig.New(srrig.Options{Seed: 1})
+//	defer rig.Close()
+//	err = rig.Ready()
+//	result := rig.Ask(srrig.Question("load 17"), 0, 1, 2)
+//	err = rig.History.Check(srhistory.Once)
+package srrig
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/proof/srhistory"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srconfig"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srdesk"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srengine"
+)
+
+const (
+	// Instances is the number of entry instances.
+	Instances = 7
+	// PlatformAddress is the platform's address for cuts.
+	PlatformAddress = "10.9.0.9:80"
+	// delayLeast and delaySpread are the time that a message takes.
+	delayLeast  = 200 * time.Microsecond
+	delaySpread = 2 * time.Millisecond
+	// readyTime bounds the start of the instances.
+	readyTime = time.Minute
+	// settleTime is the time after which pools have owners with a majority.
+	settleTime = 15 * time.Second
+	// sampleInterval is the interval at which manifests in force are recorded.
+	sampleInterval = 250 * time.Millisecond
+	// endTime is the time in which every goroutine of a rig ends.
+	endTime = 3 * time.Minute
+)
+
+var instanceDomains = [Instances]string{"brno-a", "brno-a", "brno-b", "brno-b", "praha-a", "praha-a", "praha-b"}
+
+// Options describe a rig.
+type Options struct {
+	Seed uint64
+	// Engine is the configuration of every engine; the zero value is
+	// srengine.DefaultConfig.
+	Engine srengine.Config
+	// Desk is the configuration of every plain service.
+	Desk srdesk.Config
+	// Faults draws the fault of each dispatch by its body.
+	Faults func(body string) Fault
+	// Delay is the longest time that a message takes on top of the least.
+	Delay time.Duration
+	// Slots and Cold are those of the manifest's model class.
+	Slots int
+	Cold  int
+}
+
+// Rig is seven instances and all around them.
+type Rig struct {
+	Engines  *srengine.Fleet
+	Desks    *srdesk.Fleet
+	Platform *srconfig.Store
+	History  *srhistory.History
+
+	opts   Options
+	began  time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	processes [Instances]*Process
+	cuts      map[cut]bool
+	run       uint64
+	faults    func(string) Fault
+	manifest  manifest
+}
+
+// cut is a direction in which nothing passes.
+type cut struct{ from, to string }
+
+// New starts the instances.
+func New(opts Options) (*Rig, error) {
+	opts = opts.withDefaults()
+	r := &Rig{
+		Engines:  srengine.NewFleet(nil),
+		Desks:    srdesk.NewFleet(nil),
+		Platform: srconfig.New(srconfig.DefaultConfig()),
+		History:  srhistory.New(),
+		opts:     opts,
+		began:    time.Now(),
+		rng:      rand.New(rand.NewPCG(opts.Seed, 1)),
+		cuts:     make(map[cut]bool),
+		faults:   opts.Faults,
+		manifest: newManifest(opts),
+	}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	for i, e := range r.manifest.models {
+		r.Engines.Add(e.Address, srengine.New(opts.Engine, rand.New(rand.NewPCG(opts.Seed, uint64(i+2)))))
+	}
+	for _, e := range r.manifest.desks {
+		r.Desks.Add(e.Address, srdesk.New(opts.Desk))
+	}
+	if _, err := r.Publish(); err != nil {
+		return nil, err
+	}
+	if err := r.List(); err != nil {
+		return nil, err
+	}
+	for i := range Instances {
+		if _, err := r.Start(i); err != nil {
+			return nil, err
+		}
+	}
+	r.wg.Go(r.sample)
+	return r, nil
+}
+
+func (o Options) withDefaults() Options {
+	if o.Engine.Slots == 0 {
+		o.Engine = srengine.DefaultConfig()
+	}
+	if o.Desk.Latency == 0 {
+		o.Desk = srdesk.Config{Slots: 8, Latency: 20 * time.Millisecond}
+	}
+	if o.Faults == nil {
+		o.Faults = NoFaults
+	}
+	if o.Delay == 0 {
+		o.Delay = delaySpread
+	}
+	if o.Slots == 0 {
+		o.Slots = o.Engine.Slots
+	}
+	if o.Cold == 0 {
+		o.Cold = o.Slots
+	}
+	return o
+}
+
+// Address returns the address of instance i.
+func Address(i int) string { return fmt.Sprintf("10.0.0.%d:7300", i+1) }
+
+// Now returns the time since the start of the rig.
+func (r *Rig) Now() time.Duration { return time.Since(r.began) }
+
+// Start starts a new run of instance i.
+func (r *Rig) Start(i int) (*Process, error) {
+	p, err := r.newProcess(i)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	r.processes[i] = p
+	r.mu.Unlock()
+	r.wg.Go(p.run)
+	return p, nil
+}
+
+// Process returns the latest run of instance i.
+func (r *Rig) Process(i int) *Process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.processes[i]
+}
+
+// At returns the latest run at an address, nil when there was none.
+func (r *Rig) At(address string) *Process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.processes {
+		if p != nil && p.ID.Address == address {
+			return p
+		}
+	}
+	return nil
+}
+
+// Ready waits until every instance is ready and the pools have owners.
+func (r *Rig) Ready() error {
+	for limit := r.Now() + readyTime; ; time.Sleep(sampleInterval) {
+		why := r.notReady()
+		if why == "" {
+			break
+		}
+		if r.Now() > limit {
+			return errors.Errorf("srrig: not ready: %s", why)
+		}
+	}
+	time.Sleep(settleTime)
+	return nil
+}
+
+func (r *Rig) notReady() string {
+	for i := range Instances {
+		if p := r.Process(i); p.Alive() {
+			if ready, why := p.Instance.Ready(); !ready {
+				return p.ID.Address + " " + why
+			}
+		}
+	}
+	return ""
+}
+
+// Cut stops messages from one address to another.
+func (r *Rig) Cut(from, to string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts[cut{from, to}] = true
+}
+
+// Join ends a Cut.
+func (r *Rig) Join(from, to string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.cuts, cut{from, to})
+}
+
+// Split stops all messages between two groups of instances.
+func (r *Rig) Split(group, others []int) {
+	for _, i := range group {
+		for _, j := range others {
+			r.Cut(Address(i), Address(j))
+			r.Cut(Address(j), Address(i))
+		}
+	}
+}
+
+// Heal ends every Cut.
+func (r *Rig) Heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.cuts)
+}
+
+// List publishes the live instances.
+func (r *Rig) List() error {
+	var list []sr.Instance
+	for i := range Instances {
+		list = append(list, sr.Instance{Address: Address(i), Domain: instanceDomains[i]})
+	}
+	return r.Platform.SetInstances(list)
+}
+
+// Finish records the falls of cold endpoints.
+func (r *Rig) Finish() *srhistory.History {
+	for _, e := range r.manifest.models {
+		r.History.AddFall(srhistory.Fall{Endpoint: e.Name, Times: r.Engines.Engine(e.Address).Falls()})
+	}
+	return r.History
+}
+
+// Close ends every process and waits until their goroutines have ended.
+func (r *Rig) Close() {
+	r.cancel()
+	for i := range Instances {
+		if p := r.Process(i); p != nil {
+			p.Wake()
+		}
+	}
+	r.wg.Wait()
+	time.Sleep(endTime)
+}
+
+// sample records the manifests in force.
+func (r *Rig) sample() {
+	for r.ctx.Err() == nil {
+		for i := range Instances {
+			p := r.Process(i)
+			if m, ok := p.Instance.Current(); ok && p.Alive() {
+				r.History.AddForce(srhistory.Force{At: r.Now(), Instance: p.ID, Version: m.Version})
+			}
+		}
+		select {
+		case <-time.After(sampleInterval):
+		case <-r.ctx.Done():
+		}
+	}
+}
+
+// pass takes the time of a message and reports whether it gets through.
+func (r *Rig) pass(from, to string) bool {
+	r.mu.Lock()
+	d := delayLeast + time.Duration(r.rng.Int64N(int64(r.opts.Delay)))
+	r.mu.Unlock()
+	time.Sleep(d)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.cuts[cut{from, to}]
+}
+
+// SetFaults changes how later dispatches fail.
+func (r *Rig) SetFaults(f func(body string) Fault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+func (r *Rig) faultOf(body string) Fault {
+	r.mu.Lock()
+	f := r.faults
+	r.mu.Unlock()
+	return f(body)
+}
+
+func (r *Rig) incarnation() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.run++
+	return r.run
+}
+
+func (r *Rig) intN(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.IntN(n)
+}
--- /dev/null
+++ b/internal/proof/srrig/seeds_test.go
@@ -0,0 +1,30 @@
+package srrig
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Seeds of a run: a fixed few, or as many as the environment asks for.
+const (
+	seedsVariable = "SEEDS"
+	fixedSeeds    = 4
+)
+
+func seeds(t *testing.T) []uint64 {
+	t.Helper()
+	n := fixedSeeds
+	if text := os.Getenv(seedsVariable); text != "" {
+		var err error
+		n, err = strconv.Atoi(text)
+		assert.NilError(t, err)
+	}
+	list := make([]uint64, n)
+	for i := range list {
+		list[i] = uint64(i + 1)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/proof/srrig/whole_test.go
@@ -0,0 +1,107 @@
+package srrig
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/proof/srhistory"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srengine"
+)
+
+func TestAnswersThatBreakOffAreResumedWhole(t *testing.T) {
+	for _, f := range []Fault{FaultReset, FaultBreak, FaultRepeat, FaultGap} {
+		t.Run(fmt.Sprint(f), func(t *testing.T) {
+			run(t, Options{Seed: uint64(f), Delay: 20 * time.Millisecond}, func(t *testing.T, r *Rig) {
+				r.SetFaults(func(string) Fault { return f })
+				var wg sync.WaitGroup
+				for i, body := range Bodies("crossed", 4*Instances) {
+					wg.Go(func() {
+						a := r.Ask(Question(body), i%Instances, (i+1)%Instances)
+						assert.Check(t, a.Outcome == sr.OutcomeComplete, a.Reason)
+					})
+				}
+				wg.Wait()
+			}, srhistory.Answered)
+		})
+	}
+}
+
+func TestAnswerIsResumedAfterTheIssuersDeath(t *testing.T) {
+	seeded(t, func(t *testing.T, seed uint64) {
+		run(t, Options{Seed: seed}, func(t *testing.T, r *Rig) {
+			var wg sync.WaitGroup
+			for _, body := range Bodies("long", 6) {
+				wg.Go(func() {
+					a := r.Ask(ModelRequest(body, 1, 100), 0, 1, 2)
+					assert.Check(t, a.Outcome == sr.OutcomeComplete, a.Reason)
+					assert.Check(t, joined(r, body) == strings.Join(srengine.Answer(body, 100), ""))
+				})
+			}
+			time.Sleep(time.Second + time.Duration(r.intN(1000))*time.Millisecond)
+			r.Process(0).Kill()
+			time.Sleep(time.Duration(r.intN(300)) * time.Millisecond)
+			r.Process(1).Kill()
+			wg.Wait()
+		}, srhistory.Answered)
+	})
+}
+
+// joined returns the texts of all parts of an answer in order.
+func joined(r *Rig, body string) string {
+	e := r.History.Events()
+	ticket := ""
+	for _, q := range e.Requests {
+		if q.Body == body {
+			ticket = q.Ticket
+		}
+	}
+	var b strings.Builder
+	for _, a := range e.Answers {
+		for _, event := range a.Events {
+			if a.Ticket == ticket {
+				b.WriteString(event.Text)
+			}
+		}
+	}
+	return b.String()
+}
+
+func TestFrozenEndpointAnswersLateAndWhole(t *testing.T) {
+	run(t, Options{Seed: 3}, func(t *testing.T, r *Rig) {
+		var wg sync.WaitGroup
+		for i, body := range Bodies("late", 2*Instances) {
+			wg.Go(func() { r.Ask(Question(body), i%Instances, (i+3)%Instances) })
+		}
+		time.Sleep(150 * time.Millisecond)
+		for _, e := range r.manifest.models {
+			r.Engines.Engine(e.Address).Freeze()
+		}
+		time.Sleep(8 * time.Second)
+		for _, e := range r.manifest.models {
+			r.Engines.Engine(e.Address).Thaw()
+		}
+		wg.Wait()
+	}, srhistory.Answered)
+}
+
+func TestFollowerEndsWithItsCaller(t *testing.T) {
+	run(t, Options{Seed: 1}, func(t *testing.T, r *Rig) {
+		q, err := r.Ticket(r.Process(0), ModelRequest("left alone", 3, 100))
+		assert.NilError(t, err)
+		go r.Follow(q, 0)
+		time.Sleep(200 * time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		f := r.Process(0).Instance.Entry().Follow(q.Ticket, q.Workspace, "", 1000)
+		defer f.Close()
+		_, _, err = f.Next(ctx)
+		assert.ErrorIs(t, err, context.Canceled)
+	})
+}
