End a follower with its caller

Cause: a poll of the own record returns without an error when its context has ended, and only the errors were looked at. A caller of a plain service that disconnected left a loop that polled without a pause until its request ended. Ruled out: the loop in srcaller alone, since every user of a follower would need the same check. Change: Follower.Next looks at the context after each poll. Before: TestFollowerEndsWithItsCaller failed with 'error is nil', and TestIssuerKilledAroundTheSendRunsOnce did not end. After: both pass.

--- a/internal/app/srentry/follow.go
+++ b/internal/app/srentry/follow.go
@@ -43,13 +43,13 @@
 		return f.fromEndpoint(ctx)
 	}
 	batch, err := f.entry.poll(ctx, sr.Poll{Ticket: f.ticket, Workspace: f.workspace, After: f.after, Wait: pollWait})
+	if ctx.Err() != nil {
+		return nil, sr.Status{}, ctx.Err()
+	}
 	if err == nil {
 		f.failures = 0
 		return f.accept(batch)
 	}
-	if ctx.Err() != nil {
-		return nil, sr.Status{}, ctx.Err()
-	}
 	if errors.Is(err, sr.ErrNotIssuer) {
 		return f.issuerGone(ctx)
 	}
