Do not call the request of an unused ticket not run

Cause: whoever asked for the answer of a ticket before its submission had arrived was told "not-run", and the submission ran afterwards. Ruled out: withdrawing the ticket at the question, which would let a caller that comes back early cancel its own request. Change: the refusal "missing" for an unused ticket has the outcome "unknown". Before: TestUnusedTicketIsNotCalledNotRun failed with '"slow to arrive" was called not run (missing) at 15.255148164s and taken at runner3 at 15.262194547s'. After: it passes.

--- a/internal/peer/srcaller/deliver.go
+++ b/internal/peer/srcaller/deliver.go
@@ -39,7 +39,7 @@
 		case status.State == sr.StateUnknown:
 			return send(ctx, unknownEnd(sent, status.Reason))
 		case status.State == sr.StateIssued:
-			return newProblem("missing", "the ticket was not used yet", sr.OutcomeNotRun)
+			return newProblem("missing", "the ticket was not used yet; its request may still arrive", sr.OutcomeUnknown)
 		case status.State == sr.StateEnded && sent == 0 && status.Outcome == sr.OutcomeComplete:
 			return newProblem("expired", "the answer was complete and is not kept any longer", sr.OutcomeComplete)
 		case status.State == sr.StateEnded && sent == 0:
