Let a shutdown see callers and submissions whole

Two causes, both found by the shutdown tests of srrig and by a race of submissions with a shutdown: - A shutdown waited for the readers of its own records only. A caller that read an answer of another issuer through the leaving instance was cut when the process closed its connections. - A submission looked at the table and at the flag of the shutdown one after the other. Of several submissions of one ticket some could be taken and the others refused as "not run"; and one could be taken after the wait had ended. Ruled out: a longer time to close connections, which would only move the bound; looking at the table twice, which leaves the second case. Change: an entry counts the exchanges with callers, relayed ones included, and a shutdown waits for them; submissions hold a read lock that the shutdown takes.

--- a/internal/app/srentry/entry.go
+++ b/internal/app/srentry/entry.go
@@ -85,10 +85,15 @@
 	deps     Deps
 	table    *srrequest.Table
 	holdings *holdings
-	draining atomic.Bool
-	active   sync.WaitGroup
-	waiting  waiting
-	pickMu   sync.Mutex
+	// accepting is held for reading while a request is accepted, so that a
+	// shutdown sees it either whole or not at all.
+	accepting sync.RWMutex
+	draining  atomic.Bool
+	active    sync.WaitGroup
+	// callers counts the exchanges with callers, relayed ones included.
+	callers atomic.Int64
+	waiting waiting
+	pickMu  sync.Mutex
 }
 
 // New returns an Entry.
@@ -102,7 +107,11 @@
 }
 
 // Drain makes the entry refuse new requests.
-func (e *Entry) Drain() { e.draining.Store(true) }
+func (e *Entry) Drain() {
+	e.accepting.Lock()
+	defer e.accepting.Unlock()
+	e.draining.Store(true)
+}
 
 // Draining reports whether new requests are refused.
 func (e *Entry) Draining() bool { return e.draining.Load() }
@@ -122,6 +131,9 @@
 	}
 }
 
+// Callers returns the number of callers that are being served.
+func (e *Entry) Callers() int { return int(e.callers.Load()) }
+
 // Sweep drops the records and answers that need not be kept any longer.
 func (e *Entry) Sweep(now time.Time) { e.table.Sweep(now, e.deps.Limits.Retain) }
 
--- a/internal/app/srentry/follow.go
+++ b/internal/app/srentry/follow.go
@@ -28,11 +28,14 @@
 	failures  int
 	stream    sr.Stream
 	endpoint  string
+	closed    bool
 }
 
 // Follow returns a Follower that delivers the events behind after. With a
-// receipt the answer can be had even when the ticket's issuer is gone.
+// receipt the answer can be had even when the ticket's issuer is gone. A
+// shutdown waits until the Follower is closed.
 func (e *Entry) Follow(ticket, workspace, receipt string, after int) *Follower {
+	e.callers.Add(1)
 	return &Follower{entry: e, ticket: ticket, workspace: workspace, receipt: receipt, after: after}
 }
 
@@ -63,10 +66,20 @@
 	return nil, sr.Status{State: sr.StateWaiting}, sleep(ctx, jitter(relayPause))
 }
 
-// Close ends the direct connection to the endpoint, if there is one.
+// Close ends the direct connection to the endpoint, if there is one, and lets
+// a shutdown go on.
 func (f *Follower) Close() {
+	f.closeStream()
+	if !f.closed {
+		f.closed = true
+		f.entry.callers.Add(-1)
+	}
+}
+
+func (f *Follower) closeStream() {
 	if f.stream != nil {
 		f.stream.Close()
+		f.stream = nil
 	}
 }
 
@@ -140,8 +153,7 @@
 func (f *Follower) fromEndpoint(ctx context.Context) ([]sr.Event, sr.Status, error) {
 	token, err := f.stream.Next(ctx)
 	if err != nil {
-		f.stream.Close()
-		f.stream = nil
+		f.closeStream()
 		return f.resumeLater(ctx)
 	}
 	status := sr.Status{Ticket: f.ticket, State: sr.StateSent, Endpoint: f.endpoint}
@@ -149,8 +161,7 @@
 		return nil, status, nil
 	}
 	if token.Seq > f.after {
-		f.Close()
-		f.stream = nil
+		f.closeStream()
 		return f.resumeLater(ctx)
 	}
 	f.failures = 0
--- a/internal/app/srentry/submit.go
+++ b/internal/app/srentry/submit.go
@@ -48,6 +48,8 @@
 		return e.Submit(ctx, s)
 	}
 	e.count("relays")
+	e.callers.Add(1)
+	defer e.callers.Add(-1)
 	var status sr.Status
 	for range relayTries {
 		status, err = e.deps.Peers.Peer(t.Issuer.Address).Submit(ctx, s)
@@ -64,6 +66,8 @@
 // Submit starts a request whose ticket was issued here. A ticket that is
 // already in use joins its request.
 func (e *Entry) Submit(_ context.Context, s sr.Submission) (sr.Status, error) {
+	e.accepting.RLock()
+	defer e.accepting.RUnlock()
 	now := time.Now()
 	if r, ok := e.table.Get(s.Ticket); ok {
 		return e.join(r, s)
--- a/internal/app/srserve/instance.go
+++ b/internal/app/srserve/instance.go
@@ -170,7 +170,7 @@
 // read their answers. Pools that nobody takes are given up after a while.
 func (i *Instance) waitForHandover(ctx context.Context) error {
 	limit := time.Now().Add(2 * i.deps.Settings.Lapse)
-	for i.entry.Count().Readers > 0 || len(i.owners.Owned()) > 0 && time.Now().Before(limit) {
+	for i.entry.Callers() > 0 || i.entry.Count().Readers > 0 || len(i.owners.Owned()) > 0 && time.Now().Before(limit) {
 		if err := pause(ctx, drainPoll); err != nil {
 			return err
 		}
--- a/internal/proof/srhistory/checks.go
+++ b/internal/proof/srhistory/checks.go
@@ -250,6 +250,16 @@
 	return nil
 }
 
+// Uncut checks that every answer ended by itself, whole or refused.
+func Uncut(e Events) error {
+	for _, a := range e.Answers {
+		if cut(a) || a.Outcome == sr.OutcomeUnknown {
+			return errors.Errorf("%s via %s ended %q at %v: %s", a.Ticket, a.Via, a.Outcome, a.Ended, a.Reason)
+		}
+	}
+	return nil
+}
+
 func cut(a Answer) bool { return a.Broke() || a.Outcome == sr.OutcomeCutShort }
 
 // Answered checks that every request got an outcome other than "unknown" in
--- a/internal/proof/srhistory/history_test.go
+++ b/internal/proof/srhistory/history_test.go
@@ -151,6 +151,12 @@
 			Events{Requests: []Request{question}, Answers: []Answer{answer(question, sr.OutcomeUnknown)}},
 			"no outcome",
 		},
+		{
+			"uncut", Uncut,
+			Events{Answers: []Answer{answer(question, sr.OutcomeComplete), refused(draft)}},
+			Events{Answers: []Answer{answer(question, sr.OutcomeUnknown)}},
+			"ended \"unknown\"",
+		},
 		{
 			"register", Register,
 			Events{Requests: []Request{question}, Arrivals: []Arrival{arrival(2*second, question)}, Answers: []Answer{answer(question, sr.OutcomeComplete)}},
--- a/internal/proof/srrig/caller.go
+++ b/internal/proof/srrig/caller.go
@@ -110,6 +110,8 @@
 func (r *Rig) exchange(p *Process, q srhistory.Request, after int, f func(context.Context, *sink) error) srhistory.Answer {
 	ctx, cancel := context.WithTimeout(p.ctx, askTime)
 	defer cancel()
+	p.callers.Add(1)
+	defer p.callers.Add(-1)
 	s := &sink{p: p, answer: srhistory.Answer{Ticket: q.Ticket, Via: p.ID.Address, Began: r.Now(), After: after}}
 	done := make(chan srhistory.Answer, 1)
 	go func() {
--- a/internal/proof/srrig/manifest.go
+++ b/internal/proof/srrig/manifest.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	// Model and Service are the targets of a rig, Book its operation.
-	Model   = "intake-assistant"
+	// Model is the model that the engines serve.
+	Model = "intake-assistant"
+	// Service is the plain service.
 	Service = "intake"
-	Book    = "book"
+	// Book is an operation of Service that may not be repeated.
+	Book = "book"
 	// rootKey is the key of the manifest's root value.
 	rootKey = "manifest"
 )
--- a/internal/proof/srrig/once_test.go
+++ b/internal/proof/srrig/once_test.go
@@ -107,7 +107,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, r.Follow(used, 0).Outcome, sr.OutcomeComplete)
 		issuer.Pause()
-		time.Sleep(21 * time.Minute)
+		time.Sleep(3 * time.Minute)
 		issuer.Wake()
 		for _, q := range []srhistory.Request{late, used} {
 			a := r.Send(issuer, q)
--- a/internal/proof/srrig/process.go
+++ b/internal/proof/srrig/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -29,6 +30,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	callers atomic.Int64
+
 	mu     sync.Mutex
 	paused chan struct{}
 	held   bool
@@ -78,6 +81,9 @@
 domain = `+domain+`
 [platform]
 address = 10.9.0.9:80
+[times]
+ticket = 2m
+retain = 30s
 `))
 }
 
@@ -113,10 +119,14 @@
 	}
 }
 
-// Shutdown drains the process and ends it, and records that.
+// Shutdown drains the process and ends it, and records that. As in a real
+// process the last bytes to callers go out within closeTime.
 func (p *Process) Shutdown() {
 	began := p.rig.Now()
 	err := p.Instance.Drain(p.ctx)
+	for limit := p.rig.Now() + closeTime; p.callers.Load() > 0 && p.rig.Now() < limit; {
+		time.Sleep(delayLeast)
+	}
 	p.rig.History.AddShutdown(srhistory.Shutdown{Instance: p.ID.Address, Began: began, Ended: p.rig.Now(), Err: err})
 	p.Kill()
 }
--- a/internal/proof/srrig/rig.go
+++ b/internal/proof/srrig/rig.go
@@ -44,6 +44,9 @@
 	settleTime = 15 * time.Second
 	// sampleInterval is the interval at which manifests in force are recorded.
 	sampleInterval = 250 * time.Millisecond
+	// closeTime is the time in which a process that has drained ends its
+	// connections with callers.
+	closeTime = 5 * time.Second
 	// endTime is the time in which every goroutine of a rig ends.
 	endTime = 3 * time.Minute
 )
--- /dev/null
+++ b/internal/proof/srrig/shutdown_test.go
@@ -0,0 +1,110 @@
+package srrig
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/proof/srhistory"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srengine"
+)
+
+func TestShutdownCutsNoQueuedStreamingOrRelayedRequest(t *testing.T) {
+	engine := srengine.DefaultConfig()
+	engine.Slots = 2
+	run(t, Options{Seed: 1, Engine: engine}, func(t *testing.T, r *Rig) {
+		var wg sync.WaitGroup
+		for i := range 3 * Instances {
+			q, err := r.Ticket(r.Process(i%Instances), ModelRequest(fmt.Sprintf("load %d", i), 1, 300))
+			assert.NilError(t, err)
+			for _, via := range []int{0, i % Instances} {
+				wg.Go(func() { r.Follow(q, via) })
+			}
+		}
+		time.Sleep(time.Second)
+		r.Process(0).Shutdown()
+		wg.Wait()
+	}, srhistory.Graceful, srhistory.Uncut, srhistory.Answered)
+}
+
+func TestShutdownWaitsForAnswersRelayedFromOtherIssuers(t *testing.T) {
+	run(t, Options{Seed: 2}, func(t *testing.T, r *Rig) {
+		q, err := r.Ticket(r.Process(1), ModelRequest("read elsewhere", 1, 1200))
+		assert.NilError(t, err)
+		var wg sync.WaitGroup
+		wg.Go(func() { r.Follow(q, 0) })
+		time.Sleep(time.Second)
+		r.Process(0).Shutdown()
+		wg.Wait()
+	}, srhistory.Graceful, srhistory.Uncut, srhistory.Answered)
+}
+
+func TestAllSevenAreRolledUnderLoad(t *testing.T) {
+	seeded(t, func(t *testing.T, seed uint64) {
+		run(t, Options{Seed: seed}, func(t *testing.T, r *Rig) {
+			var load sync.WaitGroup
+			done := make(chan struct{})
+			b := &balancer{r: r}
+			for w := range 2 * Instances {
+				load.Go(func() { b.load(done, w) })
+			}
+			for i := range Instances {
+				b.leave(i, true)
+				r.Process(i).Shutdown()
+				_, err := r.Start(i)
+				assert.NilError(t, err)
+				time.Sleep(5 * time.Second)
+				b.leave(i, false)
+			}
+			close(done)
+			load.Wait()
+		}, srhistory.Graceful, srhistory.Uncut, srhistory.Answered)
+	})
+}
+
+// balancer sends requests to the instances, but for leaving ones.
+type balancer struct {
+	r *Rig
+
+	mu      sync.Mutex
+	leaving int
+	out     bool
+}
+
+func (b *balancer) leave(i int, out bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving, b.out = i, out
+}
+
+func (b *balancer) pick() int {
+	i := b.r.intN(Instances)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.out && i == b.leaving {
+		return (i + 1) % Instances
+	}
+	return i
+}
+
+func (b *balancer) load(done <-chan struct{}, worker int) {
+	for n := 0; ; n++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(b.r.intN(1500)) * time.Millisecond):
+		}
+		body := fmt.Sprintf("load %d of %d", n, worker)
+		q := ModelRequest(body, 1, 10+b.r.intN(100))
+		if n%5 == 0 {
+			q = Booking(body)
+		}
+		q, err := b.r.Ticket(b.r.Process(b.pick()), q)
+		if err == nil {
+			b.r.Follow(q, b.pick())
+		}
+	}
+}
