Refuse a ticket whose record may have been swept

Cause: a submission reads the clock, checks its ticket's expiry and then begins the record. Ruled out: keeping records longer, since a pause has no bound. Before: TestTicketDoesNotBeginAgainWithATimeFromBeforeASweep failed with 'error is nil, not "expired"'. After: it passes.

--- a/internal/state/srrequest/table.go
+++ b/internal/state/srrequest/table.go
@@ -16,6 +16,9 @@
 
 	mu       sync.Mutex
 	requests map[string]*Request
+	// swept is the latest time of a sweep: no record of a ticket that had
+	// expired by then is sure to be kept.
+	swept time.Time
 }
 
 // New returns a Table of at most maxRequests records with at most maxEvents
@@ -30,7 +33,8 @@
 
 // Begin records a request under its ticket. A ticket that is in use returns
 // its record with created false, ErrConflict when it is used for a different
-// request. ErrOverloaded means that the table is full.
+// request. ErrOverloaded means that the table is full, ErrExpired that the
+// ticket's record may have been removed.
 func (t *Table) Begin(now time.Time, ticket string, expires time.Time, req sr.Request) (r *Request, created bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -43,6 +47,9 @@
 	if len(t.requests) >= t.maxRequests {
 		return nil, false, errors.Wrapf(sr.ErrOverloaded, "srrequest: %d requests are on record", len(t.requests))
 	}
+	if t.swept.After(expires) {
+		return nil, false, errors.Wrap(sr.ErrExpired, "srrequest: begin")
+	}
 	r = &Request{
 		Ticket:    ticket,
 		Request:   req,
@@ -69,6 +76,9 @@
 func (t *Table) Sweep(now time.Time, retain time.Duration) (removed int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.After(t.swept) {
+		t.swept = now
+	}
 	for ticket, r := range t.requests {
 		if r.removable(now, retain) {
 			delete(t.requests, ticket)
