Say not run of a given ticket only after it was looked at

Cause: refusals for the key, the model, the tier or a missing manifest came before the ticket was looked at and said "not-run". The request may have run under an earlier manifest or through another instance, when its caller only came back for the answer. Ruled out: looking the ticket up first, since it may need an issuer that is out of reach, and the workspace is not known before the key is. Change: such a refusal has the outcome "unknown" when a ticket was given. An input that no manifest allows stays "not-run". An unknown tier is "missing". Before: TestFreshInstanceDoesNotCallAUsedTicketNotRun failed with '"asked again" was called not run (overloaded) at 16.252552264s and taken at runner2 at 15.256441291s', TestManifestChangeDoesNotCallAUsedTicketNotRun likewise with "missing". After: both pass.

--- a/internal/peer/srcaller/caller.go
+++ b/internal/peer/srcaller/caller.go
@@ -82,11 +82,11 @@
 func (c *Caller) Generate(ctx context.Context, p *requests.GeneratePayload, stream requests.GenerateServerStream) error {
 	m, w, err := c.authorize(p.Key)
 	if err != nil {
-		return err
+		return ofTicket(err, p.Ticket)
 	}
 	req, err := modelRequest(m, w, p)
 	if err != nil {
-		return err
+		return ofTicket(err, p.Ticket)
 	}
 	ticket, err := c.ticket(ctx, w, p.Ticket, w.Ticketed)
 	if err != nil {
@@ -104,11 +104,11 @@
 func (c *Caller) Call(ctx context.Context, p *requests.CallPayload) (*requests.CallResult, error) {
 	m, w, err := c.authorize(p.Key)
 	if err != nil {
-		return nil, err
+		return nil, ofTicket(err, p.Ticket)
 	}
 	req, err := callRequest(m, w, p)
 	if err != nil {
-		return nil, err
+		return nil, ofTicket(err, p.Ticket)
 	}
 	ticket, err := c.ticket(ctx, w, p.Ticket, false)
 	if err != nil {
@@ -126,7 +126,7 @@
 func (c *Caller) Status(ctx context.Context, p *requests.StatusPayload) (*requests.StatusResult, error) {
 	_, w, err := c.authorize(p.Key)
 	if err != nil {
-		return nil, err
+		return nil, ofTicket(err, &p.Ticket)
 	}
 	s, err := c.entry.Status(ctx, p.Ticket, w.Name)
 	if err != nil {
@@ -149,7 +149,7 @@
 func (c *Caller) Resume(ctx context.Context, p *requests.ResumePayload, stream requests.ResumeServerStream) error {
 	_, w, err := c.authorize(p.Key)
 	if err != nil {
-		return err
+		return ofTicket(err, &p.Ticket)
 	}
 	if p.After < 0 {
 		return newProblem("invalid", "after is negative, expected the last sequence number received", sr.OutcomeUnknown)
--- a/internal/peer/srcaller/problem.go
+++ b/internal/peer/srcaller/problem.go
@@ -44,6 +44,16 @@
 	return &requests.Problem{Name: name, Reason: reason, Outcome: string(outcome)}
 }
 
+// ofTicket changes a refusal that came before the ticket was looked at: its
+// request may have run under an earlier manifest or through another instance.
+func ofTicket(err error, ticket *string) error {
+	var p *requests.Problem
+	if value(ticket) == "" || !errors.As(err, &p) || p.Name == "invalid" {
+		return err
+	}
+	return newProblem(p.Name, p.Reason, sr.OutcomeUnknown)
+}
+
 // problemOf turns an error of the entry into a refusal.
 func problemOf(err error) *requests.Problem {
 	for _, p := range problemNames {
--- a/internal/peer/srcaller/request.go
+++ b/internal/peer/srcaller/request.go
@@ -65,7 +65,7 @@
 	if name != "" {
 		named, ok := m.Tiers[name]
 		if !ok {
-			return req, invalid("tier %.*q is not in the manifest", maxNameBytes, name)
+			return req, newProblem("missing", fmt.Sprintf("tier %.*q is not in the manifest", maxNameBytes, name), sr.OutcomeNotRun)
 		}
 		tier = named
 	}
--- a/internal/proof/srrig/once_test.go
+++ b/internal/proof/srrig/once_test.go
@@ -151,3 +151,33 @@
 		r.Follow(q, 0)
 	})
 }
+
+func TestFreshInstanceDoesNotCallAUsedTicketNotRun(t *testing.T) {
+	run(t, Options{Seed: 6}, func(t *testing.T, r *Rig) {
+		q, err := r.Ticket(r.Process(0), ModelRequest("asked again", 1, 200))
+		assert.NilError(t, err)
+		go r.Follow(q, 0)
+		time.Sleep(time.Second)
+		r.Process(1).Kill()
+		r.Platform.SetStopped(true)
+		p, err := r.Start(1)
+		assert.NilError(t, err)
+		a := r.Send(p, q)
+		assert.Equal(t, a.Name, "overloaded")
+		time.Sleep(10 * time.Second)
+	})
+}
+
+func TestManifestChangeDoesNotCallAUsedTicketNotRun(t *testing.T) {
+	run(t, Options{Seed: 7}, func(t *testing.T, r *Rig) {
+		q, err := r.Ticket(r.Process(0), Question("of a target that goes"))
+		assert.NilError(t, err)
+		assert.Equal(t, r.Follow(q, 0).Outcome, sr.OutcomeComplete)
+		r.manifest.models = nil
+		_, err = r.Publish()
+		assert.NilError(t, err)
+		time.Sleep(srhistory.ForceBound)
+		a := r.Send(r.Process(2), q)
+		assert.Equal(t, a.Name, "missing")
+	})
+}
