--- /dev/null
+++ b/internal/proof/srrig/order_test.go
@@ -0,0 +1,139 @@
+package srrig
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/proof/srhistory"
+)
+
+// underLoad runs f while requests come to all instances.
+func underLoad(r *Rig, workers int, f func()) {
+	var load sync.WaitGroup
+	done := make(chan struct{})
+	b := &balancer{r: r}
+	for w := range workers {
+		load.Go(func() { b.load(done, w) })
+	}
+	f()
+	close(done)
+	load.Wait()
+}
+
+// everyone lists all instances.
+var everyone = []int{0, 1, 2, 3, 4, 5, 6}
+
+// cutPlatform cuts instances off the platform.
+func cutPlatform(r *Rig, list ...int) {
+	for _, i := range list {
+		r.Cut(Address(i), PlatformAddress)
+	}
+}
+
+func TestDomainAndEndpointTakenOutReceiveNothingNew(t *testing.T) {
+	for name, f := range map[string]func(t *testing.T, r *Rig){
+		"order": func(t *testing.T, r *Rig) {
+			assert.NilError(t, r.TakeOut("brno-a", true))
+			time.Sleep(10 * time.Second)
+			assert.NilError(t, r.TakeOut("brno-a", false))
+			time.Sleep(5 * time.Second)
+			assert.NilError(t, r.Remove("runner2", true))
+			assert.NilError(t, r.Remove("booking3", true))
+			time.Sleep(10 * time.Second)
+		},
+		"news by one instance only": func(t *testing.T, r *Rig) {
+			cutPlatform(r, 0, 1, 2, 4, 5, 6)
+			time.Sleep(time.Second)
+			assert.NilError(t, r.TakeOut("praha-a", true))
+			assert.NilError(t, r.Remove("runner1", true))
+			time.Sleep(10 * time.Second)
+		},
+		"service down after the order": func(t *testing.T, r *Rig) {
+			assert.NilError(t, r.TakeOut("brno-b", true))
+			time.Sleep(50 * time.Millisecond)
+			r.Platform.SetStopped(true)
+			r.Process(4).Kill()
+			_, err := r.Start(4)
+			assert.NilError(t, err)
+			time.Sleep(15 * time.Second)
+		},
+		"stale list": func(t *testing.T, r *Rig) {
+			r.Process(6).Kill()
+			r.Cut(Address(2), PlatformAddress)
+			time.Sleep(10 * time.Second)
+			assert.NilError(t, r.TakeOut("brno-b", true))
+			_, err := r.Start(6)
+			assert.NilError(t, err)
+			time.Sleep(10 * time.Second)
+		},
+		"paused across the order": func(t *testing.T, r *Rig) {
+			r.Process(1).Pause()
+			r.Process(5).Pause()
+			time.Sleep(time.Duration(r.intN(1000)) * time.Millisecond)
+			assert.NilError(t, r.TakeOut("brno-a", true))
+			time.Sleep(time.Duration(2+r.intN(20)) * time.Second)
+			r.Process(1).Wake()
+			r.Process(5).Wake()
+			time.Sleep(10 * time.Second)
+		},
+		"undone quickly": func(t *testing.T, r *Rig) {
+			for range 3 {
+				assert.NilError(t, r.TakeOut("praha-b", true))
+				time.Sleep(time.Duration(r.intN(1000)) * time.Millisecond)
+				assert.NilError(t, r.TakeOut("praha-b", false))
+			}
+			assert.NilError(t, r.TakeOut("praha-b", true))
+			time.Sleep(10 * time.Second)
+		},
+		"two at once": func(t *testing.T, r *Rig) {
+			assert.NilError(t, r.TakeOut("praha-a", true))
+			assert.NilError(t, r.TakeOut("brno-a", true))
+			assert.NilError(t, r.Remove("runner2", true))
+			time.Sleep(10 * time.Second)
+			assert.NilError(t, r.TakeOut("praha-a", false))
+			time.Sleep(5 * time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, Options{Seed: uint64(len(name))}, func(t *testing.T, r *Rig) {
+				underLoad(r, 2*Instances, func() {
+					time.Sleep(2 * time.Second)
+					f(t, r)
+				})
+			}, srhistory.Out)
+		})
+	}
+}
+
+func TestPartWithoutNewsIsServedOnUntilItHearsTheOrder(t *testing.T) {
+	run(t, Options{Seed: 8}, func(t *testing.T, r *Rig) {
+		underLoad(r, 2*Instances, func() {
+			r.Split([]int{4, 5, 6}, []int{0, 1, 2, 3})
+			cutPlatform(r, 4, 5, 6)
+			from := r.Now()
+			time.Sleep(2 * time.Second)
+			assert.NilError(t, r.TakeOut("praha-a", true))
+			time.Sleep(15 * time.Second)
+			assert.Check(t, servedDark(r, "praha-a", from+2*time.Second+srhistory.OutBound))
+			r.Heal()
+			for _, i := range []int{4, 5, 6} {
+				r.History.AddDark(srhistory.Dark{Instance: Address(i), From: from, To: r.Now()})
+			}
+			time.Sleep(10 * time.Second)
+		})
+	}, srhistory.Out, srhistory.InForce)
+}
+
+// servedDark reports whether an instance without news sent work to a domain
+// after a time.
+func servedDark(r *Rig, domain string, after time.Duration) bool {
+	for _, a := range r.History.Events().Arrivals {
+		if a.Domain == domain && a.At > after {
+			return true
+		}
+	}
+	return false
+}
