Give refusals their own shape and record those of the manifest

Cause: a golden test of the caller interface showed every refusal with the description of its type as reason; the generated encoder asks the formatter for the body of every error. Reading on, a refusal by one instance's manifest said not-run while another instance, with another manifest, could have taken the same ticket. Ruled out: answering unknown to every misspelled model. Change: the formatter writes refusals in full; what depends on the manifest is refused by the issuer under the ticket, so a copy that runs is joined.

--- a/internal/app/srentry/follow.go
+++ b/internal/app/srentry/follow.go
@@ -32,7 +32,7 @@
 
 // Follow returns a Follower that delivers the events behind after. With a
 // receipt the answer can be had even when the ticket's issuer is gone.
-func (e *Entry) Follow(ticket, workspace, receipt string, after int) *Follower {
+func (e *Entry) Follow(ticket, workspace, receipt string, after int) sr.Follower {
 	return &Follower{entry: e, ticket: ticket, workspace: workspace, receipt: receipt, after: after}
 }
 
--- a/internal/app/srentry/run.go
+++ b/internal/app/srentry/run.go
@@ -10,9 +10,14 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srrequest"
 )
 
-// run takes one request from its acceptance to its end.
-func (e *Entry) run(r *srrequest.Request) {
+// run takes one request from its acceptance to its end. A refusal that is
+// given ends it at once.
+func (e *Entry) run(r *srrequest.Request, refusal sr.Refusal) {
 	defer e.active.Done()
+	if refusal.Name != "" {
+		e.refuse(r, refusal)
+		return
+	}
 	if refusal, ok := e.admit(r); !ok {
 		e.refuse(r, refusal)
 		return
--- a/internal/app/srentry/submit.go
+++ b/internal/app/srentry/submit.go
@@ -89,7 +89,7 @@
 		return sr.Status{}, err
 	}
 	if created {
-		go e.run(r)
+		go e.run(r, s.Refusal)
 	}
 	return r.Status(), nil
 }
--- a/internal/peer/srcaller/caller.go
+++ b/internal/peer/srcaller/caller.go
@@ -22,7 +22,6 @@
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/gen/requests"
-	"github.com/sassafrasrail/sassafrasrail/internal/app/srentry"
 )
 
 // Entry is the issuer that carries the calls out.
@@ -30,7 +29,7 @@
 	Tickets(workspace string, n int) ([]string, error)
 	Lifetime() time.Duration
 	Start(ctx context.Context, s sr.Submission) (sr.Status, error)
-	Follow(ticket, workspace, receipt string, after int) *srentry.Follower
+	Follow(ticket, workspace, receipt string, after int) sr.Follower
 	Status(ctx context.Context, ticket, workspace string) (sr.Status, error)
 }
 
@@ -84,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	req, err := modelRequest(m, w, p)
+	req, err := modelRequest(w, p)
 	if err != nil {
 		return err
 	}
@@ -92,7 +91,8 @@
 	if err != nil {
 		return err
 	}
-	if _, err := c.entry.Start(ctx, sr.Submission{Ticket: ticket, Request: req}); err != nil {
+	req, refusal := complete(m, w, req, value(p.Tier), p.Deadline)
+	if _, err := c.entry.Start(ctx, sr.Submission{Ticket: ticket, Request: req, Refusal: refusal}); err != nil {
 		return problemOf(err)
 	}
 	f := c.entry.Follow(ticket, w.Name, "", 0)
@@ -106,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req, err := callRequest(m, w, p)
+	req, err := callRequest(w, p)
 	if err != nil {
 		return nil, err
 	}
@@ -114,7 +114,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := c.entry.Start(ctx, sr.Submission{Ticket: ticket, Request: req}); err != nil {
+	req, refusal := complete(m, w, req, "", p.Deadline)
+	if _, err := c.entry.Start(ctx, sr.Submission{Ticket: ticket, Request: req, Refusal: refusal}); err != nil {
 		return nil, problemOf(err)
 	}
 	f := c.entry.Follow(ticket, w.Name, "", 0)
--- a/internal/peer/srcaller/deliver.go
+++ b/internal/peer/srcaller/deliver.go
@@ -6,14 +6,13 @@
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/gen/requests"
-	"github.com/sassafrasrail/sassafrasrail/internal/app/srentry"
 )
 
 type sendFunc func(context.Context, *requests.Event) error
 
 // deliver sends an answer's events until its end. A request without any event
 // is answered by a refusal.
-func deliver(ctx context.Context, f *srentry.Follower, send sendFunc) error {
+func deliver(ctx context.Context, f sr.Follower, send sendFunc) error {
 	sent := 0
 	for {
 		events, status, err := f.Next(ctx)
@@ -51,7 +50,7 @@
 }
 
 // await returns the answer of a plain service once its request has ended.
-func await(ctx context.Context, f *srentry.Follower, ticket string) (*requests.CallResult, error) {
+func await(ctx context.Context, f sr.Follower, ticket string) (*requests.CallResult, error) {
 	for {
 		_, status, err := f.Next(ctx)
 		if err != nil {
--- a/internal/peer/srcaller/problem.go
+++ b/internal/peer/srcaller/problem.go
@@ -28,6 +28,8 @@
 
 // statusNames maps the names of refusals to those of the caller interface.
 var statusNames = map[string]string{
+	refusalMissing:       refusalMissing,
+	refusalForbidden:     refusalForbidden,
 	"limited":            "limited",
 	sr.RefusalEmpty:      "overloaded",
 	sr.RefusalFloor:      "overloaded",
--- a/internal/peer/srcaller/request.go
+++ b/internal/peer/srcaller/request.go
@@ -18,7 +18,14 @@
 	maxNameBytes = 128
 )
 
-func modelRequest(m sr.Manifest, w sr.Workspace, p *requests.GeneratePayload) (sr.Request, error) {
+// Names of the refusals that depend on the manifest.
+const (
+	refusalMissing   = "missing"
+	refusalForbidden = "forbidden"
+)
+
+// modelRequest checks what does not depend on the manifest.
+func modelRequest(w sr.Workspace, p *requests.GeneratePayload) (sr.Request, error) {
 	req := sr.Request{
 		Kind:      sr.KindModel,
 		Workspace: w.Name,
@@ -32,13 +39,11 @@
 	if p.Tokens < 1 || p.Tokens > maxTokens {
 		return req, invalid("tokens is %d, expected 1 to %d", p.Tokens, maxTokens)
 	}
-	if !serves(m, sr.KindModel, p.Model) {
-		return req, newProblem("missing", fmt.Sprintf("model %.*q is not in the manifest", maxNameBytes, p.Model), sr.OutcomeNotRun)
-	}
-	return withTier(m, w, req, value(p.Tier), p.Deadline)
+	return req, checkDeadline(p.Deadline)
 }
 
-func callRequest(m sr.Manifest, w sr.Workspace, p *requests.CallPayload) (sr.Request, error) {
+// callRequest checks what does not depend on the manifest.
+func callRequest(w sr.Workspace, p *requests.CallPayload) (sr.Request, error) {
 	req := sr.Request{
 		Kind:      sr.KindCall,
 		Workspace: w.Name,
@@ -49,39 +54,40 @@
 	if p.Operation == "" || len(p.Operation) > maxNameBytes {
 		return req, invalid("operation has %d bytes, expected 1 to %d", len(p.Operation), maxNameBytes)
 	}
-	spec, ok := m.Services[p.Service]
-	if !ok || !serves(m, sr.KindCall, p.Service) {
-		return req, newProblem("missing", fmt.Sprintf("service %.*q is not in the manifest", maxNameBytes, p.Service), sr.OutcomeNotRun)
+	return req, checkDeadline(p.Deadline)
+}
+
+func checkDeadline(deadline int) error {
+	if deadline < 0 || int64(deadline) > maxBudget.Milliseconds() {
+		return invalid("deadline is %d, expected 0 to %d milliseconds", deadline, maxBudget.Milliseconds())
 	}
-	req.Repeatable = slices.Contains(spec.Repeatable, p.Operation)
-	return withTier(m, w, req, "", p.Deadline)
+	return nil
 }
 
-// withTier sets the tier, by default the workspace's own, and the budget, by
-// default the tier's.
-func withTier(m sr.Manifest, w sr.Workspace, req sr.Request, name string, deadline int) (sr.Request, error) {
+// complete fills in what the manifest says of a request. Its refusal is
+// recorded under the request's ticket, since another instance may have another
+// manifest and may have accepted the same request.
+func complete(m sr.Manifest, w sr.Workspace, req sr.Request, tier string, deadline int) (sr.Request, sr.Refusal) {
+	req.Repeatable = req.Kind == sr.KindCall && slices.Contains(m.Services[req.Target].Repeatable, req.Operation)
 	own := m.Tiers[w.Tier]
-	tier := own
-	if name != "" {
-		named, ok := m.Tiers[name]
-		if !ok {
-			return req, invalid("tier %.*q is not in the manifest", maxNameBytes, name)
-		}
-		tier = named
-	}
-	if tier.Rank.Outranks(own.Rank) {
-		return req, newProblem("forbidden", fmt.Sprintf("tier %q is above the workspace's own tier %q", tier.Name, own.Name), sr.OutcomeNotRun)
+	chosen := own
+	if tier != "" {
+		chosen = m.Tiers[tier]
 	}
-	req.Tier = tier.Rank
-	req.Budget = tier.Budget
-	if deadline == 0 {
-		return req, nil
+	req.Tier = chosen.Rank
+	req.Budget = chosen.Budget
+	if deadline > 0 {
+		req.Budget = time.Duration(deadline) * time.Millisecond
 	}
-	if deadline < 0 || int64(deadline) > maxBudget.Milliseconds() {
-		return req, invalid("deadline is %d, expected 1 to %d milliseconds", deadline, maxBudget.Milliseconds())
+	switch {
+	case !serves(m, req.Kind, req.Target):
+		return req, refusal(refusalMissing, "%.*q is not in the manifest", maxNameBytes, req.Target)
+	case chosen.Rank == 0:
+		return req, refusal(refusalMissing, "tier %.*q is not in the manifest", maxNameBytes, tier)
+	case chosen.Rank.Outranks(own.Rank):
+		return req, refusal(refusalForbidden, "tier %q is above the workspace's own tier %q", tier, own.Name)
 	}
-	req.Budget = time.Duration(deadline) * time.Millisecond
-	return req, nil
+	return req, sr.Refusal{}
 }
 
 func serves(m sr.Manifest, kind sr.Kind, target string) bool {
@@ -93,6 +99,10 @@
 	return false
 }
 
+func refusal(name, format string, args ...any) sr.Refusal {
+	return sr.Refusal{Name: name, Reason: fmt.Sprintf(format, args...)}
+}
+
 func invalid(format string, args ...any) *requests.Problem {
 	return newProblem("invalid", fmt.Sprintf(format, args...), sr.OutcomeNotRun)
 }
--- a/internal/peer/srcaller/server.go
+++ b/internal/peer/srcaller/server.go
@@ -77,27 +77,45 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Connection", "close")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(problemBody{Name: p.Name, Reason: p.Reason, Outcome: p.Outcome})
+	_ = json.NewEncoder(w).Encode(newProblemBody(p, status))
 }
 
-// problemBody is the JSON of a refusal that the generated code does not write.
+// problemBody is the JSON of a refusal.
 type problemBody struct {
-	Name    string `json:"name"`
-	Reason  string `json:"reason"`
-	Outcome string `json:"outcome"`
+	Name    string  `json:"name"`
+	Reason  string  `json:"reason"`
+	Outcome string  `json:"outcome"`
+	Ticket  *string `json:"ticket,omitempty"`
+	Retry   *int    `json:"retry,omitempty"`
 	status  int
 }
 
+func newProblemBody(p *requests.Problem, status int) problemBody {
+	return problemBody{
+		Name:    p.Name,
+		Reason:  p.Reason,
+		Outcome: p.Outcome,
+		Ticket:  p.Ticket,
+		Retry:   p.Retry,
+		status:  status,
+	}
+}
+
 // StatusCode returns the HTTP status.
 func (p problemBody) StatusCode() int { return p.status }
 
-// formatError gives decoding errors the shape of the other refusals.
+// formatError gives every error the shape of a refusal. The status of a
+// Problem is set by the generated code.
 func formatError(_ context.Context, err error) goahttp.Statuser {
+	var p *requests.Problem
+	if errors.As(err, &p) {
+		return newProblemBody(p, http.StatusInternalServerError)
+	}
 	var named *goa.ServiceError
 	if errors.As(err, &named) && !named.Fault {
-		return problemBody{Name: "invalid", Reason: named.Message, Outcome: string(sr.OutcomeNotRun), status: http.StatusBadRequest}
+		return newProblemBody(newProblem("invalid", named.Message, sr.OutcomeNotRun), http.StatusBadRequest)
 	}
-	return problemBody{Name: "unknown-outcome", Reason: err.Error(), Outcome: string(sr.OutcomeUnknown), status: http.StatusInternalServerError}
+	return newProblemBody(newProblem("unknown-outcome", err.Error(), sr.OutcomeUnknown), http.StatusInternalServerError)
 }
 
 // extendWrite gives the next write to the caller its own deadline.
--- a/peer.go
+++ b/peer.go
@@ -108,6 +108,9 @@
 type Submission struct {
 	Ticket  string
 	Request Request
+	// Refusal, when it has a name, is recorded under the ticket instead of
+	// running the request: the receiver's manifest does not allow it.
+	Refusal Refusal
 }
 
 // Poll asks for the events of a request behind After; it waits up to Wait.
@@ -124,6 +127,15 @@
 	Events []Event
 }
 
+// Follower delivers the events of one answer, each once and in order. It is
+// used by one goroutine.
+type Follower interface {
+	// Next returns the next events, or none after a while without news. No
+	// more events will come once the status is ended or unknown.
+	Next(ctx context.Context) ([]Event, Status, error)
+	Close()
+}
+
 // Step is one recorded decision.
 type Step struct {
 	At     time.Time
