--- a/design/design.go
+++ b/design/design.go
@@ -68,6 +68,7 @@
 	Error("limited", Problem)
 	Error("overloaded", Problem)
 	Error("unknown-outcome", Problem)
+	Error("issuer-gone", Problem)
 	Error("draining", Problem)
 }
 
@@ -83,6 +84,7 @@
 	Response("limited", StatusTooManyRequests, func() { Header("retry:Retry-After") })
 	Response("overloaded", StatusServiceUnavailable, func() { Header("retry:Retry-After") })
 	Response("unknown-outcome", StatusBadGateway)
+	Response("issuer-gone", StatusBadGateway)
 	Response("draining", StatusServiceUnavailable)
 }
 
--- a/errors.go
+++ b/errors.go
@@ -18,6 +18,9 @@
 	ErrNotOwner = errors.New("instance does not own the pool")
 	// ErrNotIssuer means that the asked instance did not issue the ticket.
 	ErrNotIssuer = errors.New("instance did not issue the ticket")
+	// ErrIssuerGone means that the ticket's issuer is gone and the submission was
+	// not passed on. An earlier submission of the same ticket may have run.
+	ErrIssuerGone = errors.New("the ticket's issuer is gone; this submission was not passed on")
 	// ErrInvalid means that an input breaks a rule; the message names it.
 	ErrInvalid = errors.New("invalid")
 	// ErrMissing means that a named thing does not exist.
--- a/gen/http/cli/entry/cli.go
+++ b/gen/http/cli/entry/cli.go
@@ -288,7 +288,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "requests generate --body '{\n      \"deadline\": 5025998985947644860,\n      \"model\": \"Eius officiis est vero eos numquam enim.\",\n      \"prompt\": \"Non sunt.\",\n      \"tier\": \"Sed doloribus sed sequi.\",\n      \"tokens\": 2433083823473046505\n   }' --key \"Consequuntur aut veniam commodi deleniti aut ut.\" --ticket \"Voluptatem est consectetur eum non iure et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "requests generate --body '{\n      \"deadline\": 8401133455705742746,\n      \"model\": \"Consequuntur aut veniam commodi deleniti aut ut.\",\n      \"prompt\": \"Voluptatem est consectetur eum non iure et.\",\n      \"tier\": \"Sit nihil eum cupiditate similique deserunt.\",\n      \"tokens\": 6993820468896526279\n   }' --key \"Quis in consequatur.\" --ticket \"Autem qui.\"")
 }
 
 func requestsCallUsage() {
@@ -314,7 +314,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "requests call --body '{\n      \"body\": \"Voluptatem fugit officiis eaque cupiditate aut.\",\n      \"deadline\": 5746020795433158677\n   }' --service \"Quidem minus quibusdam cumque.\" --operation \"Et temporibus ut.\" --key \"Temporibus maxime eos qui quam.\" --ticket \"Qui quis voluptatem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "requests call --body '{\n      \"body\": \"Id maiores voluptatum alias rerum.\",\n      \"deadline\": 9190810339433375701\n   }' --service \"Repellat pariatur animi ut odio doloribus.\" --operation \"Assumenda ut eum.\" --key \"Consequatur laborum unde maiores id iure et.\" --ticket \"Nobis earum dignissimos id omnis.\"")
 }
 
 func requestsStatusUsage() {
@@ -334,7 +334,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "requests status --ticket \"Occaecati maxime temporibus numquam qui voluptatem.\" --key \"Consequuntur eius laborum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "requests status --ticket \"Nihil eos ipsa non.\" --key \"Occaecati et.\"")
 }
 
 func requestsResumeUsage() {
@@ -356,7 +356,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "requests resume --body '{\n      \"after\": 4312835259458609150,\n      \"receipt\": \"Adipisci hic velit facilis reprehenderit totam dolorem.\"\n   }' --ticket \"Ex quam.\" --key \"Incidunt corrupti necessitatibus laudantium.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "requests resume --body '{\n      \"after\": 4611805833500878038,\n      \"receipt\": \"Blanditiis fugit neque ducimus.\"\n   }' --ticket \"Inventore aut voluptas dolorem molestiae voluptates qui.\" --key \"Eos iusto eum.\"")
 }
 
 // operatorUsage displays the usage of the operator command and its subcommands.
@@ -420,7 +420,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --ticket \"Aut laudantium unde eligendi.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --ticket \"Reiciendis quibusdam doloremque id corporis velit ea.\"")
 }
 
 func operatorLiveUsage() {
--- a/gen/http/requests/client/cli.go
+++ b/gen/http/requests/client/cli.go
@@ -53,7 +53,7 @@
 	{
 		err = json.Unmarshal([]byte(requestsGenerateBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline\": 5025998985947644860,\n      \"model\": \"Eius officiis est vero eos numquam enim.\",\n      \"prompt\": \"Non sunt.\",\n      \"tier\": \"Sed doloribus sed sequi.\",\n      \"tokens\": 2433083823473046505\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline\": 8401133455705742746,\n      \"model\": \"Consequuntur aut veniam commodi deleniti aut ut.\",\n      \"prompt\": \"Voluptatem est consectetur eum non iure et.\",\n      \"tier\": \"Sit nihil eum cupiditate similique deserunt.\",\n      \"tokens\": 6993820468896526279\n   }'")
 		}
 	}
 	var key *string
@@ -101,7 +101,7 @@
 	{
 		err = json.Unmarshal([]byte(requestsCallBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Voluptatem fugit officiis eaque cupiditate aut.\",\n      \"deadline\": 5746020795433158677\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"Id maiores voluptatum alias rerum.\",\n      \"deadline\": 9190810339433375701\n   }'")
 		}
 	}
 	var service string
@@ -170,7 +170,7 @@
 	{
 		err = json.Unmarshal([]byte(requestsResumeBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"after\": 4312835259458609150,\n      \"receipt\": \"Adipisci hic velit facilis reprehenderit totam dolorem.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"after\": 4611805833500878038,\n      \"receipt\": \"Blanditiis fugit neque ducimus.\"\n   }'")
 		}
 	}
 	var ticket string
--- a/gen/http/requests/client/encode_decode.go
+++ b/gen/http/requests/client/encode_decode.go
@@ -71,6 +71,7 @@
 //   - "overloaded" (type *requests.Problem): http.StatusServiceUnavailable
 //   - "draining" (type *requests.Problem): http.StatusServiceUnavailable
 //   - "unknown-outcome" (type *requests.Problem): http.StatusBadGateway
+//   - "issuer-gone" (type *requests.Problem): http.StatusBadGateway
 //   - error: internal error
 func DecodeTicketsResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -298,19 +299,40 @@
 				return nil, goahttp.ErrInvalidResponse("requests", "tickets", resp.StatusCode, string(body))
 			}
 		case http.StatusBadGateway:
-			var (
-				body TicketsUnknownOutcomeResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("requests", "tickets", err)
-			}
-			err = ValidateTicketsUnknownOutcomeResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("requests", "tickets", err)
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "unknown-outcome":
+				var (
+					body TicketsUnknownOutcomeResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("requests", "tickets", err)
+				}
+				err = ValidateTicketsUnknownOutcomeResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("requests", "tickets", err)
+				}
+				return nil, NewTicketsUnknownOutcome(&body)
+			case "issuer-gone":
+				var (
+					body TicketsIssuerGoneResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("requests", "tickets", err)
+				}
+				err = ValidateTicketsIssuerGoneResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("requests", "tickets", err)
+				}
+				return nil, NewTicketsIssuerGone(&body)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("requests", "tickets", resp.StatusCode, string(body))
 			}
-			return nil, NewTicketsUnknownOutcome(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("requests", "tickets", resp.StatusCode, string(body))
@@ -373,6 +395,7 @@
 //   - "overloaded" (type *requests.Problem): http.StatusServiceUnavailable
 //   - "draining" (type *requests.Problem): http.StatusServiceUnavailable
 //   - "unknown-outcome" (type *requests.Problem): http.StatusBadGateway
+//   - "issuer-gone" (type *requests.Problem): http.StatusBadGateway
 //   - error: internal error
 func DecodeGenerateResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -600,19 +623,40 @@
 				return nil, goahttp.ErrInvalidResponse("requests", "generate", resp.StatusCode, string(body))
 			}
 		case http.StatusBadGateway:
-			var (
-				body GenerateUnknownOutcomeResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("requests", "generate", err)
-			}
-			err = ValidateGenerateUnknownOutcomeResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("requests", "generate", err)
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "unknown-outcome":
+				var (
+					body GenerateUnknownOutcomeResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("requests", "generate", err)
+				}
+				err = ValidateGenerateUnknownOutcomeResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("requests", "generate", err)
+				}
+				return nil, NewGenerateUnknownOutcome(&body)
+			case "issuer-gone":
+				var (
+					body GenerateIssuerGoneResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("requests", "generate", err)
+				}
+				err = ValidateGenerateIssuerGoneResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("requests", "generate", err)
+				}
+				return nil, NewGenerateIssuerGone(&body)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("requests", "generate", resp.StatusCode, string(body))
 			}
-			return nil, NewGenerateUnknownOutcome(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("requests", "generate", resp.StatusCode, string(body))
@@ -687,6 +731,7 @@
 //   - "overloaded" (type *requests.Problem): http.StatusServiceUnavailable
 //   - "draining" (type *requests.Problem): http.StatusServiceUnavailable
 //   - "unknown-outcome" (type *requests.Problem): http.StatusBadGateway
+//   - "issuer-gone" (type *requests.Problem): http.StatusBadGateway
 //   - error: internal error
 func DecodeCallResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -914,19 +959,40 @@
 				return nil, goahttp.ErrInvalidResponse("requests", "call", resp.StatusCode, string(body))
 			}
 		case http.StatusBadGateway:
-			var (
-				body CallUnknownOutcomeResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("requests", "call", err)
-			}
-			err = ValidateCallUnknownOutcomeResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("requests", "call", err)
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "unknown-outcome":
+				var (
+					body CallUnknownOutcomeResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("requests", "call", err)
+				}
+				err = ValidateCallUnknownOutcomeResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("requests", "call", err)
+				}
+				return nil, NewCallUnknownOutcome(&body)
+			case "issuer-gone":
+				var (
+					body CallIssuerGoneResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("requests", "call", err)
+				}
+				err = ValidateCallIssuerGoneResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("requests", "call", err)
+				}
+				return nil, NewCallIssuerGone(&body)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("requests", "call", resp.StatusCode, string(body))
 			}
-			return nil, NewCallUnknownOutcome(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("requests", "call", resp.StatusCode, string(body))
@@ -991,6 +1057,7 @@
 //   - "overloaded" (type *requests.Problem): http.StatusServiceUnavailable
 //   - "draining" (type *requests.Problem): http.StatusServiceUnavailable
 //   - "unknown-outcome" (type *requests.Problem): http.StatusBadGateway
+//   - "issuer-gone" (type *requests.Problem): http.StatusBadGateway
 //   - error: internal error
 func DecodeStatusResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -1218,19 +1285,40 @@
 				return nil, goahttp.ErrInvalidResponse("requests", "status", resp.StatusCode, string(body))
 			}
 		case http.StatusBadGateway:
-			var (
-				body StatusUnknownOutcomeResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("requests", "status", err)
-			}
-			err = ValidateStatusUnknownOutcomeResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("requests", "status", err)
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "unknown-outcome":
+				var (
+					body StatusUnknownOutcomeResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("requests", "status", err)
+				}
+				err = ValidateStatusUnknownOutcomeResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("requests", "status", err)
+				}
+				return nil, NewStatusUnknownOutcome(&body)
+			case "issuer-gone":
+				var (
+					body StatusIssuerGoneResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("requests", "status", err)
+				}
+				err = ValidateStatusIssuerGoneResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("requests", "status", err)
+				}
+				return nil, NewStatusIssuerGone(&body)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("requests", "status", resp.StatusCode, string(body))
 			}
-			return nil, NewStatusUnknownOutcome(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("requests", "status", resp.StatusCode, string(body))
@@ -1299,6 +1387,7 @@
 //   - "overloaded" (type *requests.Problem): http.StatusServiceUnavailable
 //   - "draining" (type *requests.Problem): http.StatusServiceUnavailable
 //   - "unknown-outcome" (type *requests.Problem): http.StatusBadGateway
+//   - "issuer-gone" (type *requests.Problem): http.StatusBadGateway
 //   - error: internal error
 func DecodeResumeResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -1526,19 +1615,40 @@
 				return nil, goahttp.ErrInvalidResponse("requests", "resume", resp.StatusCode, string(body))
 			}
 		case http.StatusBadGateway:
-			var (
-				body ResumeUnknownOutcomeResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("requests", "resume", err)
-			}
-			err = ValidateResumeUnknownOutcomeResponseBody(&body)
-			if err != nil {
-				return nil, goahttp.ErrValidationError("requests", "resume", err)
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "unknown-outcome":
+				var (
+					body ResumeUnknownOutcomeResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("requests", "resume", err)
+				}
+				err = ValidateResumeUnknownOutcomeResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("requests", "resume", err)
+				}
+				return nil, NewResumeUnknownOutcome(&body)
+			case "issuer-gone":
+				var (
+					body ResumeIssuerGoneResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("requests", "resume", err)
+				}
+				err = ValidateResumeIssuerGoneResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("requests", "resume", err)
+				}
+				return nil, NewResumeIssuerGone(&body)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("requests", "resume", resp.StatusCode, string(body))
 			}
-			return nil, NewResumeUnknownOutcome(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("requests", "resume", resp.StatusCode, string(body))
--- a/gen/http/requests/client/types.go
+++ b/gen/http/requests/client/types.go
@@ -287,6 +287,21 @@
 	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// TicketsIssuerGoneResponseBody is the type of the "requests" service
+// "tickets" endpoint HTTP response body for the "issuer-gone" error.
+type TicketsIssuerGoneResponseBody struct {
+	// Stable name of the refusal
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One sentence for people
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// What became of the request
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Fresh ticket, when one is needed
+	Ticket *string `form:"ticket,omitempty" json:"ticket,omitempty" xml:"ticket,omitempty"`
+	// Seconds to wait before a retry; 0 when none is advised
+	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // GenerateUnauthorizedResponseBody is the type of the "requests" service
 // "generate" endpoint HTTP response body for the "unauthorized" error.
 type GenerateUnauthorizedResponseBody struct {
@@ -463,6 +478,21 @@
 	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// GenerateIssuerGoneResponseBody is the type of the "requests" service
+// "generate" endpoint HTTP response body for the "issuer-gone" error.
+type GenerateIssuerGoneResponseBody struct {
+	// Stable name of the refusal
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One sentence for people
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// What became of the request
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Fresh ticket, when one is needed
+	Ticket *string `form:"ticket,omitempty" json:"ticket,omitempty" xml:"ticket,omitempty"`
+	// Seconds to wait before a retry; 0 when none is advised
+	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // CallUnauthorizedResponseBody is the type of the "requests" service "call"
 // endpoint HTTP response body for the "unauthorized" error.
 type CallUnauthorizedResponseBody struct {
@@ -639,6 +669,21 @@
 	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// CallIssuerGoneResponseBody is the type of the "requests" service "call"
+// endpoint HTTP response body for the "issuer-gone" error.
+type CallIssuerGoneResponseBody struct {
+	// Stable name of the refusal
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One sentence for people
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// What became of the request
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Fresh ticket, when one is needed
+	Ticket *string `form:"ticket,omitempty" json:"ticket,omitempty" xml:"ticket,omitempty"`
+	// Seconds to wait before a retry; 0 when none is advised
+	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // StatusUnauthorizedResponseBody is the type of the "requests" service
 // "status" endpoint HTTP response body for the "unauthorized" error.
 type StatusUnauthorizedResponseBody struct {
@@ -815,6 +860,21 @@
 	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// StatusIssuerGoneResponseBody is the type of the "requests" service "status"
+// endpoint HTTP response body for the "issuer-gone" error.
+type StatusIssuerGoneResponseBody struct {
+	// Stable name of the refusal
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One sentence for people
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// What became of the request
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Fresh ticket, when one is needed
+	Ticket *string `form:"ticket,omitempty" json:"ticket,omitempty" xml:"ticket,omitempty"`
+	// Seconds to wait before a retry; 0 when none is advised
+	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // ResumeUnauthorizedResponseBody is the type of the "requests" service
 // "resume" endpoint HTTP response body for the "unauthorized" error.
 type ResumeUnauthorizedResponseBody struct {
@@ -991,6 +1051,21 @@
 	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// ResumeIssuerGoneResponseBody is the type of the "requests" service "resume"
+// endpoint HTTP response body for the "issuer-gone" error.
+type ResumeIssuerGoneResponseBody struct {
+	// Stable name of the refusal
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// One sentence for people
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// What became of the request
+	Outcome *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+	// Fresh ticket, when one is needed
+	Ticket *string `form:"ticket,omitempty" json:"ticket,omitempty" xml:"ticket,omitempty"`
+	// Seconds to wait before a retry; 0 when none is advised
+	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // EventDataResponseBody is used to define fields on response body types.
 type EventDataResponseBody struct {
 	// Ticket of the request
@@ -1257,6 +1332,20 @@
 	return v
 }
 
+// NewTicketsIssuerGone builds a requests service tickets endpoint issuer-gone
+// error.
+func NewTicketsIssuerGone(body *TicketsIssuerGoneResponseBody) *requests.Problem {
+	v := &requests.Problem{
+		Name:    *body.Name,
+		Reason:  *body.Reason,
+		Outcome: *body.Outcome,
+		Ticket:  body.Ticket,
+		Retry:   body.Retry,
+	}
+
+	return v
+}
+
 // NewGenerateEventOK builds a "requests" service "generate" endpoint result
 // from a HTTP "OK" response.
 func NewGenerateEventOK(body *GenerateResponseBody) *requests.Event {
@@ -1433,6 +1522,20 @@
 	return v
 }
 
+// NewGenerateIssuerGone builds a requests service generate endpoint
+// issuer-gone error.
+func NewGenerateIssuerGone(body *GenerateIssuerGoneResponseBody) *requests.Problem {
+	v := &requests.Problem{
+		Name:    *body.Name,
+		Reason:  *body.Reason,
+		Outcome: *body.Outcome,
+		Ticket:  body.Ticket,
+		Retry:   body.Retry,
+	}
+
+	return v
+}
+
 // NewCallResultOK builds a "requests" service "call" endpoint result from a
 // HTTP "OK" response.
 func NewCallResultOK(body *CallResponseBody) *requests.CallResult {
@@ -1607,6 +1710,19 @@
 	return v
 }
 
+// NewCallIssuerGone builds a requests service call endpoint issuer-gone error.
+func NewCallIssuerGone(body *CallIssuerGoneResponseBody) *requests.Problem {
+	v := &requests.Problem{
+		Name:    *body.Name,
+		Reason:  *body.Reason,
+		Outcome: *body.Outcome,
+		Ticket:  body.Ticket,
+		Retry:   body.Retry,
+	}
+
+	return v
+}
+
 // NewStatusResultOK builds a "requests" service "status" endpoint result from
 // a HTTP "OK" response.
 func NewStatusResultOK(body *StatusResponseBody) *requests.StatusResult {
@@ -1785,6 +1901,20 @@
 	return v
 }
 
+// NewStatusIssuerGone builds a requests service status endpoint issuer-gone
+// error.
+func NewStatusIssuerGone(body *StatusIssuerGoneResponseBody) *requests.Problem {
+	v := &requests.Problem{
+		Name:    *body.Name,
+		Reason:  *body.Reason,
+		Outcome: *body.Outcome,
+		Ticket:  body.Ticket,
+		Retry:   body.Retry,
+	}
+
+	return v
+}
+
 // NewResumeEventOK builds a "requests" service "resume" endpoint result from a
 // HTTP "OK" response.
 func NewResumeEventOK(body *ResumeResponseBody) *requests.Event {
@@ -1957,6 +2087,20 @@
 	return v
 }
 
+// NewResumeIssuerGone builds a requests service resume endpoint issuer-gone
+// error.
+func NewResumeIssuerGone(body *ResumeIssuerGoneResponseBody) *requests.Problem {
+	v := &requests.Problem{
+		Name:    *body.Name,
+		Reason:  *body.Reason,
+		Outcome: *body.Outcome,
+		Ticket:  body.Ticket,
+		Retry:   body.Retry,
+	}
+
+	return v
+}
+
 // ValidateTicketsResponseBody runs the validations defined on
 // TicketsResponseBody
 func ValidateTicketsResponseBody(body *TicketsResponseBody) (err error) {
@@ -2273,6 +2417,26 @@
 	return
 }
 
+// ValidateTicketsIssuerGoneResponseBody runs the validations defined on
+// tickets_issuer-gone_response_body
+func ValidateTicketsIssuerGoneResponseBody(body *TicketsIssuerGoneResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not-run" || *body.Outcome == "unknown" || *body.Outcome == "cut-short" || *body.Outcome == "complete") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "unknown", "cut-short", "complete"}))
+		}
+	}
+	return
+}
+
 // ValidateGenerateUnauthorizedResponseBody runs the validations defined on
 // generate_unauthorized_response_body
 func ValidateGenerateUnauthorizedResponseBody(body *GenerateUnauthorizedResponseBody) (err error) {
@@ -2513,6 +2677,26 @@
 	return
 }
 
+// ValidateGenerateIssuerGoneResponseBody runs the validations defined on
+// generate_issuer-gone_response_body
+func ValidateGenerateIssuerGoneResponseBody(body *GenerateIssuerGoneResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not-run" || *body.Outcome == "unknown" || *body.Outcome == "cut-short" || *body.Outcome == "complete") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "unknown", "cut-short", "complete"}))
+		}
+	}
+	return
+}
+
 // ValidateCallUnauthorizedResponseBody runs the validations defined on
 // call_unauthorized_response_body
 func ValidateCallUnauthorizedResponseBody(body *CallUnauthorizedResponseBody) (err error) {
@@ -2753,6 +2937,26 @@
 	return
 }
 
+// ValidateCallIssuerGoneResponseBody runs the validations defined on
+// call_issuer-gone_response_body
+func ValidateCallIssuerGoneResponseBody(body *CallIssuerGoneResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not-run" || *body.Outcome == "unknown" || *body.Outcome == "cut-short" || *body.Outcome == "complete") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "unknown", "cut-short", "complete"}))
+		}
+	}
+	return
+}
+
 // ValidateStatusUnauthorizedResponseBody runs the validations defined on
 // status_unauthorized_response_body
 func ValidateStatusUnauthorizedResponseBody(body *StatusUnauthorizedResponseBody) (err error) {
@@ -2993,6 +3197,26 @@
 	return
 }
 
+// ValidateStatusIssuerGoneResponseBody runs the validations defined on
+// status_issuer-gone_response_body
+func ValidateStatusIssuerGoneResponseBody(body *StatusIssuerGoneResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not-run" || *body.Outcome == "unknown" || *body.Outcome == "cut-short" || *body.Outcome == "complete") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "unknown", "cut-short", "complete"}))
+		}
+	}
+	return
+}
+
 // ValidateResumeUnauthorizedResponseBody runs the validations defined on
 // resume_unauthorized_response_body
 func ValidateResumeUnauthorizedResponseBody(body *ResumeUnauthorizedResponseBody) (err error) {
@@ -3232,3 +3456,23 @@
 	}
 	return
 }
+
+// ValidateResumeIssuerGoneResponseBody runs the validations defined on
+// resume_issuer-gone_response_body
+func ValidateResumeIssuerGoneResponseBody(body *ResumeIssuerGoneResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	if body.Outcome == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("outcome", "body"))
+	}
+	if body.Outcome != nil {
+		if !(*body.Outcome == "not-run" || *body.Outcome == "unknown" || *body.Outcome == "cut-short" || *body.Outcome == "complete") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.outcome", *body.Outcome, []any{"not-run", "unknown", "cut-short", "complete"}))
+		}
+	}
+	return
+}
--- a/gen/http/requests/server/encode_decode.go
+++ b/gen/http/requests/server/encode_decode.go
@@ -241,6 +241,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadGateway)
 			return enc.Encode(body)
+		case "issuer-gone":
+			var res *requests.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewTicketsIssuerGoneResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -478,6 +491,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadGateway)
 			return enc.Encode(body)
+		case "issuer-gone":
+			var res *requests.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewGenerateIssuerGoneResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -717,6 +743,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadGateway)
 			return enc.Encode(body)
+		case "issuer-gone":
+			var res *requests.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewCallIssuerGoneResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -933,6 +972,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadGateway)
 			return enc.Encode(body)
+		case "issuer-gone":
+			var res *requests.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewStatusIssuerGoneResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -1165,6 +1217,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusBadGateway)
 			return enc.Encode(body)
+		case "issuer-gone":
+			var res *requests.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewResumeIssuerGoneResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
--- a/gen/http/requests/server/types.go
+++ b/gen/http/requests/server/types.go
@@ -287,6 +287,21 @@
 	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// TicketsIssuerGoneResponseBody is the type of the "requests" service
+// "tickets" endpoint HTTP response body for the "issuer-gone" error.
+type TicketsIssuerGoneResponseBody struct {
+	// Stable name of the refusal
+	Name string `form:"name" json:"name" xml:"name"`
+	// One sentence for people
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// What became of the request
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Fresh ticket, when one is needed
+	Ticket *string `form:"ticket,omitempty" json:"ticket,omitempty" xml:"ticket,omitempty"`
+	// Seconds to wait before a retry; 0 when none is advised
+	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // GenerateUnauthorizedResponseBody is the type of the "requests" service
 // "generate" endpoint HTTP response body for the "unauthorized" error.
 type GenerateUnauthorizedResponseBody struct {
@@ -463,6 +478,21 @@
 	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// GenerateIssuerGoneResponseBody is the type of the "requests" service
+// "generate" endpoint HTTP response body for the "issuer-gone" error.
+type GenerateIssuerGoneResponseBody struct {
+	// Stable name of the refusal
+	Name string `form:"name" json:"name" xml:"name"`
+	// One sentence for people
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// What became of the request
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Fresh ticket, when one is needed
+	Ticket *string `form:"ticket,omitempty" json:"ticket,omitempty" xml:"ticket,omitempty"`
+	// Seconds to wait before a retry; 0 when none is advised
+	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // CallUnauthorizedResponseBody is the type of the "requests" service "call"
 // endpoint HTTP response body for the "unauthorized" error.
 type CallUnauthorizedResponseBody struct {
@@ -639,6 +669,21 @@
 	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// CallIssuerGoneResponseBody is the type of the "requests" service "call"
+// endpoint HTTP response body for the "issuer-gone" error.
+type CallIssuerGoneResponseBody struct {
+	// Stable name of the refusal
+	Name string `form:"name" json:"name" xml:"name"`
+	// One sentence for people
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// What became of the request
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Fresh ticket, when one is needed
+	Ticket *string `form:"ticket,omitempty" json:"ticket,omitempty" xml:"ticket,omitempty"`
+	// Seconds to wait before a retry; 0 when none is advised
+	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // StatusUnauthorizedResponseBody is the type of the "requests" service
 // "status" endpoint HTTP response body for the "unauthorized" error.
 type StatusUnauthorizedResponseBody struct {
@@ -815,6 +860,21 @@
 	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// StatusIssuerGoneResponseBody is the type of the "requests" service "status"
+// endpoint HTTP response body for the "issuer-gone" error.
+type StatusIssuerGoneResponseBody struct {
+	// Stable name of the refusal
+	Name string `form:"name" json:"name" xml:"name"`
+	// One sentence for people
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// What became of the request
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Fresh ticket, when one is needed
+	Ticket *string `form:"ticket,omitempty" json:"ticket,omitempty" xml:"ticket,omitempty"`
+	// Seconds to wait before a retry; 0 when none is advised
+	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // ResumeUnauthorizedResponseBody is the type of the "requests" service
 // "resume" endpoint HTTP response body for the "unauthorized" error.
 type ResumeUnauthorizedResponseBody struct {
@@ -991,6 +1051,21 @@
 	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// ResumeIssuerGoneResponseBody is the type of the "requests" service "resume"
+// endpoint HTTP response body for the "issuer-gone" error.
+type ResumeIssuerGoneResponseBody struct {
+	// Stable name of the refusal
+	Name string `form:"name" json:"name" xml:"name"`
+	// One sentence for people
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// What became of the request
+	Outcome string `form:"outcome" json:"outcome" xml:"outcome"`
+	// Fresh ticket, when one is needed
+	Ticket *string `form:"ticket,omitempty" json:"ticket,omitempty" xml:"ticket,omitempty"`
+	// Seconds to wait before a retry; 0 when none is advised
+	Retry *int `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // EventDataResponseBody is used to define fields on response body types.
 type EventDataResponseBody struct {
 	// Ticket of the request
@@ -1237,6 +1312,19 @@
 	return body
 }
 
+// NewTicketsIssuerGoneResponseBody builds the HTTP response body from the
+// result of the "tickets" endpoint of the "requests" service.
+func NewTicketsIssuerGoneResponseBody(res *requests.Problem) *TicketsIssuerGoneResponseBody {
+	body := &TicketsIssuerGoneResponseBody{
+		Name:    res.Name,
+		Reason:  res.Reason,
+		Outcome: res.Outcome,
+		Ticket:  res.Ticket,
+		Retry:   res.Retry,
+	}
+	return body
+}
+
 // NewGenerateUnauthorizedResponseBody builds the HTTP response body from the
 // result of the "generate" endpoint of the "requests" service.
 func NewGenerateUnauthorizedResponseBody(res *requests.Problem) *GenerateUnauthorizedResponseBody {
@@ -1391,6 +1479,19 @@
 	return body
 }
 
+// NewGenerateIssuerGoneResponseBody builds the HTTP response body from the
+// result of the "generate" endpoint of the "requests" service.
+func NewGenerateIssuerGoneResponseBody(res *requests.Problem) *GenerateIssuerGoneResponseBody {
+	body := &GenerateIssuerGoneResponseBody{
+		Name:    res.Name,
+		Reason:  res.Reason,
+		Outcome: res.Outcome,
+		Ticket:  res.Ticket,
+		Retry:   res.Retry,
+	}
+	return body
+}
+
 // NewCallUnauthorizedResponseBody builds the HTTP response body from the
 // result of the "call" endpoint of the "requests" service.
 func NewCallUnauthorizedResponseBody(res *requests.Problem) *CallUnauthorizedResponseBody {
@@ -1545,6 +1646,19 @@
 	return body
 }
 
+// NewCallIssuerGoneResponseBody builds the HTTP response body from the result
+// of the "call" endpoint of the "requests" service.
+func NewCallIssuerGoneResponseBody(res *requests.Problem) *CallIssuerGoneResponseBody {
+	body := &CallIssuerGoneResponseBody{
+		Name:    res.Name,
+		Reason:  res.Reason,
+		Outcome: res.Outcome,
+		Ticket:  res.Ticket,
+		Retry:   res.Retry,
+	}
+	return body
+}
+
 // NewStatusUnauthorizedResponseBody builds the HTTP response body from the
 // result of the "status" endpoint of the "requests" service.
 func NewStatusUnauthorizedResponseBody(res *requests.Problem) *StatusUnauthorizedResponseBody {
@@ -1699,6 +1813,19 @@
 	return body
 }
 
+// NewStatusIssuerGoneResponseBody builds the HTTP response body from the
+// result of the "status" endpoint of the "requests" service.
+func NewStatusIssuerGoneResponseBody(res *requests.Problem) *StatusIssuerGoneResponseBody {
+	body := &StatusIssuerGoneResponseBody{
+		Name:    res.Name,
+		Reason:  res.Reason,
+		Outcome: res.Outcome,
+		Ticket:  res.Ticket,
+		Retry:   res.Retry,
+	}
+	return body
+}
+
 // NewResumeUnauthorizedResponseBody builds the HTTP response body from the
 // result of the "resume" endpoint of the "requests" service.
 func NewResumeUnauthorizedResponseBody(res *requests.Problem) *ResumeUnauthorizedResponseBody {
@@ -1853,6 +1980,19 @@
 	return body
 }
 
+// NewResumeIssuerGoneResponseBody builds the HTTP response body from the
+// result of the "resume" endpoint of the "requests" service.
+func NewResumeIssuerGoneResponseBody(res *requests.Problem) *ResumeIssuerGoneResponseBody {
+	body := &ResumeIssuerGoneResponseBody{
+		Name:    res.Name,
+		Reason:  res.Reason,
+		Outcome: res.Outcome,
+		Ticket:  res.Ticket,
+		Retry:   res.Retry,
+	}
+	return body
+}
+
 // NewTicketsPayload builds a requests service tickets endpoint payload.
 func NewTicketsPayload(body *TicketsRequestBody, key *string) *requests.TicketsPayload {
 	v := &requests.TicketsPayload{}
--- a/gen/requests/client.go
+++ b/gen/requests/client.go
@@ -46,6 +46,7 @@
 //   - "limited" (type *Problem)
 //   - "overloaded" (type *Problem)
 //   - "unknown-outcome" (type *Problem)
+//   - "issuer-gone" (type *Problem)
 //   - "draining" (type *Problem)
 //   - error: internal error
 func (c *Client) Tickets(ctx context.Context, p *TicketsPayload) (res *TicketsResult, err error) {
@@ -70,6 +71,7 @@
 //   - "limited" (type *Problem)
 //   - "overloaded" (type *Problem)
 //   - "unknown-outcome" (type *Problem)
+//   - "issuer-gone" (type *Problem)
 //   - "draining" (type *Problem)
 //   - error: internal error
 func (c *Client) Generate(ctx context.Context, p *GeneratePayload) (res GenerateClientStream, err error) {
@@ -94,6 +96,7 @@
 //   - "limited" (type *Problem)
 //   - "overloaded" (type *Problem)
 //   - "unknown-outcome" (type *Problem)
+//   - "issuer-gone" (type *Problem)
 //   - "draining" (type *Problem)
 //   - error: internal error
 func (c *Client) Call(ctx context.Context, p *CallPayload) (res *CallResult, err error) {
@@ -118,6 +121,7 @@
 //   - "limited" (type *Problem)
 //   - "overloaded" (type *Problem)
 //   - "unknown-outcome" (type *Problem)
+//   - "issuer-gone" (type *Problem)
 //   - "draining" (type *Problem)
 //   - error: internal error
 func (c *Client) Status(ctx context.Context, p *StatusPayload) (res *StatusResult, err error) {
@@ -142,6 +146,7 @@
 //   - "limited" (type *Problem)
 //   - "overloaded" (type *Problem)
 //   - "unknown-outcome" (type *Problem)
+//   - "issuer-gone" (type *Problem)
 //   - "draining" (type *Problem)
 //   - error: internal error
 func (c *Client) Resume(ctx context.Context, p *ResumePayload) (res ResumeClientStream, err error) {
--- a/internal/app/srentry/submit.go
+++ b/internal/app/srentry/submit.go
@@ -37,8 +37,9 @@
 func (e *Entry) Lifetime() time.Duration { return e.deps.Issuer.Lifetime() }
 
 // Start submits a request at this instance, which may have to relay it to
-// the ticket's issuer. ErrUnreachable and ErrNotIssuer mean that the outcome
-// is unknown; every other error means that the request does not run.
+// the ticket's issuer. ErrIssuerGone means that it was not passed on,
+// ErrUnreachable that the outcome is unknown; every other error means that the
+// request does not run.
 func (e *Entry) Start(ctx context.Context, s sr.Submission) (sr.Status, error) {
 	t, err := srticket.Parse(s.Ticket)
 	if err != nil {
@@ -48,16 +49,30 @@
 		return e.Submit(ctx, s)
 	}
 	e.count("relays")
+	return e.relay(ctx, t.Issuer, s)
+}
+
+// relay passes a submission on to its issuer. A call without an answer is
+// repeated, which is safe since the issuer joins copies.
+func (e *Entry) relay(ctx context.Context, issuer sr.InstanceID, s sr.Submission) (sr.Status, error) {
 	var status sr.Status
+	var err error
+	mayHaveArrived := false
 	for range relayTries {
-		status, err = e.deps.Peers.Peer(t.Issuer.Address).Submit(ctx, s)
+		status, err = e.deps.Peers.Peer(issuer.Address).Submit(ctx, s)
 		if !errors.Is(err, sr.ErrUnreachable) {
-			return status, err
+			break
 		}
+		mayHaveArrived = mayHaveArrived || !errors.Is(err, sr.ErrNotSent)
 		if sleep(ctx, jitter(relayPause)) != nil {
 			break
 		}
 	}
+	gone := errors.Is(err, sr.ErrNotIssuer) || errors.Is(err, sr.ErrUnreachable)
+	if gone && !mayHaveArrived {
+		e.count("relays.gone")
+		return status, errors.Wrapf(sr.ErrIssuerGone, "srentry: %s", issuer.Address)
+	}
 	return status, err
 }
 
--- a/internal/peer/srcaller/problem.go
+++ b/internal/peer/srcaller/problem.go
@@ -15,6 +15,7 @@
 	name    string
 	outcome sr.Outcome
 }{
+	{sr.ErrIssuerGone, "issuer-gone", sr.OutcomeUnknown},
 	{sr.ErrNotIssuer, "unknown-outcome", sr.OutcomeUnknown},
 	{sr.ErrUnreachable, "unknown-outcome", sr.OutcomeUnknown},
 	{sr.ErrBroken, "unknown-outcome", sr.OutcomeUnknown},
--- a/internal/peer/srclient/client.go
+++ b/internal/peer/srclient/client.go
@@ -72,6 +72,8 @@
 	// Status and Body are the answer of a plain service.
 	Status int
 	Body   string
+	// unused is set when the ticket was certainly not used.
+	unused bool
 }
 
 // Refusal is an answer without a result.
@@ -87,6 +89,17 @@
 // Error returns the name and the reason.
 func (r *Refusal) Error() string { return r.Name + ": " + r.Reason }
 
+// unused reports whether the submission was certainly not passed on.
+func (r *Refusal) unused() bool {
+	return r.Name == refusalIssuerGone || r.Name == refusalDraining && r.Outcome == sr.OutcomeNotRun
+}
+
+// Names of refusals after which another ticket may be used.
+const (
+	refusalIssuerGone = "issuer-gone"
+	refusalDraining   = "draining"
+)
+
 // Client sends requests of one workspace. It is safe for concurrent use.
 type Client struct {
 	addresses []string
@@ -128,11 +141,26 @@
 
 // Call calls a plain service under a fresh ticket.
 func (c *Client) Call(ctx context.Context, call Call) (Result, error) {
-	ticket, err := c.Ticket(ctx)
-	if err != nil {
-		return Result{}, err
+	return c.withFreshTicket(ctx, func(ticket string) (Result, error) {
+		return c.CallWith(ctx, ticket, call)
+	})
+}
+
+// withFreshTicket sends a request under one ticket after the other as long as
+// their issuers are gone or shutting down and nothing of it can have run.
+func (c *Client) withFreshTicket(ctx context.Context, send func(ticket string) (Result, error)) (Result, error) {
+	var result Result
+	for range tries {
+		ticket, err := c.Ticket(ctx)
+		if err != nil {
+			return Result{}, err
+		}
+		result, err = send(ticket)
+		if err != nil || !result.unused {
+			return result, err
+		}
 	}
-	return c.CallWith(ctx, ticket, call)
+	return result, nil
 }
 
 // CallWith calls a plain service. A call that got no answer is sent again
@@ -175,6 +203,7 @@
 func (r Result) refused(refusal *Refusal) (Result, error) {
 	r.Outcome = refusal.Outcome
 	r.Reason = refusal.Error()
+	r.unused = refusal.unused()
 	if refusal.Code >= http.StatusInternalServerError || refusal.Code == http.StatusTooManyRequests {
 		return r, nil
 	}
@@ -201,15 +230,27 @@
 }
 
 // retry calls f for one instance after the other until it gets an answer. An
-// answer that the outcome is unknown is asked for again, since it may only be
-// out of reach.
+// answer that the outcome is unknown is asked for again, since the issuer may
+// only be out of reach. The refusal "issuer-gone" counts only when no other
+// try can have reached the issuer.
 func (c *Client) retry(ctx context.Context, f func(address string) error) error {
 	var err error
+	mayHaveArrived := false
 	for range tries {
 		err = f(c.address())
 		var refusal *Refusal
-		if err == nil || errors.As(err, &refusal) && refusal.Code != http.StatusBadGateway {
+		refused := errors.As(err, &refusal)
+		switch {
+		case err == nil:
+			return nil
+		case refused && refusal.Name == refusalIssuerGone && !mayHaveArrived:
+			return err
+		case refused && refusal.Code != http.StatusBadGateway:
 			return err
+		case refused && refusal.Name == refusalIssuerGone:
+			refusal.Name = "unknown-outcome"
+		default:
+			mayHaveArrived = true
 		}
 		if sleep(ctx, pause) != nil {
 			return errors.Wrap(ctx.Err(), "srclient")
--- a/internal/peer/srclient/generate.go
+++ b/internal/peer/srclient/generate.go
@@ -35,11 +35,9 @@
 // Generate sends a model request under a fresh ticket. The function on, when
 // not nil, is called for each event as it comes.
 func (c *Client) Generate(ctx context.Context, p Prompt, on func(sr.Event)) (Result, error) {
-	ticket, err := c.Ticket(ctx)
-	if err != nil {
-		return Result{}, err
-	}
-	return c.GenerateWith(ctx, ticket, p, on)
+	return c.withFreshTicket(ctx, func(ticket string) (Result, error) {
+		return c.GenerateWith(ctx, ticket, p, on)
+	})
 }
 
 // GenerateWith sends a model request under a given ticket.
--- a/internal/peer/srinstance/client.go
+++ b/internal/peer/srinstance/client.go
@@ -11,11 +11,13 @@
 //	reply, err := peers.Peer("10.0.0.2:7300").Heartbeat(ctx, h)
 //
 // A call returns an error that wraps sr.ErrUnreachable when no answer came;
-// the peer may or may not have carried the call out.
+// the peer may or may not have carried the call out, unless the error wraps
+// sr.ErrNotSent too.
 package srinstance
 
 import (
 	"context"
+	stderrors "errors"
 	"net"
 	"net/rpc"
 	"sync"
@@ -36,6 +38,9 @@
 // that its connection is dead.
 const heartbeatMethod = "Heartbeat"
 
+// errNotConnected means that nothing of the call has reached the peer.
+var errNotConnected = stderrors.Join(sr.ErrUnreachable, sr.ErrNotSent)
+
 // Peers is the client side of every peer. It is safe for concurrent use.
 type Peers struct {
 	dial    Dial
@@ -156,7 +161,7 @@
 	defer cancel()
 	conn, err := c.dial(ctx, "tcp", c.address)
 	if err != nil {
-		return nil, errors.WithMessagef(sr.ErrUnreachable, "srinstance: connect to %s: %v", c.address, err)
+		return nil, errors.WithMessagef(errNotConnected, "srinstance: connect to %s: %v", c.address, err)
 	}
 	c.conn = rpc.NewClient(conn)
 	return c.conn, nil
--- a/internal/peer/srinstance/code.go
+++ b/internal/peer/srinstance/code.go
@@ -1,6 +1,8 @@
 package srinstance
 
 import (
+	"context"
+
 	"github.com/pkg/errors"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
@@ -12,26 +14,33 @@
 	Text string
 }
 
+const (
+	// codeUnreachable stands for a call that the peer did not finish in time.
+	codeUnreachable = "unreachable"
+	codeOther       = "other"
+)
+
 // sentinels maps the codes of the wire to errors.
 var sentinels = map[string]error{
-	"not-owner":   sr.ErrNotOwner,
-	"not-issuer":  sr.ErrNotIssuer,
-	"invalid":     sr.ErrInvalid,
-	"missing":     sr.ErrMissing,
-	"conflict":    sr.ErrConflict,
-	"expired":     sr.ErrExpired,
-	"limited":     sr.ErrLimited,
-	"overloaded":  sr.ErrOverloaded,
-	"draining":    sr.ErrDraining,
-	"unreachable": sr.ErrUnreachable,
+	"not-owner":     sr.ErrNotOwner,
+	"not-issuer":    sr.ErrNotIssuer,
+	"invalid":       sr.ErrInvalid,
+	"missing":       sr.ErrMissing,
+	"conflict":      sr.ErrConflict,
+	"expired":       sr.ErrExpired,
+	"limited":       sr.ErrLimited,
+	"overloaded":    sr.ErrOverloaded,
+	"draining":      sr.ErrDraining,
+	codeUnreachable: sr.ErrUnreachable,
 }
 
-const codeOther = "other"
-
 func newFault(err error) Fault {
 	if err == nil {
 		return Fault{}
 	}
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return Fault{Code: codeUnreachable, Text: err.Error()}
+	}
 	for code, sentinel := range sentinels {
 		if errors.Is(err, sentinel) {
 			return Fault{Code: code, Text: err.Error()}
--- a/internal/peer/srinstance/peer_test.go
+++ b/internal/peer/srinstance/peer_test.go
@@ -68,11 +68,19 @@
 	}
 }
 
+func TestCallThatThePeerDoesNotFinishIsUnreachable(t *testing.T) {
+	for _, err := range []error{context.DeadlineExceeded, context.Canceled} {
+		_, got := dialTo(serve(t, handler{err: err})).Acquire(t.Context(), sr.Ask{})
+		assert.Assert(t, errors.Is(got, sr.ErrUnreachable), "got %v", got)
+	}
+}
+
 func TestNoAnswerIsUnreachable(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	_, err := dialTo(serve(t, handler{})).Heartbeat(ctx, sr.Heartbeat{})
 	assert.Assert(t, errors.Is(err, sr.ErrUnreachable), "got %v", err)
+	assert.Assert(t, !errors.Is(err, sr.ErrNotSent), "the call may have arrived")
 }
 
 func TestRefusedConnectionIsUnreachable(t *testing.T) {
@@ -82,4 +90,5 @@
 	ln.Close()
 	_, err = dialTo(address).Acquire(t.Context(), sr.Ask{})
 	assert.Assert(t, errors.Is(err, sr.ErrUnreachable), "got %v", err)
+	assert.Assert(t, errors.Is(err, sr.ErrNotSent), "got %v", err)
 }
