--- a/internal/app/srentry/acquire.go
+++ b/internal/app/srentry/acquire.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,8 @@
 	poolPause = 50 * time.Millisecond
 	// retryAfter is the advice to callers when no pool gave one.
 	retryAfter = 2 * time.Second
+	// idBase is the base of the numbers in an ask's ID.
+	idBase = 36
 )
 
 // granted is a lease with its expiry on this instance's clock.
@@ -174,7 +177,7 @@
 func (e *Entry) newAsk(r *srrequest.Request, s *search, pool sr.PoolID) sr.Ask {
 	now := time.Now()
 	ask := sr.Ask{
-		ID:          fmt.Sprintf("%s/%d/%d", r.Ticket, s.try, s.asks),
+		ID:          e.askID(r, s),
 		Holder:      e.deps.Self,
 		Pool:        pool,
 		Tier:        r.Request.Tier,
@@ -194,6 +197,17 @@
 	return ask
 }
 
+// askID is unique among the instances: it holds the incarnation, the ticket's
+// number and the count of this request's asks.
+func (e *Entry) askID(r *srrequest.Request, s *search) string {
+	return strings.Join([]string{
+		strconv.FormatUint(e.deps.Self.Incarnation, idBase),
+		strconv.FormatUint(r.Number, idBase),
+		strconv.Itoa(s.try),
+		strconv.Itoa(s.asks),
+	}, ".")
+}
+
 func firstBudget(m sr.Manifest, t sr.Tier) time.Duration {
 	for _, spec := range m.Tiers {
 		if spec.Rank == t {
--- a/internal/app/srserve/instance.go
+++ b/internal/app/srserve/instance.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +27,6 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srfleet"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srowner"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srroute"
-	"github.com/sassafrasrail/sassafrasrail/internal/policy/srslot"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srticket"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srtier"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srmanifest"
@@ -230,13 +228,6 @@
 	})
 }
 
-func (i *Instance) newPool(sr.PoolID) sr.Pool {
-	seed := i.nextSeed()
-	placer := srroute.New(srroute.Options{Seed: seed})
-	opts := srslot.Options{GrantTTL: i.deps.Settings.Lease}
-	return srslot.New(opts, placer, rand.New(rand.NewPCG(seed, i.deps.Self.Incarnation)))
-}
-
 func (i *Instance) newFleet() *srfleet.Fleet {
 	s := i.deps.Settings
 	return srfleet.New(srfleet.Deps{
--- a/internal/state/srrequest/request.go
+++ b/internal/state/srrequest/request.go
@@ -25,7 +25,9 @@
 
 // Request is the record of one request. It is safe for concurrent use.
 type Request struct {
-	Ticket  string
+	Ticket string
+	// Number counts the requests of the table, from 1.
+	Number  uint64
 	Request sr.Request
 	Arrived time.Time
 
--- a/internal/state/srrequest/table.go
+++ b/internal/state/srrequest/table.go
@@ -16,6 +16,7 @@
 
 	mu       sync.Mutex
 	requests map[string]*Request
+	number   uint64
 }
 
 // New returns a Table of at most maxRequests records with at most maxEvents
@@ -43,8 +44,10 @@
 	if len(t.requests) >= t.maxRequests {
 		return nil, false, errors.Wrapf(sr.ErrOverloaded, "srrequest: %d requests are on record", len(t.requests))
 	}
+	t.number++
 	r = &Request{
 		Ticket:    ticket,
+		Number:    t.number,
 		Request:   req,
 		Arrived:   now,
 		expires:   expires,
