--- /dev/null
+++ b/internal/bench/srcapacity/member.go
@@ -0,0 +1,110 @@
+package srcapacity
+
+import (
+	"fmt"
+	"time"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srmember"
+)
+
+const (
+	lease     = time.Second
+	heartbeat = 250 * time.Millisecond
+	tiers     = 4
+)
+
+func instance(n int) sr.InstanceID {
+	return sr.InstanceID{
+		Address:     fmt.Sprintf("10.0.%d.%d:7300", n/250, n%250+1),
+		Incarnation: 1<<62 + uint64(n)*0x9e3779b97f4a7c15>>2,
+	}
+}
+
+func pool(n int) sr.PoolID {
+	return sr.PoolID{Target: fmt.Sprintf("model-%d", n%6), Domain: fmt.Sprintf("domain-%02d", n/6)}
+}
+
+// fleet is n instances that have exchanged heartbeats until they have settled.
+type fleet struct {
+	now     time.Time
+	members []*srmember.Members
+	pools   []sr.PoolID
+}
+
+func newFleet(instances, pools int) *fleet {
+	f := &fleet{now: time.Unix(0, 0)}
+	for i := range pools {
+		f.pools = append(f.pools, pool(i))
+	}
+	var list []sr.Instance
+	for i := range instances {
+		list = append(list, sr.Instance{Address: instance(i).Address, Domain: pool(i * 6 % max(pools, 6)).Domain})
+	}
+	for i := range instances {
+		m := srmember.New(instance(i), list[i].Domain, srmember.Options{Heartbeat: heartbeat})
+		m.Listed(f.now, list)
+		f.members = append(f.members, m)
+	}
+	return f
+}
+
+// settle runs heartbeat rounds until every pool has an owner that grants.
+func (f *fleet) settle() {
+	const rounds = 60
+	for range rounds {
+		f.round()
+	}
+}
+
+// round lets each instance exchange one heartbeat with each other one.
+func (f *fleet) round() {
+	for i, m := range f.members {
+		hb := f.heartbeat(i)
+		for j, other := range f.members {
+			if i == j {
+				continue
+			}
+			other.Received(f.now, hb)
+			m.Heard(f.now, f.now, f.heartbeat(j))
+		}
+		m.Takeover(f.now, f.pools)
+	}
+	f.now = f.now.Add(heartbeat)
+}
+
+// heartbeat is the whole message of instance i, with news of its pools.
+func (f *fleet) heartbeat(i int) sr.Heartbeat {
+	hb := f.members[i].Heartbeat(f.now)
+	for _, p := range f.pools {
+		if f.members[i].Mode(f.now, p).Own {
+			hb.Claims = append(hb.Claims, news(p, instance(i)))
+		}
+	}
+	hb.Version = sr.Version{Number: 8600, Digest: "1692d28550ca12129f29e51fea13a963ba14e277ff1a3e35f6457abd60777440"}
+	return hb
+}
+
+func news(p sr.PoolID, owner sr.InstanceID) sr.PoolNews {
+	n := sr.PoolNews{Pool: p, Owner: owner, Age: time.Millisecond, Free: 40, Slots: 700}
+	for range tiers + 1 {
+		n.Waiting = append(n.Waiting, 3)
+		n.Wait = append(n.Wait, 40*time.Millisecond)
+		n.Running = append(n.Running, 120)
+	}
+	return n
+}
+
+// heartbeatBytes is the size of one exchange in a settled fleet, the mean over
+// the instances.
+func heartbeatBytes(instances, pools int) float64 {
+	f := newFleet(instances, pools)
+	f.settle()
+	total := 0
+	for i := range f.members {
+		hb := f.heartbeat(i)
+		answer := f.heartbeat((i + 1) % len(f.members))
+		total += sizeOf("Instance.Heartbeat", hb, answer)
+	}
+	return float64(total) / float64(instances)
+}
