--- a/internal/peer/srconn/once_test.go
+++ b/internal/peer/srconn/once_test.go
@@ -32,7 +32,7 @@
 	}
 }
 
-func post(t *testing.T, ctx context.Context) *http.Request {
+func post(ctx context.Context, t *testing.T) *http.Request {
 	t.Helper()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/book", strings.NewReader("lot 7"))
 	assert.NilError(t, err)
@@ -97,7 +97,7 @@
 	once := srconn.NewOnce(options(func(context.Context, string, string) (net.Conn, error) {
 		return nil, errors.New("refused")
 	}))
-	_, err := once.Send(post(t, t.Context()))
+	_, err := once.Send(post(t.Context(), t))
 	assert.Assert(t, errors.Is(err, sr.ErrNotSent))
 }
 
@@ -108,7 +108,7 @@
 		assert.NilError(t, err)
 		defer l.Close()
 		began := time.Now()
-		_, err = srconn.NewOnce(options(n.DialContext)).Send(post(t, t.Context()))
+		_, err = srconn.NewOnce(options(n.DialContext)).Send(post(t.Context(), t))
 		assert.Assert(t, errors.Is(err, sr.ErrNotSent))
 		assert.Equal(t, time.Since(began), time.Second)
 	})
@@ -132,7 +132,7 @@
 			_ = c.Close()
 		}()
 		began := time.Now()
-		_, err = srconn.NewOnce(options(n.DialContext)).Send(post(t, t.Context()))
+		_, err = srconn.NewOnce(options(n.DialContext)).Send(post(t.Context(), t))
 		assert.Assert(t, errors.Is(err, sr.ErrBroken))
 		assert.Equal(t, time.Since(began), time.Second)
 	})
@@ -147,7 +147,7 @@
 		wait := s.serve(l, func(net.Conn, int64) bool { return true })
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		_, err = srconn.NewOnce(options(n.DialContext)).Send(post(t, ctx))
+		_, err = srconn.NewOnce(options(n.DialContext)).Send(post(ctx, t))
 		assert.Assert(t, errors.Is(err, sr.ErrBroken))
 		assert.Equal(t, s.arrivals.Load(), int64(1))
 		_ = l.Close()
@@ -163,7 +163,7 @@
 		var s server
 		wait := s.serve(l, func(net.Conn, int64) bool { return true })
 		began := time.Now()
-		_, err = srconn.NewOnce(options(n.DialContext)).Send(post(t, t.Context()))
+		_, err = srconn.NewOnce(options(n.DialContext)).Send(post(t.Context(), t))
 		assert.Assert(t, errors.Is(err, sr.ErrBroken))
 		assert.Equal(t, time.Since(began), time.Minute)
 		_ = l.Close()
@@ -204,7 +204,7 @@
 				go cancel()
 			}
 		}}
-		req := post(t, httptrace.WithClientTrace(ctx, hooks))
+		req := post(httptrace.WithClientTrace(ctx, hooks), t)
 		req.Header.Set("Request-Id", strconv.Itoa(i))
 		resp, err := once.Send(req)
 		if err == nil {
@@ -261,12 +261,12 @@
 	t.Run("once", func(t *testing.T) {
 		s, o := start(t)
 		once := srconn.NewOnce(o)
-		resp, err := once.Send(post(t, t.Context()))
+		resp, err := once.Send(post(t.Context(), t))
 		assert.NilError(t, err)
 		_, err = srconn.ReadBody(resp, 2)
 		assert.NilError(t, err)
 		_ = resp.Body.Close()
-		_, err = once.Send(post(t, t.Context()))
+		_, err = once.Send(post(t.Context(), t))
 		assert.Assert(t, errors.Is(err, sr.ErrBroken))
 		assert.Equal(t, s.arrivals.Load(), int64(2))
 		assert.Equal(t, s.conns.Load(), int64(2))
@@ -277,7 +277,7 @@
 		transport := srconn.NewTransport(o)
 		defer transport.CloseIdleConnections()
 		for i := range 2 {
-			req := post(t, t.Context())
+			req := post(t.Context(), t)
 			req.Header["Idempotency-Key"] = []string{"t1"}
 			resp, err := transport.RoundTrip(req)
 			if i == 1 {
@@ -301,7 +301,7 @@
 	}))
 	const requests = 20
 	for range requests {
-		resp, err := once.Send(post(t, t.Context()))
+		resp, err := once.Send(post(t.Context(), t))
 		assert.NilError(t, err)
 		_, err = srconn.ReadBody(resp, 2)
 		assert.NilError(t, err)
@@ -321,9 +321,9 @@
 		dialled = append(dialled, address)
 		return nil, errors.New("refused")
 	})
-	_, err := srconn.NewOnce(o).Send(post(t, t.Context()))
+	_, err := srconn.NewOnce(o).Send(post(t.Context(), t))
 	assert.Assert(t, err != nil)
-	_, err = srconn.NewTransport(o).RoundTrip(post(t, t.Context()))
+	_, err = srconn.NewTransport(o).RoundTrip(post(t.Context(), t))
 	assert.Assert(t, err != nil)
 	assert.DeepEqual(t, dialled, []string{address, address})
 }
--- /dev/null
+++ b/internal/peer/srservice/client_test.go
@@ -0,0 +1,175 @@
+package srservice_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srconn"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srservice"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srdesk"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srpipe"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srweb"
+)
+
+const address = "10.0.0.1:80"
+
+// serve runs h behind address in virtual time and passes a client for it to do.
+func serve(t *testing.T, h http.Handler, do func(t *testing.T, c *srservice.Client)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := srpipe.New()
+		l, err := n.Listen(address)
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { assert.Check(t, srweb.Serve(ctx, l, h)) })
+		c := srservice.New(srservice.Options{
+			Conn:   srconn.Options{Dial: n.DialContext},
+			Limits: srservice.Limits{Answer: 1000},
+		})
+		do(t, c)
+		c.Close()
+		cancel()
+		wg.Wait()
+	})
+}
+
+func serveDesk(t *testing.T, cfg srdesk.Config, do func(t *testing.T, c *srservice.Client, d *srdesk.Desk)) {
+	var d *srdesk.Desk
+	lazy := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { srdesk.Handler(d).ServeHTTP(w, r) })
+	serve(t, lazy, func(t *testing.T, c *srservice.Client) {
+		d = srdesk.New(cfg)
+		do(t, c, d)
+	})
+}
+
+func booking() sr.Call {
+	return sr.Call{Service: "desk", Operation: "book lot/7", ID: "t1", Workspace: "yard", Body: "two sleepers\n"}
+}
+
+func TestCallRunsOnce(t *testing.T) {
+	serveDesk(t, srdesk.Config{Latency: time.Second}, func(t *testing.T, c *srservice.Client, d *srdesk.Desk) {
+		a, err := c.Call(t.Context(), address, booking())
+		assert.NilError(t, err)
+		assert.Equal(t, a, sr.Answer{Code: 200, Body: srdesk.Reply("book lot/7", "t1", "two sleepers\n")})
+		assert.Equal(t, d.Runs("t1"), 1)
+		l, err := c.Probe(t.Context(), address)
+		assert.NilError(t, err)
+		want, err := d.Load(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, l, want)
+	})
+}
+
+func TestErrorsTellWhetherACallMayHaveRun(t *testing.T) {
+	for name, tc := range map[string]struct {
+		fault srdesk.Fault
+		kill  bool
+		slots int
+		want  error
+		runs  int
+	}{
+		"reset before it is read": {fault: srdesk.FaultUnread, want: sr.ErrBroken},
+		"reset after it ran":      {fault: srdesk.FaultRun, want: sr.ErrBroken, runs: 1},
+		"died":                    {kill: true, want: sr.ErrBroken, runs: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			serveDesk(t, srdesk.Config{Latency: time.Second}, func(t *testing.T, c *srservice.Client, d *srdesk.Desk) {
+				if tc.kill {
+					time.AfterFunc(time.Second/2, d.Kill)
+				} else {
+					assert.NilError(t, d.SetFault(tc.fault))
+				}
+				_, err := c.Call(t.Context(), address, booking())
+				assert.Assert(t, errors.Is(err, tc.want), "%v", err)
+				assert.Equal(t, d.Runs("t1"), tc.runs)
+			})
+		})
+	}
+}
+
+func TestCallWithoutASlotIsNotTaken(t *testing.T) {
+	serveDesk(t, srdesk.Config{Slots: 1, Latency: time.Second}, func(t *testing.T, c *srservice.Client, d *srdesk.Desk) {
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			_, err := c.Call(t.Context(), address, booking())
+			assert.Check(t, err)
+		})
+		synctest.Wait()
+		other := booking()
+		other.ID = "t2"
+		_, err := c.Call(t.Context(), address, other)
+		assert.Assert(t, errors.Is(err, sr.ErrNotTaken))
+		assert.Equal(t, d.Runs("t2"), 0)
+		wg.Wait()
+	})
+}
+
+func TestAnyOtherStatusIsAnAnswer(t *testing.T) {
+	for _, tc := range []struct {
+		code int
+		body string
+	}{{201, "made"}, {404, "no such lot"}, {500, `{"taken":false}`}, {503, "closed"}, {302, "elsewhere"}} {
+		h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			assert.Check(t, r.Header.Get("Request-Id") == "t1" && r.Header.Get("Workspace") == "yard")
+			w.Header().Set("Location", "/v1/other")
+			w.WriteHeader(tc.code)
+			_, _ = io.WriteString(w, tc.body)
+		})
+		serve(t, h, func(t *testing.T, c *srservice.Client) {
+			a, err := c.Call(t.Context(), address, booking())
+			assert.NilError(t, err)
+			assert.Equal(t, a, sr.Answer{Code: tc.code, Body: tc.body})
+		})
+	}
+}
+
+func TestAnswerThatIsNotWholeIsBroken(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{
+		"too long": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat("x", 1001))
+		},
+		"cut off": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "part")
+		},
+		"cut off refusal": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, `{"taken":false}`)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			serve(t, h, func(t *testing.T, c *srservice.Client) {
+				_, err := c.Call(t.Context(), address, booking())
+				assert.Assert(t, errors.Is(err, sr.ErrBroken), "%v", err)
+			})
+		})
+	}
+}
+
+func TestBadCallIsNotSent(t *testing.T) {
+	serve(t, http.NotFoundHandler(), func(t *testing.T, c *srservice.Client) {
+		for name, change := range map[string]func(*sr.Call){
+			"no operation":     func(call *sr.Call) { call.Operation = "" },
+			"parent directory": func(call *sr.Call) { call.Operation = ".." },
+			"line in the ID":   func(call *sr.Call) { call.ID = "t1\r\nHost: x" },
+		} {
+			call := booking()
+			change(&call)
+			_, err := c.Call(t.Context(), address, call)
+			assert.Assert(t, errors.Is(err, sr.ErrNotSent), "%s: %v", name, err)
+		}
+		_, err := c.Call(t.Context(), "10.0.0.2:80", booking())
+		assert.Assert(t, errors.Is(err, sr.ErrNotSent))
+	})
+}
--- a/internal/standin/srconfig/config.go
+++ b/internal/standin/srconfig/config.go
@@ -171,6 +171,9 @@
 
 // Set publishes a value and returns its revision.
 func (s *Store) Set(key string, data []byte) (uint64, error) {
+	if key == "" {
+		return 0, errors.Wrap(sr.ErrInvalid, "srconfig: empty key")
+	}
 	if len(data) > MaxValue {
 		return 0, errors.Wrapf(sr.ErrInvalid, "srconfig: value of %d bytes, at most %d", len(data), MaxValue)
 	}
--- /dev/null
+++ b/internal/standin/srdesk/desk_test.go
@@ -0,0 +1,121 @@
+package srdesk_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srdesk"
+)
+
+func testConfig() srdesk.Config {
+	return srdesk.Config{Slots: 2, Latency: 10 * time.Millisecond, Slow: 5, Once: []string{"book"}}
+}
+
+func call(id, body string) sr.Call {
+	return sr.Call{Service: "desk", Operation: "book", ID: id, Workspace: "yard", Body: body}
+}
+
+func TestCallIsCountedByIDAndByBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := srdesk.New(testConfig())
+		began := time.Now()
+		for _, id := range []string{"t1", "t2"} {
+			a, err := d.Call(t.Context(), call(id, "lot 7"))
+			assert.NilError(t, err)
+			assert.Equal(t, a, sr.Answer{Code: 200, Body: srdesk.Reply("book", id, "lot 7")})
+		}
+		assert.Equal(t, time.Since(began), 20*time.Millisecond)
+		assert.Equal(t, d.Runs("t1"), 1)
+		assert.Equal(t, d.Runs("t3"), 0)
+		assert.Equal(t, d.BodyRuns("book", "lot 7"), 2)
+		assert.Equal(t, d.BodyRuns("read", "lot 7"), 0)
+		assert.Equal(t, d.Stats().Doubled, 1)
+	})
+}
+
+func TestFaults(t *testing.T) {
+	for _, tc := range []struct {
+		fault srdesk.Fault
+		want  error
+		runs  int
+		took  time.Duration
+	}{
+		{srdesk.FaultNone, nil, 1, 10 * time.Millisecond},
+		{srdesk.FaultUnread, sr.ErrBroken, 0, 0},
+		{srdesk.FaultRun, sr.ErrBroken, 1, 10 * time.Millisecond},
+		{srdesk.FaultSlow, nil, 1, 50 * time.Millisecond},
+	} {
+		t.Run(string(tc.fault), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := srdesk.New(testConfig())
+				assert.NilError(t, d.SetFault(tc.fault))
+				began := time.Now()
+				_, err := d.Call(t.Context(), call("t1", "lot 7"))
+				assert.Assert(t, errors.Is(err, tc.want), "%v", err)
+				assert.Equal(t, d.Runs("t1"), tc.runs)
+				assert.Equal(t, time.Since(began), tc.took)
+			})
+		})
+	}
+	assert.Assert(t, errors.Is(srdesk.New(testConfig()).SetFault("other"), sr.ErrInvalid))
+}
+
+func TestCallAboveTheSlotsIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := srdesk.New(testConfig())
+		var wg sync.WaitGroup
+		for i := range 2 {
+			wg.Go(func() {
+				_, err := d.Call(t.Context(), call(fmt.Sprint(i), "lot"))
+				assert.Check(t, err)
+			})
+		}
+		synctest.Wait()
+		l, err := d.Load(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, l.Running, 2)
+		_, err = d.Call(t.Context(), call("t9", "lot"))
+		assert.Assert(t, errors.Is(err, sr.ErrNotTaken))
+		assert.Equal(t, d.Runs("t9"), 0)
+		wg.Wait()
+	})
+}
+
+func TestKilledDeskBreaksItsCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := srdesk.New(testConfig())
+		before, err := d.Load(t.Context())
+		assert.NilError(t, err)
+		time.AfterFunc(time.Millisecond, d.Kill)
+		_, err = d.Call(t.Context(), call("t1", "lot"))
+		assert.Assert(t, errors.Is(err, sr.ErrBroken))
+		_, err = d.Call(t.Context(), call("t2", "lot"))
+		assert.Assert(t, errors.Is(err, sr.ErrNotSent))
+		_, err = d.Load(t.Context())
+		assert.Assert(t, errors.Is(err, sr.ErrUnreachable))
+		d.Restart()
+		after, err := d.Load(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, before.Start != after.Start)
+		assert.Equal(t, d.Runs("t1"), 1)
+	})
+}
+
+func TestCallerThatGoesAwayMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := srdesk.New(testConfig())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		_, err := d.Call(ctx, call("t1", "lot"))
+		assert.Assert(t, errors.Is(err, context.DeadlineExceeded))
+		assert.Equal(t, d.Runs("t1"), 1)
+	})
+}
