Add a load tool for the caller interface

Cause: the outcomes that callers see have to be measured and checked over the real interface: whole answers, honest refusals, no second run.

Ruled out: goa's generated event client. Its Recv returns slices of a buffer that it then moves the following bytes into, so events that arrive together are corrupted, and a refusal loses its body. The tool reads the events itself; its tests serve them by goa's generated server.

Change: srload submits on a seeded open-loop schedule over several instances, resumes broken answers elsewhere, compares each answer with the engine stand-in's and the number of runs with the outcome, and reports by tier as text or JSON. It refuses other than loopback addresses.

Conclusion: wrong answers, second runs and false "not run" are each found in a test that provokes them. It has not been run against the real instances.

--- /dev/null
+++ b/internal/bench/srload/audit.go
@@ -0,0 +1,92 @@
+package srload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srconn"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srengine"
+)
+
+// maxCount is the greatest length of an answer with a count in bytes.
+const maxCount = 32
+
+// audit compares how often each request ran with its outcome. The stand-ins
+// must have lived through the whole run.
+func (r *Runner) audit(ctx context.Context, c *collector, report *Report) error {
+	for _, a := range c.results {
+		runs, ok, err := r.runs(ctx, a)
+		if err != nil {
+			return err
+		}
+		if !ok {
+			continue
+		}
+		report.Audited++
+		if why := contradiction(a.outcome, runs); why != "" {
+			c.fault(fmt.Sprintf("%s: %s", a.ticket, why))
+		}
+	}
+	report.FaultCount, report.Faults = c.wrong, c.faults
+	return nil
+}
+
+// runs counts the runs of a request; ok is false when there is nobody to ask.
+func (r *Runner) runs(ctx context.Context, a audited) (n int, ok bool, err error) {
+	addresses := r.cfg.Engines
+	path := "/control/runs?digest=" + strconv.FormatUint(srengine.Digest(a.body), 16)
+	if a.kind == sr.KindCall {
+		addresses = r.cfg.Services
+		path = "/control/count?id=" + url.QueryEscape(a.ticket)
+	}
+	if a.kind == sr.KindCall && a.ticket == "" {
+		return 0, false, nil
+	}
+	for _, address := range addresses {
+		runs, err := r.count(ctx, "http://"+address+path)
+		if err != nil {
+			return 0, false, err
+		}
+		n += runs
+	}
+	return n, len(addresses) > 0, nil
+}
+
+func (r *Runner) count(ctx context.Context, url string) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, errors.Wrap(err, "srload: audit")
+	}
+	resp, err := r.transport.RoundTrip(req)
+	if err != nil {
+		return 0, errors.Wrap(err, "srload: audit")
+	}
+	defer srconn.CloseBody(resp)
+	if resp.StatusCode != http.StatusOK {
+		return 0, errors.Errorf("srload: audit: %s answered status %d", url, resp.StatusCode)
+	}
+	var n int
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxCount)).Decode(&n)
+	return n, errors.Wrap(err, "srload: audit")
+}
+
+// contradiction says what is wrong with a number of runs, "" when nothing is.
+func contradiction(outcome sr.Outcome, runs int) string {
+	switch {
+	case runs > 1:
+		return fmt.Sprintf("ran %d times", runs)
+	case runs == 1 && outcome == sr.OutcomeNotRun:
+		return "ran, and was answered as not run"
+	case runs == 0 && outcome == sr.OutcomeComplete:
+		return "did not run, and was answered as complete"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/bench/srload/events.go
@@ -0,0 +1,69 @@
+package srload
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+const (
+	maxEvent = 64 << 10
+	maxBody  = 1 << 20
+)
+
+// problem is the body of a refusal.
+type problem struct {
+	Name    string `json:"name"`
+	Reason  string `json:"reason"`
+	Outcome string `json:"outcome"`
+	Ticket  string `json:"ticket"`
+}
+
+// eventReader reads server-sent events.
+type eventReader struct{ r *bufio.Reader }
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, maxEvent)}
+}
+
+// next returns the next event; io.EOF when there is none.
+func (e *eventReader) next() (sr.Event, error) {
+	var ev sr.Event
+	for {
+		line, err := e.r.ReadSlice('\n')
+		if err != nil {
+			return sr.Event{}, errors.Wrap(err, "srload: event")
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			if ev.Seq > 0 {
+				return ev, nil
+			}
+			continue
+		}
+		if err := setField(&ev, line); err != nil {
+			return sr.Event{}, err
+		}
+	}
+}
+
+func setField(ev *sr.Event, line []byte) (err error) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		ev.Seq, err = strconv.Atoi(string(value))
+	case "event":
+		ev.Type = sr.EventType(value)
+	case "data":
+		// encoding/json matches the names of fields without regard to case.
+		err = json.Unmarshal(value, ev)
+	}
+	return errors.Wrapf(err, "srload: event field %s", name)
+}
--- /dev/null
+++ b/internal/bench/srload/report.go
@@ -0,0 +1,227 @@
+package srload
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+const (
+	// TierCalls is the heading of calls of plain services, which have no tier of their own.
+	TierCalls = "(calls)"
+
+	// maxFaults is the most faults that are described.
+	maxFaults = 20
+	// maxReasons is the most reasons counted for a tier.
+	maxReasons = 32
+	reasonMore = "other"
+
+	longest = int64(2 * MaxDuration / time.Microsecond)
+	digits  = 3
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed uint64 `json:"seed"`
+	// Seconds is the time from the first scheduled moment to the last answer.
+	Seconds float64 `json:"seconds"`
+	// Skipped counts arrivals that were not submitted, because too many were under way.
+	Skipped int    `json:"skipped"`
+	Tiers   []Tier `json:"tiers"`
+	// FaultCount counts broken promises: wrong answers, runs that should not be.
+	FaultCount int      `json:"fault_count"`
+	Faults     []string `json:"faults,omitempty"`
+	// Audited counts the requests whose runs were compared with their outcomes.
+	Audited int `json:"audited"`
+}
+
+// Tier is the part of a report on one tier.
+type Tier struct {
+	Tier     string `json:"tier"`
+	Requests int    `json:"requests"`
+	Complete int    `json:"complete"`
+	CutShort int    `json:"cut_short"`
+	NotRun   int    `json:"not_run"`
+	Unknown  int    `json:"unknown"`
+	Wrong    int    `json:"wrong"`
+	// Retried counts the requests that were submitted or resumed again.
+	Retried int            `json:"retried"`
+	First   Quantiles      `json:"first"`
+	Gap     Quantiles      `json:"gap"`
+	Reasons map[string]int `json:"reasons,omitempty"`
+}
+
+// Quantiles are times in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+// collector gathers results. It is used by one goroutine.
+type collector struct {
+	cfg     Config
+	tiers   map[string]*tally
+	results []audited
+	faults  []string
+	wrong   int
+}
+
+// tally is what was seen of one tier.
+type tally struct {
+	Tier
+	first *hdrhistogram.Histogram
+	gap   *hdrhistogram.Histogram
+}
+
+// audited is what the audit needs of a result.
+type audited struct {
+	kind    sr.Kind
+	body    string
+	ticket  string
+	outcome sr.Outcome
+}
+
+func newCollector(cfg Config) *collector {
+	return &collector{cfg: cfg, tiers: make(map[string]*tally)}
+}
+
+func (c *collector) add(r result) {
+	name := r.Mix.Tier
+	if r.Kind == sr.KindCall {
+		name = TierCalls
+	}
+	t := c.tally(name)
+	t.add(r)
+	if r.wrong != "" {
+		c.fault(fmt.Sprintf("%s, tier %s: %s", r.ticket, name, r.wrong))
+	}
+	if len(c.cfg.Engines)+len(c.cfg.Services) > 0 {
+		c.results = append(c.results, audited{kind: r.Kind, body: r.Body, ticket: r.ticket, outcome: r.outcome})
+	}
+}
+
+func (c *collector) tally(name string) *tally {
+	t, ok := c.tiers[name]
+	if !ok {
+		t = &tally{
+			Tier:  Tier{Tier: name, Reasons: make(map[string]int)},
+			first: hdrhistogram.New(1, longest, digits),
+			gap:   hdrhistogram.New(1, longest, digits),
+		}
+		c.tiers[name] = t
+	}
+	return t
+}
+
+func (c *collector) fault(text string) {
+	c.wrong++
+	if len(c.faults) < maxFaults {
+		c.faults = append(c.faults, text)
+	}
+}
+
+func (c *collector) report(skipped int, took time.Duration) Report {
+	report := Report{Seed: c.cfg.Seed, Seconds: took.Seconds(), Skipped: skipped}
+	for _, name := range slices.Sorted(maps.Keys(c.tiers)) {
+		t := c.tiers[name]
+		t.First, t.Gap = quantiles(t.first), quantiles(t.gap)
+		report.Tiers = append(report.Tiers, t.Tier)
+	}
+	report.FaultCount, report.Faults = c.wrong, c.faults
+	return report
+}
+
+func (t *tally) add(r result) {
+	t.Requests++
+	switch r.outcome {
+	case sr.OutcomeComplete:
+		t.Complete++
+	case sr.OutcomeCutShort:
+		t.CutShort++
+	case sr.OutcomeNotRun:
+		t.NotRun++
+	default:
+		t.Unknown++
+	}
+	if r.wrong != "" {
+		t.Wrong++
+	}
+	if r.tries > 1 {
+		t.Retried++
+	}
+	if r.outcome != sr.OutcomeComplete {
+		t.reason(cmp.Or(r.reason, string(r.outcome)))
+	}
+	if r.first > 0 {
+		record(t.first, r.first)
+	}
+	for _, gap := range r.gaps {
+		record(t.gap, gap)
+	}
+}
+
+func (t *tally) reason(text string) {
+	if _, ok := t.Reasons[text]; !ok && len(t.Reasons) >= maxReasons {
+		text = reasonMore
+	}
+	t.Reasons[text]++
+}
+
+// WriteJSON writes the report as JSON.
+func (r Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(r)
+}
+
+// WriteText writes the report for people. Times are in milliseconds.
+func (r Report) WriteText(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "tier\trequests\tcomplete\tcut short\tnot run\tunknown\twrong\tretried\tfirst p50\tp95\tp99\tgap p50\tp95\tp99\t")
+	for _, t := range r.Tiers {
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t", t.Tier, t.Requests, t.Complete, t.CutShort, t.NotRun, t.Unknown, t.Wrong, t.Retried)
+		fmt.Fprintf(tw, "%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", t.First.P50, t.First.P95, t.First.P99, t.Gap.P50, t.Gap.P95, t.Gap.P99)
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	for _, t := range r.Tiers {
+		for _, reason := range slices.Sorted(maps.Keys(t.Reasons)) {
+			fmt.Fprintf(w, "%s: %d ended with %q\n", t.Tier, t.Reasons[reason], reason)
+		}
+	}
+	for _, fault := range r.Faults {
+		fmt.Fprintln(w, "fault:", fault)
+	}
+	_, err := fmt.Fprintf(w, "seed %d, %.1f s, %d skipped, %d audited, %d faults\n", r.Seed, r.Seconds, r.Skipped, r.Audited, r.FaultCount)
+	return err
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{
+		Count: h.TotalCount(),
+		P50:   inMilliseconds(h.ValueAtQuantile(50)),
+		P95:   inMilliseconds(h.ValueAtQuantile(95)),
+		P99:   inMilliseconds(h.ValueAtQuantile(99)),
+		Max:   inMilliseconds(h.Max()),
+	}
+}
+
+// record adds a time in microseconds; a longer one than fits counts as the longest.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), longest))
+}
+
+func inMilliseconds(us int64) float64 { return float64(us) / 1000 }
--- /dev/null
+++ b/internal/bench/srload/runner.go
@@ -0,0 +1,90 @@
+package srload
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srconn"
+)
+
+// idlePerInstance is the number of connections kept to one instance.
+const idlePerInstance = 64
+
+// Runner puts a load on instances.
+type Runner struct {
+	cfg       Config
+	transport *http.Transport
+	clients   map[string]*client
+}
+
+// New returns a Runner. Without a dial function it dials by package net.
+func New(cfg Config, dial srconn.DialFunc) (*Runner, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	t := srconn.NewTransport(srconn.Options{
+		Dial:     dial,
+		Timeouts: srconn.Timeouts{Idle: cfg.Patience},
+	})
+	t.MaxIdleConnsPerHost = idlePerInstance
+	r := &Runner{cfg: cfg, transport: t, clients: make(map[string]*client)}
+	for _, m := range cfg.Mixes {
+		r.clients[m.Key] = &client{transport: t, instances: cfg.Instances, key: m.Key, batch: cfg.Batch}
+	}
+	return r, nil
+}
+
+// Run carries out the schedule and waits for the last answer. When ctx ends it
+// reports what came until then.
+func (r *Runner) Run(ctx context.Context) (Report, error) {
+	defer r.transport.CloseIdleConnections()
+	c := newCollector(r.cfg)
+	began := time.Now()
+	results := make(chan result, r.cfg.InFlight)
+	collected := make(chan struct{})
+	go func() {
+		defer close(collected)
+		for res := range results {
+			c.add(res)
+		}
+	}()
+	skipped := r.schedule(ctx, began, results)
+	close(results)
+	<-collected
+	report := c.report(skipped, time.Since(began))
+	err := r.audit(context.WithoutCancel(ctx), c, &report)
+	return report, err
+}
+
+// schedule starts each arrival at its time, and returns how many it skipped.
+func (r *Runner) schedule(ctx context.Context, began time.Time, results chan<- result) (skipped int) {
+	plan := newPlanner(r.cfg)
+	slots := make(chan struct{}, r.cfg.InFlight)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		a, ok := plan.next()
+		if !ok {
+			return skipped
+		}
+		pause(ctx, time.Until(began.Add(a.At)))
+		if ctx.Err() != nil {
+			return skipped
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			skipped++
+			continue
+		}
+		wg.Go(func() {
+			results <- r.ask(ctx, r.clients[a.Mix.Key], a, began.Add(a.At))
+			<-slots
+		})
+	}
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
