--- a/internal/bench/srload/ask.go
+++ b/internal/bench/srload/ask.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"regexp"
 	"strings"
 	"time"
 
@@ -17,10 +18,15 @@
 	// reasonGivenUp is the reason of a request that the caller gave up.
 	reasonGivenUp = "given up"
 	reasonBroken  = "connection broken"
+	// maxReason is the greatest length of a reason in bytes.
+	maxReason = 200
 	// pauseAttempt is the time between two attempts.
 	pauseAttempt = 50 * time.Millisecond
 )
 
+// figures are the words of a reason that differ from request to request.
+var figures = regexp.MustCompile(`\d[\w.:]*`)
+
 // result is what a caller saw of one request.
 type result struct {
 	Arrival
@@ -89,9 +95,9 @@
 	case k.r.outcome != sr.OutcomeNone:
 	case errors.As(err, &no) && known(no.Outcome) == sr.OutcomeComplete:
 		// The request ran to its end, and this caller has not got the answer.
-		k.end(sr.OutcomeCutShort, no.Name)
+		k.end(sr.OutcomeCutShort, no.Error())
 	case errors.As(err, &no):
-		k.end(known(no.Outcome), no.Name)
+		k.end(known(no.Outcome), no.Error())
 	case ctx.Err() != nil:
 		k.end(sr.OutcomeUnknown, reasonGivenUp)
 	default:
@@ -194,7 +200,8 @@
 
 func (k *asker) end(outcome sr.Outcome, reason string) {
 	k.r.outcome = outcome
-	k.r.reason = reason
+	reason = figures.ReplaceAllString(reason, "#")
+	k.r.reason = reason[:min(len(reason), maxReason)]
 }
 
 // fault notes the first thing that is wrong with the answer.
--- a/internal/bench/srload/client.go
+++ b/internal/bench/srload/client.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -41,7 +41,7 @@
 
 // Error implements error.
 func (r *refused) Error() string {
-	return fmt.Sprintf("status %d: %s: %s", r.status, r.Name, r.Reason)
+	return cmp.Or(r.Name, http.StatusText(r.status)) + ": " + r.Reason
 }
 
 // ticket returns an unused ticket. When none is left it fetches some, from the
--- a/internal/bench/srload/srload_test.go
+++ b/internal/bench/srload/srload_test.go
@@ -146,7 +146,7 @@
 }
 
 // run puts cfg's load on two instances with the same entry, in virtual time.
-func run(t *testing.T, cfg srload.Config, change func(e *entry), check func(report srload.Report, err error)) {
+func run(t *testing.T, cfg srload.Config, change func(e *entry), check func(t *testing.T, report srload.Report, err error)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		engine := srengine.DefaultConfig()
@@ -171,7 +171,8 @@
 		}
 		r, err := srload.New(cfg, n.DialContext)
 		assert.NilError(t, err)
-		check(r.Run(t.Context()))
+		report, err := r.Run(t.Context())
+		check(t, report, err)
 		cancel()
 		wg.Wait()
 	})
@@ -190,7 +191,7 @@
 func TestWholeAnswersAreComplete(t *testing.T) {
 	cfg := testConfig()
 	cfg.Calls, cfg.Service = 0.2, "desk"
-	run(t, cfg, func(*entry) {}, func(report srload.Report, err error) {
+	run(t, cfg, func(*entry) {}, func(t *testing.T, report srload.Report, err error) {
 		assert.NilError(t, err)
 		assert.Equal(t, sum(report, complete), cfg.Count)
 		assert.Equal(t, report.FaultCount, 0, "%v", report.Faults)
@@ -203,7 +204,7 @@
 }
 
 func TestBrokenAnswersAreResumed(t *testing.T) {
-	run(t, testConfig(), func(e *entry) { e.breakAt = 4 }, func(report srload.Report, err error) {
+	run(t, testConfig(), func(e *entry) { e.breakAt = 4 }, func(t *testing.T, report srload.Report, err error) {
 		assert.NilError(t, err)
 		assert.Equal(t, sum(report, complete), 40)
 		assert.Equal(t, sum(report, func(t srload.Tier) int { return t.Retried }), 40)
@@ -212,7 +213,7 @@
 }
 
 func TestWrongAnswersAreFaults(t *testing.T) {
-	run(t, testConfig(), func(e *entry) { e.spoil = strings.ToUpper }, func(report srload.Report, err error) {
+	run(t, testConfig(), func(e *entry) { e.spoil = strings.ToUpper }, func(t *testing.T, report srload.Report, err error) {
 		assert.NilError(t, err)
 		assert.Assert(t, report.FaultCount > 30, "%d faults", report.FaultCount)
 		assert.Assert(t, len(report.Faults) <= 20)
@@ -226,7 +227,7 @@
 	}{
 		"true": {func(*entry) func(string) error {
 			return func(string) error {
-				return &requests.Problem{Name: "limited", Reason: "over the limit", Outcome: "not-run"}
+				return &requests.Problem{Name: "limited", Reason: "over the limit of 7.5/s", Outcome: "not-run"}
 			}
 		}, 0},
 		"false": {func(e *entry) func(string) error {
@@ -235,15 +236,15 @@
 				if err != nil {
 					return err
 				}
-				return &requests.Problem{Name: "limited", Reason: "over the limit", Outcome: "not-run"}
+				return &requests.Problem{Name: "limited", Reason: "over the limit of 7.5/s", Outcome: "not-run"}
 			}
 		}, 40},
 	} {
 		t.Run(name, func(t *testing.T) {
-			run(t, testConfig(), func(e *entry) { e.refuse = tc.refuse(e) }, func(report srload.Report, err error) {
+			run(t, testConfig(), func(e *entry) { e.refuse = tc.refuse(e) }, func(t *testing.T, report srload.Report, err error) {
 				assert.NilError(t, err)
 				assert.Equal(t, sum(report, func(t srload.Tier) int { return t.NotRun }), 40)
-				assert.Equal(t, sum(report, func(t srload.Tier) int { return t.Reasons["limited"] }), 40)
+				assert.Equal(t, sum(report, func(t srload.Tier) int { return t.Reasons["limited: over the limit of #/s"] }), 40)
 				assert.Equal(t, report.FaultCount, tc.faults)
 			})
 		})
@@ -257,7 +258,7 @@
 			return err
 		}
 	}
-	run(t, testConfig(), func(e *entry) { e.refuse = double(e) }, func(report srload.Report, err error) {
+	run(t, testConfig(), func(e *entry) { e.refuse = double(e) }, func(t *testing.T, report srload.Report, err error) {
 		assert.NilError(t, err)
 		assert.Equal(t, sum(report, complete), 40)
 		assert.Equal(t, report.FaultCount, 40)
@@ -267,7 +268,7 @@
 func TestArrivalsDoNotWaitForAnswers(t *testing.T) {
 	cfg := testConfig()
 	cfg.InFlight, cfg.Patience = 10, 5*time.Second
-	run(t, cfg, func(e *entry) { e.engine.Freeze() }, func(report srload.Report, err error) {
+	run(t, cfg, func(e *entry) { e.engine.Freeze() }, func(t *testing.T, report srload.Report, err error) {
 		assert.NilError(t, err)
 		assert.Assert(t, report.Skipped > 0)
 		assert.Equal(t, sum(report, func(t srload.Tier) int { return t.Unknown })+report.Skipped, 40)
@@ -278,7 +279,7 @@
 func TestDeadInstanceIsLeftForAnother(t *testing.T) {
 	cfg := testConfig()
 	cfg.Instances = append(cfg.Instances, "127.0.0.1:7003")
-	run(t, cfg, func(*entry) {}, func(report srload.Report, err error) {
+	run(t, cfg, func(*entry) {}, func(t *testing.T, report srload.Report, err error) {
 		assert.NilError(t, err)
 		assert.Equal(t, sum(report, complete), 40)
 		assert.Assert(t, sum(report, func(t srload.Tier) int { return t.Retried }) > 0)
@@ -288,7 +289,7 @@
 func TestSameSeedGivesTheSameReport(t *testing.T) {
 	var texts []string
 	for range 2 {
-		run(t, testConfig(), func(*entry) {}, func(report srload.Report, err error) {
+		run(t, testConfig(), func(*entry) {}, func(t *testing.T, report srload.Report, err error) {
 			assert.NilError(t, err)
 			var text strings.Builder
 			assert.NilError(t, report.WriteText(&text))
