Count a connection of unknown type as written to

Cause: a connection that does not tell whether it was written to would have counted as not sent, the unsafe side. The transport makes none today.

Ruled out: failing the request on such a connection; it may run already.

Change: it counts as written to, so the error is ErrBroken.

--- a/internal/peer/srconn/once.go
+++ b/internal/peer/srconn/once.go
@@ -41,20 +41,26 @@
 type conns struct {
 	mu   sync.Mutex
 	list []*Conn
+	// foreign is set by a connection of another type, which may carry anything.
+	foreign bool
 }
 
 func (c *conns) add(info httptrace.GotConnInfo) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn, ok := info.Conn.(*Conn); ok {
-		c.list = append(c.list, conn)
+	conn, ok := info.Conn.(*Conn)
+	if !ok {
+		c.foreign = true
+		return
 	}
+	c.list = append(c.list, conn)
 }
 
 // seal seals the connections and reports whether a write has begun on any.
 func (c *conns) seal() (began bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	began = c.foreign
 	for _, conn := range c.list {
 		if conn.Seal() {
 			began = true
