--- a/internal/policy/srtier/floors_test.go
+++ b/internal/policy/srtier/floors_test.go
@@ -42,6 +42,19 @@
 	assert.Equal(t, f.State(at(3000), "m"), sr.FloorState{}, "it has run out")
 }
 
+func TestKnowledgeThatLapsedBeginsAnew(t *testing.T) {
+	f := srtier.New(a, bound)
+	f.SetLive(at(0), []sr.InstanceID{b})
+	f.Announce(at(0), "m", 2)
+	f.Ack(at(100), b, at(50))
+	f.Announce(at(1500), "m", 2)
+	assert.Equal(t, f.State(at(1900), "m").Settled, sr.Tier(2))
+	assert.Equal(t, f.State(at(2100), "m").Settled, sr.Tier(0), "b may know only the first announcement")
+	f.Ack(at(2600), b, at(1600))
+	assert.Equal(t, f.State(at(3100), "m").Settled, sr.Tier(0))
+	assert.Equal(t, f.State(at(3200), "m").Settled, sr.Tier(2))
+}
+
 func TestUnreachablePeerCountsUntilItHasLapsed(t *testing.T) {
 	f := srtier.New(a, bound)
 	f.SetLive(at(0), []sr.InstanceID{b})
