--- /dev/null
+++ b/internal/bench/srbench/result.go
@@ -0,0 +1,207 @@
+package srbench
+
+import (
+	"time"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+// Prefill counts prompt tokens of requests that reached an endpoint.
+type Prefill struct {
+	// Prompt is the total, Cached what the chosen endpoint's cache held.
+	Prompt int
+	Cached int
+	// Elsewhere was prefilled although another endpoint's cache held it.
+	Elsewhere int
+	// Cut was prefilled for work that was cut or lost.
+	Cut int
+}
+
+// Wasted returns the wasted tokens.
+func (p Prefill) Wasted() int { return p.Elsewhere + p.Cut }
+
+// TierResult is what became of the requests of a tier.
+type TierResult struct {
+	Tier    sr.Tier
+	Name    string
+	Offered int
+	// Good counts whole answers within their deadline, Late those after it.
+	Good int
+	Late int
+	Cut  int
+	Shed int
+	Lost int
+	// Goodput is Good as a share of Offered.
+	Goodput float64
+	// FirstOK is the share of Offered that is good with the first token in time,
+	// Served that with the time between tokens in order as well.
+	FirstOK float64
+	Served  float64
+	// FirstP50 and FirstP95 are times to the first token in milliseconds.
+	FirstP50 float64
+	FirstP95 float64
+	// Fairness is Jain's index over the goodput of the workspaces, 1 at best.
+	Fairness   float64
+	Workspaces []WorkspaceResult
+}
+
+// WorkspaceResult is what became of a workspace's requests in a tier.
+type WorkspaceResult struct {
+	Name    string
+	Offered int
+	Good    int
+}
+
+// Phase is an interval before, during or after the absence of a domain.
+type Phase struct {
+	Name    string
+	Seconds float64
+	// Good counts whole answers in time to requests that arrived in the phase.
+	Good int
+	// PerSecond is Good per second.
+	PerSecond float64
+	// Quiet is the longest time without a whole answer in milliseconds,
+	// TopQuiet the same for the top tier.
+	Quiet    float64
+	TopQuiet float64
+}
+
+// Result is the outcome of a run.
+type Result struct {
+	Case    string
+	Variant string
+	Seed    uint64
+	Load    float64
+	Only    sr.Tier
+	Flood   string
+	Failure string
+	// Rate is the offered model requests a second.
+	Rate  float64
+	Tiers []TierResult
+	// Calls are the calls of the plain service.
+	Calls   TierResult
+	Prefill Prefill
+	// Falls counts the cold endpoints that fell over.
+	Falls int
+	// Messages and Bytes are control messages and bytes per request.
+	Messages float64
+	Bytes    float64
+	Phases   []Phase
+	// Reasons counts the refusals by name.
+	Reasons map[string]int
+}
+
+// Tier returns the result of a tier, empty when it has none.
+func (r Result) Tier(t sr.Tier) TierResult {
+	for _, x := range r.Tiers {
+		if x.Tier == t {
+			return x
+		}
+	}
+	return TierResult{}
+}
+
+// Good returns the whole answers in time of all model tiers.
+func (r Result) Good() int {
+	n := 0
+	for _, t := range r.Tiers {
+		n += t.Good
+	}
+	return n
+}
+
+// WastedShare returns the wasted prefill as a share of the prompt tokens.
+func (r Result) WastedShare() float64 {
+	return ratio(float64(r.Prefill.Wasted()), float64(r.Prefill.Prompt))
+}
+
+// result summarises a run.
+func (b *bench) result(messages, bytes int) Result {
+	p := b.plan
+	r := Result{
+		Case: p.Case.Name, Variant: p.Variant.Name, Seed: p.Seed, Load: p.Load, Only: p.Only,
+		Flood: p.Flood, Failure: p.Failure.Domain, Prefill: b.stats.prefill, Reasons: b.stats.reasons,
+	}
+	offered := b.stats.calls.offered
+	for _, t := range p.Case.Tiers {
+		x := b.tierResult(t.Spec)
+		offered += x.Offered
+		r.Tiers = append(r.Tiers, x)
+	}
+	r.Calls = b.stats.calls.result()
+	r.Calls.Name = "calls"
+	r.Rate = float64(offered-r.Calls.Offered) / p.Measure.Seconds()
+	r.Messages = ratio(float64(messages), float64(offered))
+	r.Bytes = ratio(float64(bytes), float64(offered))
+	for _, name := range b.names {
+		r.Falls += b.engines[name].falls
+	}
+	r.Phases = b.phases()
+	return r
+}
+
+func (b *bench) tierResult(spec sr.TierSpec) TierResult {
+	x := b.stats.tiers[spec.Rank].result()
+	x.Tier, x.Name = spec.Rank, spec.Name
+	var sum, squares, n float64
+	for i, t := range b.stats.workspaces[spec.Rank] {
+		x.Workspaces = append(x.Workspaces, WorkspaceResult{
+			Name: b.plan.Case.Workspaces[i].Name, Offered: t.offered, Good: t.good,
+		})
+		if t.offered == 0 {
+			continue
+		}
+		g := float64(t.good) / float64(t.offered)
+		sum += g
+		squares += g * g
+		n++
+	}
+	x.Fairness = ratio(sum*sum, n*squares)
+	return x
+}
+
+func (t *tally) result() TierResult {
+	offered := float64(t.offered)
+	return TierResult{
+		Offered: t.offered, Good: t.good, Late: t.late, Cut: t.cut, Shed: t.shed, Lost: t.lost,
+		Goodput:  ratio(float64(t.good), offered),
+		FirstOK:  ratio(float64(t.firstOK), offered),
+		Served:   ratio(float64(t.served), offered),
+		FirstP50: float64(t.first.ValueAtQuantile(50)) / 1000,
+		FirstP95: float64(t.first.ValueAtQuantile(95)) / 1000,
+	}
+}
+
+func (b *bench) phases() []Phase {
+	p := b.plan
+	if p.Failure.Domain == "" {
+		return []Phase{b.phase("all", p.Warm, p.end())}
+	}
+	left, back := p.Warm+p.Failure.left(), p.Warm+p.Failure.Back
+	return []Phase{
+		b.phase("before", p.Warm, left),
+		b.phase("during", left, back),
+		b.phase("after", back, p.end()),
+	}
+}
+
+func (b *bench) phase(name string, from, to time.Duration) Phase {
+	model := func(a answer) bool { return a.kind == sr.KindModel }
+	top := func(a answer) bool { return model(a) && a.tier == sr.TopTier }
+	good := b.stats.count(from, to, model)
+	return Phase{
+		Name:      name,
+		Seconds:   (to - from).Seconds(),
+		Good:      good,
+		PerSecond: float64(good) / (to - from).Seconds(),
+		Quiet:     float64(b.stats.quiet(from, to, model)) / float64(time.Millisecond),
+		TopQuiet:  float64(b.stats.quiet(from, to, top)) / float64(time.Millisecond),
+	}
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
