--- a/internal/bench/srbench/plan.go
+++ b/internal/bench/srbench/plan.go
@@ -57,7 +57,7 @@
 	// Flood is a workspace whose rate is multiplied by FloodBy.
 	Flood   string
 	FloodBy float64
-	// Failure is ignored when its domain is empty.
+	// Failure divides the interval into phases; without a domain nothing fails.
 	Failure Failure
 	Warm    time.Duration
 	Measure time.Duration
--- a/internal/bench/srbench/result.go
+++ b/internal/bench/srbench/result.go
@@ -174,7 +174,7 @@
 
 func (b *bench) phases() []Phase {
 	p := b.plan
-	if p.Failure.Domain == "" {
+	if p.Failure.Back == 0 {
 		return []Phase{b.phase("all", p.Warm, p.end())}
 	}
 	left, back := p.Warm+p.Failure.left(), p.Warm+p.Failure.Back
