Weigh prefill above decode and divide common prefixes later

Cause: at 0.8 load a tenth of the prompt tokens was prefilled although another endpoint cached them. Half of it lay within a pool, where a faster class drew requests away from the cache for a gain in decoding that no target needs; the rest lay between pools, where load differences moved sessions.

Change: the time to the first token counts eightfold, the prefix that decides the pool may have half of a pool's even share of the asks, the rendezvous pool is taken to cache four fifths of the prompt, and the load penalty starts at the mean.

--- a/internal/bench/srbench/bench_test.go
+++ b/internal/bench/srbench/bench_test.go
@@ -124,5 +124,5 @@
 			least, most = min(least, r.prompt), max(most, r.prompt)
 		}
 	}
-	assert.Assert(t, most >= 100*least || most >= 8000, "%d to %d", least, most)
+	assert.Assert(t, most >= 100*least, "%d to %d", least, most)
 }
--- a/internal/policy/srroute/picker.go
+++ b/internal/policy/srroute/picker.go
@@ -26,17 +26,17 @@
 	serviceStep = 0.1
 	// loadBound is the load, relative to the mean, up to which a pool is
 	// chosen for its cache without a penalty.
-	loadBound = 1.25
+	loadBound = 1.0
 	// guess is the share of the prompt taken as cached in the pool that the
 	// rendezvous hash prefers.
-	guess = 0.5
+	guess = 0.8
 	// refusedWait is added to the wait of a pool that refused since its news.
 	refusedWait = 0.5
 	// pickTie is the difference in seconds up to which pools are near ties.
 	pickTie = 0.01
 	// keyShare is the part of a pool's even share of the asks that a prefix
 	// may have to be kept in one pool.
-	keyShare = 0.25
+	keyShare = 0.5
 )
 
 // PickerOptions configures a Picker. Zero values take the defaults.
--- a/internal/policy/srroute/placer.go
+++ b/internal/policy/srroute/placer.go
@@ -14,6 +14,10 @@
 	tieShare = 0.03
 	tieTime  = 0.002
 
+	// prefillWeight is the weight of the time to the first token: prefill also
+	// delays the other prompts of the batch, whose targets are tight.
+	prefillWeight = 8.0
+
 	// learnTokens is the least number of tokens that a rate sample needs.
 	learnTokens = 64
 	// deferGain is the share of the best score that waiting must save.
@@ -242,7 +246,7 @@
 	e.free = p.stamp
 	cached := cachedTokens(a, p.depth(e))
 	first, rest := times(t, e, float64(a.Work.Prefill-cached), decode, c.Running)
-	return option{candidate: c, cached: cached, first: first, score: first + rest}
+	return option{candidate: c, cached: cached, first: first, score: prefillWeight*first + rest}
 }
 
 // best returns the best option: of the near ties that cache most, one at
