Evict from the workspace that floods a queue

Cause: a queue over its bound refused the newest ask of the lowest waiting tier, whoever sent it.

Change: the newest ask of the workspace with the most waiting work for its share is refused.

--- a/internal/policy/srslot/pool_test.go
+++ b/internal/policy/srslot/pool_test.go
@@ -352,3 +352,17 @@
 	}
 	return hog, light
 }
+
+func TestQueueEvictsFromTheWorkspaceThatFloodsIt(t *testing.T) {
+	r := newRig(t, srslot.Options{Queue: 4, PreemptOff: true}, "e1")
+	r.ask(4, "run", 1)
+	r.tick(0)
+	r.ask(5, "flood", lowest)
+	other := ask("other", lowest)
+	other.Workspace = "x"
+	r.Ask(r.now, other)
+	r.tick(100 * time.Millisecond)
+	assert.Equal(t, r.refuse["flood4"].Name, "overloaded")
+	assert.Equal(t, r.refuse["flood3"].Name, "overloaded")
+	assert.Equal(t, len(r.refuse), 2)
+}
--- a/internal/policy/srslot/queue.go
+++ b/internal/policy/srslot/queue.go
@@ -1,9 +1,11 @@
 package srslot
 
 import (
+	"cmp"
 	"container/heap"
 	"container/list"
 	"slices"
+	"strings"
 	"time"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
@@ -81,6 +83,14 @@
 	f.service -= w.service
 }
 
+// backlog returns the waiting work over the share.
+func (f *flow) backlog() float64 { return f.service.Seconds() / f.share }
+
+// newest returns the ask that came last.
+func (f *flow) newest() *waiter {
+	return slices.MaxFunc(f.waiters, compareSeq)
+}
+
 // flowHeap orders flows by virtual start time, then by their first deadline.
 type flowHeap struct {
 	flows   []*flow
@@ -222,6 +232,17 @@
 	}
 }
 
+// mostBacklogged returns the flow with the most work waiting for its share, the
+// first by name among equals; an ask waits.
+func (q *tierQueue) mostBacklogged() *flow {
+	return slices.MaxFunc(q.backlog.flows, func(a, b *flow) int {
+		if c := cmp.Compare(a.backlog(), b.backlog()); c != 0 {
+			return c
+		}
+		return strings.Compare(b.workspace, a.workspace)
+	})
+}
+
 func (q *tierQueue) forgetIdle() {
 	for q.idle.Len() > 0 {
 		q.forget(q.idle.Front())
--- a/internal/policy/srslot/shed.go
+++ b/internal/policy/srslot/shed.go
@@ -157,19 +157,13 @@
 	return n
 }
 
-// newestLowest returns the newest ask of the lowest waiting tier.
+// newestLowest returns the newest ask of the workspace that has the most work
+// waiting for its share, in the lowest waiting tier: a workspace that floods
+// the queue does not crowd out the others.
 func (p *Pool) newestLowest() *waiter {
-	var newest *waiter
 	for _, q := range slices.Backward(p.queues) {
-		for _, f := range q.backlog.flows {
-			for _, w := range f.waiters {
-				if newest == nil || w.seq > newest.seq {
-					newest = w
-				}
-			}
-		}
-		if newest != nil {
-			return newest
+		if q.waiting > 0 {
+			return q.mostBacklogged().newest()
 		}
 	}
 	return nil
