Cut lower work for a late first token of the top tier only

Cause: at 0.8 load, where there is room for everything, 2.7% of the answers were lost. Each ask whose first token would come late revoked lower work and announced a floor, so tiers 2 and 3 cut tiers 3 and 4 for punctuality alone, and the floors held whole tiers back.

Change: a late first token revokes lower work only for the top tier, and only an ask that would be refused announces a floor.

--- a/internal/policy/srslot/pool_test.go
+++ b/internal/policy/srslot/pool_test.go
@@ -415,3 +415,17 @@
 	assert.Equal(t, r.refuse["flood3"].Name, "overloaded")
 	assert.Equal(t, len(r.refuse), 2)
 }
+
+func TestLateFirstTokenCutsLowerWorkForTheTopTierOnly(t *testing.T) {
+	for tier, revokes := range map[sr.Tier]int{1: 1, 2: 0} {
+		r := newRig(t, srslot.Options{}, "e1")
+		r.ask(4, "low", lowest)
+		r.tick(0)
+		late := ask("late", tier)
+		late.First = time.Millisecond
+		r.Ask(r.now, late)
+		r.tick(100 * time.Millisecond)
+		assert.Equal(t, len(r.revoke), revokes)
+		assert.Equal(t, len(r.floors), 0)
+	}
+}
--- a/internal/policy/srslot/shed.go
+++ b/internal/policy/srslot/shed.go
@@ -30,7 +30,8 @@
 }
 
 // scanTier refuses the asks of a tier that come too late and may be refused,
-// and returns the others that come too late.
+// and returns the others that come too late. A floor is announced for an ask that
+// would be refused, not for a late first token: it holds back whole tiers.
 func (p *Pool) scanTier(now time.Time, q *tierQueue) []need {
 	var needy []need
 	o := p.outlookFor(now, q.tier)
@@ -44,12 +45,12 @@
 			}
 			n++
 			own += w.service
-			if due || missesFirst(now, w, wait) {
+			if due || mayCutForFirst(now, w, wait) {
 				needy = append(needy, need{w: w, due: due})
 			}
 		}
 	}
-	if len(needy) > 0 {
+	if slices.ContainsFunc(needy, func(n need) bool { return n.due }) {
 		p.announce(now, q.tier)
 	}
 	return needy
@@ -105,9 +106,10 @@
 	return sr.Refusal{Name: nameOverloaded, Reason: fmt.Sprintf(format, args...), Retry: p.retry(wait)}
 }
 
-// missesFirst reports whether an ask's first token would come too late.
-func missesFirst(now time.Time, w *waiter, wait time.Duration) bool {
-	return !w.firstBy.IsZero() && now.Add(wait).After(w.firstBy)
+// mayCutForFirst reports whether an ask's first token would come too late and
+// lower work may be cut for that: a cut loses an answer, so only for the top tier.
+func mayCutForFirst(now time.Time, w *waiter, wait time.Duration) bool {
+	return w.ask.Tier == sr.TopTier && !w.firstBy.IsZero() && now.Add(wait).After(w.firstBy)
 }
 
 // mayShed reports whether a tier may be refused for capacity: no lower one is
