--- a/internal/state/srmember/claim.go
+++ b/internal/state/srmember/claim.go
@@ -18,6 +18,9 @@
 	grants bool
 	// full reports whether cold endpoints may be granted too.
 	full bool
+	// asked is when a claimant was last asked to yield. The claim stands while
+	// the answer may come.
+	asked time.Time
 	// handed says when the hand-over by a former owner was asked for.
 	handed map[sr.InstanceID]time.Time
 }
--- a/internal/state/srmember/electorate.go
+++ b/internal/state/srmember/electorate.go
@@ -48,24 +48,35 @@
 // known reports whether a list was seen.
 func (e *electorate) known() bool { return len(e.entries) > 0 }
 
-// size returns how many addresses were listed at any time within linger.
-func (e *electorate) size(now time.Time, linger time.Duration) int {
-	n := 0
-	for _, l := range e.entries {
-		n += oneIf(l.counts(now, linger))
+// majority reports whether voice holds for more than half: of the addresses
+// that were listed at any time within linger, those listed throughout count.
+func (e *electorate) majority(now time.Time, linger time.Duration, voice func(address string) bool) bool {
+	size, n := 0, 0
+	for a, l := range e.entries {
+		if !l.counts(now, linger) {
+			continue
+		}
+		size++
+		if l.gone.IsZero() && now.Sub(l.since) >= linger && voice(a) {
+			n++
+		}
 	}
-	return n
+	return 2*n > size
 }
 
-// voices returns the addresses that were listed throughout linger.
-func (e *electorate) voices(now time.Time, linger time.Duration) []string {
-	var addresses []string
+// half reports whether more than half of the addresses that count are in set.
+func (e *electorate) half(now time.Time, linger time.Duration, set map[string]struct{}) bool {
+	size, n := 0, 0
 	for a, l := range e.entries {
-		if l.gone.IsZero() && now.Sub(l.since) >= linger {
-			addresses = append(addresses, a)
+		if !l.counts(now, linger) {
+			continue
+		}
+		size++
+		if _, ok := set[a]; ok {
+			n++
 		}
 	}
-	return addresses
+	return 2*n > size
 }
 
 // published returns the addresses that are listed now.
@@ -79,12 +90,6 @@
 	return addresses
 }
 
-// has reports whether an address counts in the size.
-func (e *electorate) has(now time.Time, linger time.Duration, address string) bool {
-	l, ok := e.entries[address]
-	return ok && l.counts(now, linger)
-}
-
 func (l *listing) counts(now time.Time, linger time.Duration) bool {
 	return l.gone.IsZero() || now.Sub(l.gone) < linger
 }
--- a/internal/state/srmember/members.go
+++ b/internal/state/srmember/members.go
@@ -90,14 +90,19 @@
 // Members is what one instance knows of the others. It is used by one
 // goroutine. Now never goes back.
 type Members struct {
-	self    sr.InstanceID
-	domain  string
-	opts    Options
+	self   sr.InstanceID
+	domain string
+	opts   Options
+	// leaving is whether this instance shuts down, marked whether the
+	// platform's list says that it leaves.
 	leaving bool
+	marked  bool
 
 	// born is when the first input came, awake the same or the last wake-up.
 	born  time.Time
 	awake time.Time
+	// ticked is when Takeover was last called.
+	ticked time.Time
 	// majoritySince is when the majority was heard after it was not, zero
 	// without a majority.
 	majoritySince time.Time
@@ -136,7 +141,11 @@
 func (m *Members) Listed(now time.Time, instances []sr.Instance) {
 	m.observe(now)
 	m.list.add(now, m.opts.Linger, instances)
+	m.marked = false
 	for _, in := range instances {
+		if in.Address == m.self.Address {
+			m.marked = in.Leaving
+		}
 		if p := m.peer(in.Address); p != nil {
 			p.listed(in)
 		}
@@ -173,14 +182,11 @@
 	}
 }
 
-// Woke tells that the process was paused: every proof is dropped.
+// Woke tells that the process was paused: every proof is dropped. A time of a
+// lapse without Takeover counts as a pause too.
 func (m *Members) Woke(now time.Time) {
 	m.observe(now)
-	m.awake = now
-	for _, p := range m.peers {
-		p.proof = time.Time{}
-	}
-	m.cache = nil
+	m.wake(now)
 	m.observe(now)
 }
 
@@ -192,11 +198,11 @@
 	m.cache = nil
 }
 
-// Heartbeat returns the heartbeat to send at now, or to answer with. The
-// caller adds Version, Claims, Floors and Held.
+// Heartbeat returns the heartbeat to send at now to any instance, or to answer
+// with. The caller adds Version, Claims, Floors and Held.
 func (m *Members) Heartbeat(now time.Time) sr.Heartbeat {
 	m.observe(now)
-	hb := sr.Heartbeat{From: m.self, Domain: m.domain, Leaving: m.leaving}
+	hb := sr.Heartbeat{From: m.self, Domain: m.domain, Leaving: m.leaves()}
 	for _, p := range m.sorted() {
 		if m.proved(now, p) {
 			hb.Heard = append(hb.Heard, p.id)
@@ -256,6 +262,10 @@
 		m.born = now
 		m.awake = now
 	}
+	if !m.ticked.IsZero() && now.Sub(m.ticked) >= m.opts.Lapse {
+		m.ticked = now
+		m.wake(now)
+	}
 	if !m.votes(now, m.opts.Lapse, time.Time{}) {
 		m.majoritySince = time.Time{}
 		for _, c := range m.claims {
@@ -268,23 +278,31 @@
 	}
 }
 
+func (m *Members) leaves() bool { return m.leaving || m.marked }
+
+// wake drops every proof.
+func (m *Members) wake(now time.Time) {
+	m.awake = now
+	for _, p := range m.peers {
+		p.proof = time.Time{}
+	}
+	m.cache = nil
+}
+
 // votes reports whether a majority was proved by heartbeats sent after since
 // and less than age ago.
 func (m *Members) votes(now time.Time, age time.Duration, since time.Time) bool {
-	n := 0
-	for _, address := range m.list.voices(now, m.opts.Linger) {
+	return m.list.majority(now, m.opts.Linger, func(address string) bool {
 		if address == m.self.Address {
-			n += oneIf(now.Sub(m.born) >= m.opts.Quiet())
-			continue
+			return now.Sub(m.born) >= m.opts.Quiet()
 		}
 		p := m.peers[address]
 		if p == nil || p.proof.IsZero() {
-			continue
+			return false
 		}
 		remembers := now.Sub(p.since) >= m.opts.Quiet()
-		n += oneIf(remembers && now.Sub(p.proof) < age && p.proof.After(since))
-	}
-	return 2*n > m.list.size(now, m.opts.Linger)
+		return remembers && now.Sub(p.proof) < age && p.proof.After(since)
+	})
 }
 
 func (m *Members) proved(now time.Time, p *peer) bool {
@@ -356,10 +374,3 @@
 	slices.SortFunc(ps, func(p, q *peer) int { return strings.Compare(p.id.Address, q.id.Address) })
 	return ps
 }
-
-func oneIf(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/internal/state/srmember/peer.go
+++ b/internal/state/srmember/peer.go
@@ -12,9 +12,11 @@
 
 // peer is what is known of the instance at one address.
 type peer struct {
-	id      sr.InstanceID
-	domain  string
+	id     sr.InstanceID
+	domain string
+	// leaving is what it says itself, marked what the platform's list says.
 	leaving bool
+	marked  bool
 	version sr.Version
 	// since is when this incarnation was first heard.
 	since time.Time
@@ -38,7 +40,7 @@
 	if p.domain == "" || p.heard.IsZero() {
 		p.domain = in.Domain
 	}
-	p.leaving = p.leaving || in.Leaving
+	p.marked = in.Leaving
 }
 
 // takes notes a heartbeat and reports whether the view changes by it.
--- a/internal/state/srmember/takeover.go
+++ b/internal/state/srmember/takeover.go
@@ -34,10 +34,15 @@
 	Mode sr.PoolMode
 }
 
+// askHold is for how many lapses after a Yield a claim stands though another
+// instance should own the pool.
+const askHold = 2
+
 // Takeover takes over, keeps and releases pools, and returns what to do in the
 // order of pools. It is called once per heartbeat.
 func (m *Members) Takeover(now time.Time, pools []sr.PoolID) []Turn {
 	m.observe(now)
+	m.ticked = now
 	turns := make([]Turn, 0, len(pools))
 	known := make(map[sr.PoolID]bool, len(pools))
 	for _, pool := range pools {
@@ -72,12 +77,11 @@
 // the pool's state is to be handed over: this instance grants nothing more.
 func (m *Members) Yield(now time.Time, y sr.Yield) bool {
 	m.observe(now)
-	m.mention(now, y.To)
-	if y.To == m.self {
+	if y.To == m.self || !m.mayYield(now, y) {
 		return false
 	}
 	owner, ok := m.view(now).owner(y.Pool)
-	if ok && owner != y.To && !m.leaving {
+	if ok && owner != y.To && !m.leaves() {
 		return false
 	}
 	delete(m.claims, y.Pool)
@@ -85,6 +89,14 @@
 	return true
 }
 
+// mayYield reports whether the asking instance is known to claim the pool. One
+// that has just woken up can't tell, since the Yield may be old.
+func (m *Members) mayYield(now time.Time, y sr.Yield) bool {
+	e, ok := m.news.claims[y.Pool][y.To]
+	paused := m.awake.After(m.born) && now.Sub(m.awake) < m.opts.Lease
+	return ok && !paused && now.Sub(e.any()) < m.opts.Lapse
+}
+
 // Handed tells that from handed a pool over, as asked by a Yield sent at
 // sentAt, and returns what this instance may do now.
 func (m *Members) Handed(now time.Time, pool sr.PoolID, from sr.InstanceID, sentAt time.Time) sr.PoolMode {
@@ -114,6 +126,8 @@
 		return ActKeep, to
 	case !mine && m.mayKeep(now, pool, c):
 		return ActKeep, to
+	case !mine && now.Sub(c.asked) < askHold*m.opts.Lapse:
+		return ActWait, to
 	case !mine:
 		delete(m.claims, pool)
 		return ActRelease, to
@@ -148,6 +162,7 @@
 		return ActRelease, to
 	}
 	if found && m.heardLately(now, pool, rival) && m.ready(now, c) {
+		c.asked = now
 		return ActClaim, rival
 	}
 	if c.grants {
--- a/internal/state/srmember/view.go
+++ b/internal/state/srmember/view.go
@@ -88,7 +88,7 @@
 	}
 	v := &view{at: now}
 	reporters := m.reporters(now)
-	self := Member{ID: m.self, Domain: m.domain, Leaving: m.leaving, Proved: true}
+	self := Member{ID: m.self, Domain: m.domain, Leaving: m.leaves(), Proved: true}
 	placed := false
 	for _, p := range m.sorted() {
 		if !placed && p.id.Address > m.self.Address {
@@ -115,7 +115,7 @@
 	if !alive {
 		return
 	}
-	l := Member{ID: p.id, Domain: p.domain, Leaving: p.leaving, Version: p.version, Proved: m.proved(now, p)}
+	l := Member{ID: p.id, Domain: p.domain, Leaving: p.leaving || p.marked, Version: p.version, Proved: m.proved(now, p)}
 	v.add(l, m.able(now, p, heard, reporters))
 }
 
@@ -152,11 +152,7 @@
 			support[id.Address] = struct{}{}
 		}
 	}
-	n := 0
-	for a := range support {
-		n += oneIf(m.list.has(now, m.opts.Linger, a))
-	}
-	return 2*n > m.list.size(now, m.opts.Linger)
+	return m.list.half(now, m.opts.Linger, support)
 }
 
 func (v *view) add(l Member, able bool) {
