--- a/internal/peer/srcaller/deliver.go
+++ b/internal/peer/srcaller/deliver.go
@@ -6,14 +6,13 @@
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/gen/requests"
-	"github.com/sassafrasrail/sassafrasrail/internal/app/srentry"
 )
 
 type sendFunc func(context.Context, *requests.Event) error
 
 // deliver sends an answer's events until its end. A request without any event
 // is answered by a refusal.
-func deliver(ctx context.Context, f *srentry.Follower, send sendFunc) error {
+func deliver(ctx context.Context, f sr.Follower, send sendFunc) error {
 	sent := 0
 	for {
 		events, status, err := f.Next(ctx)
@@ -41,7 +40,7 @@
 		case status.State == sr.StateIssued:
 			return newProblem("missing", "the ticket was not used yet; its request may still arrive", sr.OutcomeUnknown)
 		case status.State == sr.StateEnded && sent == 0 && status.Outcome == sr.OutcomeComplete:
-			return newProblem("expired", "the answer was complete and is not kept any longer", sr.OutcomeComplete)
+			return notKept()
 		case status.State == sr.StateEnded && sent == 0:
 			return problemOfStatus(status)
 		case status.State == sr.StateEnded:
@@ -51,7 +50,7 @@
 }
 
 // await returns the answer of a plain service once its request has ended.
-func await(ctx context.Context, f *srentry.Follower, ticket string) (*requests.CallResult, error) {
+func await(ctx context.Context, f sr.Follower, ticket string) (*requests.CallResult, error) {
 	for {
 		_, status, err := f.Next(ctx)
 		if err != nil {
@@ -66,6 +65,9 @@
 		if status.Outcome == sr.OutcomeNotRun {
 			return nil, problemOfStatus(status)
 		}
+		if status.Trimmed && status.Outcome == sr.OutcomeComplete {
+			return nil, notKept()
+		}
 		return &requests.CallResult{
 			Ticket:   ticket,
 			Outcome:  string(status.Outcome),
@@ -77,6 +79,11 @@
 	}
 }
 
+// notKept refuses the answer of a request that ended long ago.
+func notKept() *requests.Problem {
+	return newProblem("expired", "the answer was complete and is not kept any longer", sr.OutcomeComplete)
+}
+
 func newEvent(e sr.Event) *requests.Event {
 	data := &requests.EventData{
 		Ticket:   optional(e.Ticket),
--- a/internal/peer/srcaller/problem.go
+++ b/internal/peer/srcaller/problem.go
@@ -15,6 +15,7 @@
 	name    string
 	outcome sr.Outcome
 }{
+	{sr.ErrIssuerGone, "issuer-gone", sr.OutcomeUnknown},
 	{sr.ErrNotIssuer, "unknown-outcome", sr.OutcomeUnknown},
 	{sr.ErrUnreachable, "unknown-outcome", sr.OutcomeUnknown},
 	{sr.ErrBroken, "unknown-outcome", sr.OutcomeUnknown},
@@ -28,6 +29,8 @@
 
 // statusNames maps the names of refusals to those of the caller interface.
 var statusNames = map[string]string{
+	refusalMissing:       refusalMissing,
+	refusalForbidden:     refusalForbidden,
 	"limited":            "limited",
 	sr.RefusalEmpty:      "overloaded",
 	sr.RefusalFloor:      "overloaded",
@@ -44,11 +47,12 @@
 	return &requests.Problem{Name: name, Reason: reason, Outcome: string(outcome)}
 }
 
-// ofTicket changes a refusal that came before the ticket was looked at: its
-// request may have run under an earlier manifest or through another instance.
+// ofTicket changes the refusal of an instance without a manifest, which came
+// before the ticket was looked at: its request may have run through another
+// instance.
 func ofTicket(err error, ticket *string) error {
 	var p *requests.Problem
-	if value(ticket) == "" || !errors.As(err, &p) || p.Name == "invalid" {
+	if value(ticket) == "" || !errors.As(err, &p) || p.Name != "overloaded" {
 		return err
 	}
 	return newProblem(p.Name, p.Reason, sr.OutcomeUnknown)
--- a/internal/proof/srhistory/checks.go
+++ b/internal/proof/srhistory/checks.go
@@ -19,6 +19,9 @@
 	ForceBound = 5 * time.Second
 )
 
+// nameExpired is the refusal of an answer that is not kept any longer.
+const nameExpired = "expired"
+
 // Checker returns a breach of one promise.
 type Checker func(Events) error
 
@@ -83,6 +86,9 @@
 }
 
 func wholeAnswer(r Request, a Answer) error {
+	if a.Name == nameExpired {
+		return nil
+	}
 	if r.Kind == sr.KindCall {
 		want := srdesk.Reply(r.Operation, r.Ticket, r.Body)
 		if a.Outcome == sr.OutcomeComplete && a.Body != want {
--- a/internal/proof/srrig/network.go
+++ b/internal/proof/srrig/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	stderrors "errors"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,9 @@
 	watchWait = 2 * time.Second
 )
 
+// errRefused means that a peer refused the connection.
+var errRefused = stderrors.Join(sr.ErrUnreachable, sr.ErrNotSent)
+
 var (
 	_ sr.Peers    = peers{}
 	_ sr.Handler  = handler{}
@@ -74,7 +78,7 @@
 	}
 	q := r.At(h.to)
 	if q == nil || !q.Alive() {
-		replies <- reply[T]{err: errors.Wrapf(sr.ErrUnreachable, "srrig: %s refuses the connection", h.to)}
+		replies <- reply[T]{err: errRefused}
 		return
 	}
 	if !q.wait() {
--- a/internal/proof/srrig/whole_test.go
+++ b/internal/proof/srrig/whole_test.go
@@ -91,6 +91,20 @@
 	}, srhistory.Answered)
 }
 
+func TestAnswerThatIsNotKeptIsNotCalledWhole(t *testing.T) {
+	run(t, Options{Seed: 9}, func(t *testing.T, r *Rig) {
+		for _, q := range []srhistory.Request{Booking("early lot"), Question("early question")} {
+			q, err := r.Ticket(r.Process(0), q)
+			assert.NilError(t, err)
+			assert.Equal(t, r.Follow(q, 0).Outcome, sr.OutcomeComplete)
+			time.Sleep(40 * time.Second)
+			a := r.Send(r.Process(3), q)
+			assert.Equal(t, a.Name, "expired")
+			assert.Equal(t, a.Outcome, sr.OutcomeComplete)
+		}
+	})
+}
+
 func TestFollowerEndsWithItsCaller(t *testing.T) {
 	run(t, Options{Seed: 1}, func(t *testing.T, r *Rig) {
 		q, err := r.Ticket(r.Process(0), ModelRequest("left alone", 3, 100))
--- a/internal/state/srrequest/request.go
+++ b/internal/state/srrequest/request.go
@@ -25,7 +25,9 @@
 
 // Request is the record of one request. It is safe for concurrent use.
 type Request struct {
-	Ticket  string
+	Ticket string
+	// Number counts the requests of the table, from 1.
+	Number  uint64
 	Request sr.Request
 	Arrived time.Time
 
@@ -227,5 +229,6 @@
 	if r.status.State == sr.StateEnded && r.readers == 0 && now.After(r.ended.Add(retain)) {
 		r.events = nil
 		r.status.Body = ""
+		r.status.Trimmed = true
 	}
 }
--- a/internal/state/srrequest/table.go
+++ b/internal/state/srrequest/table.go
@@ -18,7 +18,8 @@
 	requests map[string]*Request
 	// swept is the latest time of a sweep: no record of a ticket that had
 	// expired by then is sure to be kept.
-	swept time.Time
+	swept  time.Time
+	number uint64
 }
 
 // New returns a Table of at most maxRequests records with at most maxEvents
@@ -50,8 +51,10 @@
 	if t.swept.After(expires) {
 		return nil, false, errors.Wrap(sr.ErrExpired, "srrequest: begin")
 	}
+	t.number++
 	r = &Request{
 		Ticket:    ticket,
+		Number:    t.number,
 		Request:   req,
 		Arrived:   now,
 		expires:   expires,
