Prove cold endpoints and tiers across seven instances

The engines of the cold proof bear two requests until they have completed two. With the stand-in's own default (four requests and five seconds) endpoints fall over under the same load, since the ramp of srwarm adds a slot after as many completions as the limit: 'cold endpoint runner1 fell over 1 times' with seven instances, 5 times with engines that restart.

--- /dev/null
+++ b/internal/proof/srrig/cold_test.go
@@ -0,0 +1,77 @@
+package srrig
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srengine"
+)
+
+// coldOptions describe engines that start cold and bear little until they have
+// completed as many requests as that.
+func coldOptions(seed uint64) Options {
+	engine := srengine.DefaultConfig().WithCold(2, 2, 0)
+	engine.Slots = 8
+	engine.Outage = 2 * time.Second
+	return Options{Seed: seed, Engine: engine, Cold: 2}
+}
+
+// burst sends n questions, spread over instances.
+func burst(r *Rig, wg *sync.WaitGroup, name string, n int, vias []int) {
+	for k, body := range Bodies(name, n) {
+		wg.Go(func() { r.Ask(Question(body), vias[k%len(vias)]) })
+	}
+}
+
+func TestColdEndpointsBearTheirLoad(t *testing.T) {
+	for name, f := range map[string]func(t *testing.T, r *Rig, wg *sync.WaitGroup){
+		"seven at once": func(_ *testing.T, _ *Rig, _ *sync.WaitGroup) {},
+		"owner dies": func(t *testing.T, r *Rig, _ *sync.WaitGroup) {
+			for _, i := range []int{0, 2, 4} {
+				r.Process(i).Kill()
+				time.Sleep(time.Second)
+				_, err := r.Start(i)
+				assert.NilError(t, err)
+			}
+		},
+		"hand-over": func(t *testing.T, r *Rig, _ *sync.WaitGroup) {
+			for _, i := range []int{4, 6} {
+				r.Process(i).Shutdown()
+				_, err := r.Start(i)
+				assert.NilError(t, err)
+			}
+		},
+		"cut with an owner on each side": func(_ *testing.T, r *Rig, wg *sync.WaitGroup) {
+			r.Split([]int{4, 5, 6}, []int{0, 1, 2, 3})
+			for n := range 5 {
+				time.Sleep(4 * time.Second)
+				burst(r, wg, "cut "+string(rune('a'+n)), 30, everyone)
+			}
+			r.Heal()
+		},
+		"cold again": func(_ *testing.T, r *Rig, wg *sync.WaitGroup) {
+			time.Sleep(15 * time.Second)
+			for n := range 4 {
+				for _, e := range r.manifest.models {
+					r.Engines.Engine(e.Address).Restart()
+					time.Sleep(3 * time.Second)
+				}
+				burst(r, wg, "again "+string(rune('a'+n)), 30, everyone)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, coldOptions(uint64(len(name))), func(t *testing.T, r *Rig) {
+				var wg sync.WaitGroup
+				burst(r, &wg, "dawn", 60, everyone)
+				time.Sleep(500 * time.Millisecond)
+				f(t, r, &wg)
+				burst(r, &wg, "after", 60, everyone)
+				wg.Wait()
+			})
+		})
+	}
+}
