Sharpen the proofs of orders, cold endpoints and shutdowns

Two engines in each failure domain, waiting asks in the tests of orders, engines that restart during a cut, and requests whose callers are away at a shutdown.

--- a/internal/proof/srhistory/checks.go
+++ b/internal/proof/srhistory/checks.go
@@ -241,12 +241,16 @@
 	return nil
 }
 
-// Graceful checks that shutdowns ended well and broke no answer.
+// Graceful checks that shutdowns ended well, left no accepted request and broke
+// no answer.
 func Graceful(e Events) error {
 	for _, s := range e.Shutdowns {
 		if s.Err != nil {
 			return errors.Errorf("the shutdown of %s failed: %v", s.Instance, s.Err)
 		}
+		if s.Left > 0 {
+			return errors.Errorf("the shutdown of %s left %d requests", s.Instance, s.Left)
+		}
 		for _, a := range e.Answers {
 			if a.Via == s.Instance && a.Began < s.Ended && a.Ended >= s.Ended && cut(a) {
 				return errors.Errorf("%s broke off at %v, when %s shut down", a.Ticket, a.Ended, s.Instance)
--- a/internal/proof/srhistory/history.go
+++ b/internal/proof/srhistory/history.go
@@ -109,7 +109,9 @@
 	Instance string
 	Began    time.Duration
 	Ended    time.Duration
-	Err      error
+	// Left is the number of accepted requests that had not ended by then.
+	Left int
+	Err  error
 }
 
 // Events are the parts of a history.
--- a/internal/proof/srhistory/history_test.go
+++ b/internal/proof/srhistory/history_test.go
@@ -145,6 +145,12 @@
 			Events{Shutdowns: []Shutdown{{Instance: "i1", Err: errors.New("late")}}},
 			"failed: late",
 		},
+		{
+			"left", Graceful,
+			Events{Shutdowns: []Shutdown{{Instance: "i1"}}},
+			Events{Shutdowns: []Shutdown{{Instance: "i1", Left: 2}}},
+			"left 2 requests",
+		},
 		{
 			"answered", Answered,
 			Events{Requests: []Request{question}, Answers: []Answer{answer(question, sr.OutcomeNone), refused(question)}},
--- a/internal/proof/srrig/cold_test.go
+++ b/internal/proof/srrig/cold_test.go
@@ -1,6 +1,7 @@
 package srrig
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,10 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/standin/srengine"
 )
 
+// reported is the time after which owners know of a restart: the greatest age of
+// a load report and the interval of reports.
+const reported = 2 * time.Second
+
 // coldOptions describe engines that start cold and bear little until they have
 // completed as many requests as that.
 func coldOptions(seed uint64) Options {
@@ -45,21 +50,22 @@
 			}
 		},
 		"cut with an owner on each side": func(_ *testing.T, r *Rig, wg *sync.WaitGroup) {
-			r.Split([]int{4, 5, 6}, []int{0, 1, 2, 3})
-			for n := range 5 {
+			part, rest := []int{4, 5, 6}, []int{0, 1, 2, 3}
+			r.Split(part, rest)
+			time.Sleep(10 * time.Second)
+			for n := range 4 {
+				restart(r)
+				burst(r, wg, fmt.Sprintf("part %d", n), 40, part)
+				burst(r, wg, fmt.Sprintf("rest %d", n), 40, rest)
 				time.Sleep(4 * time.Second)
-				burst(r, wg, "cut "+string(rune('a'+n)), 30, everyone)
 			}
 			r.Heal()
 		},
 		"cold again": func(_ *testing.T, r *Rig, wg *sync.WaitGroup) {
 			time.Sleep(15 * time.Second)
 			for n := range 4 {
-				for _, e := range r.manifest.models {
-					r.Engines.Engine(e.Address).Restart()
-					time.Sleep(3 * time.Second)
-				}
-				burst(r, wg, "again "+string(rune('a'+n)), 30, everyone)
+				restart(r)
+				burst(r, wg, fmt.Sprintf("again %d", n), 60, everyone)
 			}
 		},
 	} {
@@ -75,3 +81,11 @@
 		})
 	}
 }
+
+// restart makes every engine cold, and waits until load reports say so.
+func restart(r *Rig) {
+	for _, e := range r.manifest.models {
+		r.Engines.Engine(e.Address).Restart()
+	}
+	time.Sleep(reported)
+}
--- a/internal/proof/srrig/manifest.go
+++ b/internal/proof/srrig/manifest.go
@@ -20,6 +20,8 @@
 	Service = "intake"
 	// Book is an operation of Service that may not be repeated.
 	Book = "book"
+	// runners is the number of model engines.
+	runners = 8
 	// rootKey is the key of the manifest's root value.
 	rootKey = "manifest"
 )
@@ -42,7 +44,9 @@
 func newManifest(opts Options) manifest {
 	m := manifest{opts: opts, out: make(map[string]bool), leaving: make(map[string]bool)}
 	for i, d := range domains {
-		m.models = append(m.models, sr.Endpoint{Name: fmt.Sprintf("runner%d", i+1), Address: fmt.Sprintf("10.1.0.%d:80", i+1), Domain: d})
+		for n := i + 1; n <= runners; n += len(domains) {
+			m.models = append(m.models, sr.Endpoint{Name: fmt.Sprintf("runner%d", n), Address: fmt.Sprintf("10.1.0.%d:80", n), Domain: d})
+		}
 		m.desks = append(m.desks, sr.Endpoint{Name: fmt.Sprintf("booking%d", i+1), Address: fmt.Sprintf("10.2.0.%d:80", i+1), Domain: d})
 	}
 	return m
--- a/internal/proof/srrig/order_test.go
+++ b/internal/proof/srrig/order_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sassafrasrail/sassafrasrail/internal/proof/srhistory"
+	"github.com/sassafrasrail/sassafrasrail/internal/standin/srengine"
 )
 
 // underLoad runs f while requests come to all instances.
@@ -98,8 +99,10 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			run(t, Options{Seed: uint64(len(name))}, func(t *testing.T, r *Rig) {
-				underLoad(r, 2*Instances, func() {
+			engine := srengine.DefaultConfig()
+			engine.Slots = 2
+			run(t, Options{Seed: uint64(len(name)), Engine: engine}, func(t *testing.T, r *Rig) {
+				underLoad(r, 10*Instances, func() {
 					time.Sleep(2 * time.Second)
 					f(t, r)
 				})
--- a/internal/proof/srrig/process.go
+++ b/internal/proof/srrig/process.go
@@ -124,10 +124,11 @@
 func (p *Process) Shutdown() {
 	began := p.rig.Now()
 	err := p.Instance.Drain(p.ctx)
+	waiting, sent := p.Instance.Left()
 	for limit := p.rig.Now() + closeTime; p.callers.Load() > 0 && p.rig.Now() < limit; {
 		time.Sleep(delayLeast)
 	}
-	p.rig.History.AddShutdown(srhistory.Shutdown{Instance: p.ID.Address, Began: began, Ended: p.rig.Now(), Err: err})
+	p.rig.History.AddShutdown(srhistory.Shutdown{Instance: p.ID.Address, Began: began, Ended: p.rig.Now(), Left: waiting + sent, Err: err})
 	p.Kill()
 }
 
--- a/internal/proof/srrig/schedule_test.go
+++ b/internal/proof/srrig/schedule_test.go
@@ -57,7 +57,7 @@
 	case 7:
 		s.order(domains[s.r.intN(len(domains))])
 	case 8:
-		s.remove(fmt.Sprintf("runner%d", 1+s.r.intN(len(domains))))
+		s.remove(fmt.Sprintf("runner%d", 1+s.r.intN(runners)))
 	}
 	time.Sleep(time.Duration(200+s.r.intN(3000)) * time.Millisecond)
 }
--- a/internal/proof/srrig/shutdown_test.go
+++ b/internal/proof/srrig/shutdown_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/proof/srhistory"
 	"github.com/sassafrasrail/sassafrasrail/internal/standin/srengine"
 )
@@ -42,6 +43,27 @@
 	}, srhistory.Graceful, srhistory.Uncut, srhistory.Answered)
 }
 
+func TestShutdownEndsRequestsWhoseCallersAreAway(t *testing.T) {
+	engine := srengine.DefaultConfig()
+	engine.Slots = 1
+	run(t, Options{Seed: 3, Engine: engine}, func(t *testing.T, r *Rig) {
+		var qs []srhistory.Request
+		for i := range 3 * runners {
+			q, err := r.Ticket(r.Process(0), ModelRequest(fmt.Sprintf("away %d", i), 1, 200))
+			assert.NilError(t, err)
+			_, err = r.Process(0).Instance.Entry().Submit(t.Context(), sr.Submission{Ticket: q.Ticket, Request: sr.Request{
+				Kind: q.Kind, Workspace: q.Workspace, Tier: q.Tier, Target: q.Target, Body: q.Body, Tokens: q.Tokens, Budget: 30 * time.Second,
+			}})
+			assert.NilError(t, err)
+			qs = append(qs, q)
+		}
+		r.Process(0).Shutdown()
+		for _, q := range qs {
+			assert.Check(t, r.Engines.Runs(q.Body) == 1, q.Body)
+		}
+	}, srhistory.Graceful)
+}
+
 func TestAllSevenAreRolledUnderLoad(t *testing.T) {
 	seeded(t, func(t *testing.T, seed uint64) {
 		run(t, Options{Seed: seed}, func(t *testing.T, r *Rig) {
