Let a class say when a cold endpoint is warm, and take admission in

Ruled out: a slower ramp for all; how long a class is cold is the operators' knowledge. Change: a class has warm (requests) and settle (time); the limit climbs only after both. sradmit replaces the open admission.

--- a/internal/app/srentry/entry.go
+++ b/internal/app/srentry/entry.go
@@ -42,12 +42,14 @@
 	Fresh(ctx context.Context) error
 }
 
-// Admitter limits what a workspace may submit.
+// Admitter limits what a workspace may submit. It is safe for concurrent use.
 type Admitter interface {
-	// Admit refuses a request over the workspace's rate or queue.
-	Admit(now time.Time, w sr.Workspace, waiting int) (sr.Refusal, bool)
-	// Retry reports whether the retry budget allows one more try.
-	Retry(now time.Time, workspace string) bool
+	// Admit takes a request in, which waits until Leave is called.
+	Admit(now time.Time, w sr.Workspace) (sr.Refusal, bool)
+	// Leave says that an admitted request no longer waits.
+	Leave(workspace string)
+	// Retry takes one retry from a workspace's budget.
+	Retry(now time.Time, w sr.Workspace) (sr.Refusal, bool)
 }
 
 // Limits bound what an entry keeps.
@@ -87,7 +89,6 @@
 	holdings *holdings
 	draining atomic.Bool
 	active   sync.WaitGroup
-	waiting  waiting
 	pickMu   sync.Mutex
 }
 
@@ -97,7 +98,6 @@
 		deps:     deps,
 		table:    srrequest.New(deps.Limits.Requests, deps.Limits.Events),
 		holdings: newHoldings(),
-		waiting:  waiting{byWorkspace: make(map[string]int)},
 	}
 }
 
@@ -141,23 +141,6 @@
 	e.deps.Record.Add(ticket, time.Now(), step, format, args...)
 }
 
-// waiting counts the waiting requests of each workspace.
-type waiting struct {
-	mu          sync.Mutex
-	byWorkspace map[string]int
-}
-
-func (w *waiting) add(workspace string, n int) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.byWorkspace[workspace] += n
-	count := w.byWorkspace[workspace]
-	if count == 0 {
-		delete(w.byWorkspace, workspace)
-	}
-	return count
-}
-
 // jitter returns a random duration between d/2 and d.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1)
--- a/internal/app/srentry/run.go
+++ b/internal/app/srentry/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,38 +19,35 @@
 		e.refuse(r, refusal)
 		return
 	}
-	if refusal, ok := e.admit(r); !ok {
+	w, refusal, ok := e.admit(r)
+	if !ok {
 		e.refuse(r, refusal)
 		return
 	}
-	defer e.waiting.add(r.Request.Workspace, -1)
 	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline())
 	defer cancel()
-	e.tryUntilEnded(ctx, r)
+	e.tryUntilEnded(ctx, r, w)
 }
 
-// admit checks the request against the manifest and its workspace's limits,
-// and counts it as waiting.
-func (e *Entry) admit(r *srrequest.Request) (sr.Refusal, bool) {
+// admit checks the request against its workspace's limits and counts it as
+// waiting.
+func (e *Entry) admit(r *srrequest.Request) (sr.Workspace, sr.Refusal, bool) {
 	e.count("requests")
 	e.note(r.Ticket, "accept", "tier %d, workspace %s, target %s, budget %s", r.Request.Tier, r.Request.Workspace, r.Request.Target, r.Request.Budget)
-	waiting := e.waiting.add(r.Request.Workspace, 1)
 	m, ok := e.deps.Manifest()
 	if !ok {
-		e.waiting.add(r.Request.Workspace, -1)
-		return sr.Refusal{Name: sr.RefusalEmpty, Reason: "no manifest was accepted yet"}, false
-	}
-	refusal, ok := e.deps.Admitter.Admit(time.Now(), m.Workspaces[r.Request.Workspace], waiting-1)
-	if !ok {
-		e.waiting.add(r.Request.Workspace, -1)
-		return refusal, false
+		return sr.Workspace{}, sr.Refusal{Name: sr.RefusalEmpty, Reason: "no manifest was accepted yet"}, false
 	}
-	return sr.Refusal{}, true
+	w := m.Workspaces[r.Request.Workspace]
+	refusal, ok := e.deps.Admitter.Admit(time.Now(), w)
+	return w, refusal, ok
 }
 
 // tryUntilEnded asks for leases and dispatches until an endpoint has taken
 // the request or it is refused.
-func (e *Entry) tryUntilEnded(ctx context.Context, r *srrequest.Request) {
+func (e *Entry) tryUntilEnded(ctx context.Context, r *srrequest.Request, w sr.Workspace) {
+	leave := sync.OnceFunc(func() { e.deps.Admitter.Leave(w.Name) })
+	defer leave()
 	var avoid []string
 	for try := 1; ; try++ {
 		g, refusal, ok := e.acquire(ctx, r, try, avoid)
@@ -57,6 +55,7 @@
 			e.refuse(r, refusal)
 			return
 		}
+		leave()
 		result := e.start(ctx, r, g)
 		if result.ended {
 			return
@@ -66,8 +65,8 @@
 			continue
 		}
 		avoid = append(avoid, g.lease.Endpoint)
-		if !e.deps.Admitter.Retry(time.Now(), r.Request.Workspace) {
-			e.refuse(r, sr.Refusal{Name: sr.RefusalOverloaded, Reason: "endpoints do not take requests and the retry budget is used up"})
+		if refusal, ok := e.deps.Admitter.Retry(time.Now(), w); !ok {
+			e.refuse(r, refusal)
 			return
 		}
 		e.count("retries")
--- a/internal/app/srserve/admitter.go
+++ b/internal/app/srserve/admitter.go
@@ -8,32 +8,41 @@
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srfleet"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/sradmit"
 )
 
 // admitter shares the admission policy among the requests of an instance.
 type admitter struct {
-	mu    sync.Mutex
-	admit tmpAdmit
-	fleet *srfleet.Fleet
+	mu     sync.Mutex
+	policy *sradmit.Admission
+	fleet  *srfleet.Fleet
 }
 
-func newAdmitter(a tmpAdmit, fleet *srfleet.Fleet) *admitter {
-	return &admitter{admit: a, fleet: fleet}
+func newAdmitter(policy *sradmit.Admission, fleet *srfleet.Fleet) *admitter {
+	return &admitter{policy: policy, fleet: fleet}
 }
 
-// Admit refuses a request over the workspace's rate or queue.
-func (a *admitter) Admit(now time.Time, w sr.Workspace, waiting int) (sr.Refusal, bool) {
+// Admit takes a request in, or returns why not.
+func (a *admitter) Admit(now time.Time, w sr.Workspace) (sr.Refusal, bool) {
 	live := len(a.fleet.Live())
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.admit.Admit(now, w, live, waiting)
+	a.policy.SetLive(live)
+	return a.policy.Admit(now, w)
 }
 
-// Retry reports whether the retry budget allows one more try.
-func (a *admitter) Retry(now time.Time, workspace string) bool {
+// Leave says that an admitted request no longer waits.
+func (a *admitter) Leave(workspace string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.admit.Retry(now, workspace)
+	a.policy.Leave(workspace)
+}
+
+// Retry takes one retry from a workspace's budget, or returns why not.
+func (a *admitter) Retry(now time.Time, w sr.Workspace) (sr.Refusal, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.policy.Retry(now, w)
 }
 
 // newStreamNames returns a function that draws unguessable stream names.
--- a/internal/app/srserve/instance.go
+++ b/internal/app/srserve/instance.go
@@ -26,6 +26,7 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srentry"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srfleet"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srowner"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/sradmit"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srroute"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srticket"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srtier"
@@ -259,7 +260,7 @@
 		Issuer:   issuer,
 		Manifest: i.store.Current,
 		Fleet:    i.fleet,
-		Admitter: newAdmitter(tmpAdmit{}, i.fleet),
+		Admitter: newAdmitter(sradmit.New(sradmit.Options{}), i.fleet),
 		Picker:   srroute.NewPicker(srroute.PickerOptions{Seed: i.nextSeed()}),
 		Engine:   i.deps.Engine,
 		Service:  i.deps.Service,
--- a/internal/app/srserve/tmp.go
+++ b/internal/app/srserve/tmp.go
@@ -47,10 +47,3 @@
 	}
 	return err
 }
-
-type tmpAdmit struct{}
-
-func (tmpAdmit) Admit(now time.Time, w sr.Workspace, live, waiting int) (sr.Refusal, bool) {
-	return sr.Refusal{}, true
-}
-func (tmpAdmit) Retry(now time.Time, w string) bool { return true }
--- a/internal/bench/srbench/bench.go
+++ b/internal/bench/srbench/bench.go
@@ -143,15 +143,13 @@
 		if j == i {
 			continue
 		}
-		m := h
-		m.Held = b.heldBy(e, j)
-		b.wire.call("Instance.Heartbeat", m)
-		b.wire.answer(sr.Heartbeat{From: other.id, Heard: h.Heard})
+		b.wire.call("Instance.Heartbeat", h)
+		b.wire.answer(sr.Heartbeat{From: other.id, Heard: h.Heard, Held: b.heldBy(e, j)})
 		b.hop(func() { b.hear(other, h.Claims) })
 	}
 	for _, id := range b.pools {
-		o, held := b.owners[id], e.held(id)
-		b.hop(func() { o.held(e.id, held) })
+		o, held, made := b.owners[id], e.held(id), b.q.time()
+		b.hop(func() { o.held(made, e.id, held) })
 	}
 }
 
@@ -162,14 +160,14 @@
 }
 
 // heldBy lists the leases that an entry holds from the pools of an instance.
-func (b *bench) heldBy(e *entry, instance int) []sr.LeaseID {
-	var ids []sr.LeaseID
+func (b *bench) heldBy(e *entry, instance int) []sr.HeldPool {
+	var held []sr.HeldPool
 	for _, id := range b.pools {
 		if b.owners[id].instance == instance {
-			ids = append(ids, e.held(id)...)
+			held = append(held, sr.HeldPool{Pool: id, Leases: e.held(id)})
 		}
 	}
-	return ids
+	return held
 }
 
 // fail plans the failure of a domain.
--- a/internal/peer/srcaller/caller_test.go
+++ b/internal/peer/srcaller/caller_test.go
@@ -20,6 +20,7 @@
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srcaller"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/sradmit"
 )
 
 const (
@@ -173,7 +174,7 @@
 		"issuer silent": {err: sr.ErrUnreachable},
 		"shutting down": {err: sr.ErrDraining},
 		"table full":    {err: sr.ErrOverloaded},
-		"over its rate": {status: sr.Status{State: sr.StateEnded, Outcome: sr.OutcomeNotRun, Name: "limited", Reason: "rate", Retry: 1500 * time.Millisecond}},
+		"over its rate": {status: sr.Status{State: sr.StateEnded, Outcome: sr.OutcomeNotRun, Name: sradmit.NameRate, Reason: "rate", Retry: 1500 * time.Millisecond}},
 		"no capacity":   {status: sr.Status{State: sr.StateEnded, Outcome: sr.OutcomeNotRun, Name: sr.RefusalLate, Reason: "late", Retry: 3 * time.Second}},
 		"lost":          {status: sr.Status{State: sr.StateUnknown, Outcome: sr.OutcomeUnknown, Name: "unknown-outcome", Reason: "gone"}},
 		"cut at once":   {status: sr.Status{State: sr.StateEnded, Outcome: sr.OutcomeCutShort, Name: "cut", Reason: "broke"}},
--- a/internal/peer/srcaller/problem.go
+++ b/internal/peer/srcaller/problem.go
@@ -7,6 +7,7 @@
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/gen/requests"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/sradmit"
 )
 
 // problemNames maps errors to the names of refusals and their outcomes.
@@ -29,18 +30,21 @@
 
 // statusNames maps the names of refusals to those of the caller interface.
 var statusNames = map[string]string{
-	refusalMissing:       refusalMissing,
-	refusalForbidden:     refusalForbidden,
-	"limited":            "limited",
-	sr.RefusalEmpty:      "overloaded",
-	sr.RefusalFloor:      "overloaded",
-	sr.RefusalLate:       "overloaded",
-	"unknown-outcome":    "unknown-outcome",
-	"draining":           "draining",
-	"cut":                "unknown-outcome",
-	sr.RefusalNotOwner:   "overloaded",
-	sr.RefusalWaiting:    "overloaded",
-	sr.RefusalOverloaded: "overloaded",
+	refusalMissing:         refusalMissing,
+	refusalForbidden:       refusalForbidden,
+	sradmit.NameRate:       "limited",
+	sradmit.NameQueue:      "limited",
+	sradmit.NameRetries:    "overloaded",
+	sradmit.NameWorkspaces: "overloaded",
+	sr.RefusalEmpty:        "overloaded",
+	sr.RefusalFloor:        "overloaded",
+	sr.RefusalLate:         "overloaded",
+	"unknown-outcome":      "unknown-outcome",
+	"draining":             "draining",
+	"cut":                  "unknown-outcome",
+	sr.RefusalNotOwner:     "overloaded",
+	sr.RefusalWaiting:      "overloaded",
+	sr.RefusalOverloaded:   "overloaded",
 }
 
 func newProblem(name, reason string, outcome sr.Outcome) *requests.Problem {
--- a/internal/policy/srslot/lease.go
+++ b/internal/policy/srslot/lease.go
@@ -137,7 +137,7 @@
 		return
 	}
 	e := l.endpoint
-	p.judge(l, r)
+	p.judge(now, l, r)
 	if !l.adopted {
 		p.placer.Observe(now, l.ask, e.spec.Name, e.spec.Class.Name, r)
 	}
@@ -154,11 +154,11 @@
 }
 
 // judge tells the endpoint's ramp what became of a request.
-func (p *Pool) judge(l *lease, r sr.Release) {
+func (p *Pool) judge(now time.Time, l *lease, r sr.Release) {
 	ramp := l.endpoint.ramp
 	switch {
 	case r.Result == sr.ReleaseDone:
-		ramp.Completed(l.run, r.First, l.first)
+		ramp.Completed(now, l.run, r.First, l.first)
 	case r.Result == sr.ReleaseRefused || lost(r.Result):
 		if l.run == ramp.Run() || l.adopted {
 			ramp.Refused()
--- a/internal/policy/srwarm/ramp.go
+++ b/internal/policy/srwarm/ramp.go
@@ -11,7 +11,7 @@
 //	r := srwarm.New(srwarm.Options{}, class)
 //	restarted := r.Report(load.Start)
 //	run := r.Run()                // kept with each granted lease
-//	r.Completed(run, first, norm) // a request of that run has ended
+//	r.Completed(now, run, first, norm) // a request of that run has ended
 //	free := r.Limit() - taken
 package srwarm
 
@@ -69,6 +69,10 @@
 	completed int
 	missed    int
 	run       uint64
+	// total counts the completed requests of this run, since is when the first
+	// of them ended.
+	total int
+	since time.Time
 }
 
 // New returns the ramp of an endpoint about which nothing is known: a cold one.
@@ -101,6 +105,7 @@
 func (r *Ramp) Reset() {
 	r.run++
 	r.completed = 0
+	r.total = 0
 	r.limit = coldLimit(r.class)
 }
 
@@ -146,8 +151,10 @@
 func (r *Ramp) Refused() { r.Reset() }
 
 // Completed says that a request granted in the given run has ended. First is
-// the time to its first token, norm the expected one; 0 for not known.
-func (r *Ramp) Completed(run uint64, first, norm time.Duration) {
+// the time to its first token, norm the expected one; 0 for not known. The
+// limit climbs once the class's warm requests have completed and its settle
+// time has passed since the first of them.
+func (r *Ramp) Completed(now time.Time, run uint64, first, norm time.Duration) {
 	if run != r.run {
 		return
 	}
@@ -158,6 +165,13 @@
 	if r.start == "" || r.missed >= r.opts.MissedReports || !r.Cold() {
 		return
 	}
+	if r.total == 0 {
+		r.since = now
+	}
+	r.total++
+	if r.total < r.class.Warm || now.Sub(r.since) < r.class.Settle {
+		return
+	}
 	r.completed++
 	if r.completed < r.limit {
 		return
--- a/internal/policy/srwarm/ramp_test.go
+++ b/internal/policy/srwarm/ramp_test.go
@@ -13,9 +13,11 @@
 
 var class = sr.Class{Name: "a", Slots: 6, Cold: 2}
 
+var now = time.Unix(0, 0)
+
 func warm(r *srwarm.Ramp) {
 	for r.Cold() {
-		r.Completed(r.Run(), 0, 0)
+		r.Completed(now, r.Run(), 0, 0)
 	}
 }
 
@@ -26,15 +28,35 @@
 	for range 6 {
 		limits = append(limits, r.Limit())
 		r.Report("s1")
-		r.Completed(r.Run(), 0, 0)
+		r.Completed(now, r.Run(), 0, 0)
 	}
 	assert.DeepEqual(t, limits, []int{2, 2, 3, 3, 3, 4})
 }
 
+func TestLimitStaysColdUntilTheClassIsWarm(t *testing.T) {
+	slow := class
+	slow.Warm = 4
+	slow.Settle = 5 * time.Second
+	r := srwarm.New(srwarm.Options{}, slow)
+	r.Report("s1")
+	for i := range 20 {
+		r.Completed(now.Add(time.Duration(i)*100*time.Millisecond), r.Run(), 0, 0)
+	}
+	assert.Equal(t, r.Limit(), 2, "enough requests, but the settle time has not passed")
+	r.Report("s2")
+	r.Completed(now, r.Run(), 0, 0)
+	r.Completed(now.Add(6*time.Second), r.Run(), 0, 0)
+	r.Completed(now.Add(6*time.Second), r.Run(), 0, 0)
+	assert.Equal(t, r.Limit(), 2, "the settle time has passed, but too few requests have completed")
+	r.Completed(now.Add(6*time.Second), r.Run(), 0, 0)
+	r.Completed(now.Add(6*time.Second), r.Run(), 0, 0)
+	assert.Equal(t, r.Limit(), 3)
+}
+
 func TestNoClimbBeforeTheFirstReport(t *testing.T) {
 	r := srwarm.New(srwarm.Options{}, class)
 	for range 20 {
-		r.Completed(r.Run(), 0, 0)
+		r.Completed(now, r.Run(), 0, 0)
 	}
 	assert.Equal(t, r.Limit(), 2)
 }
@@ -45,7 +67,7 @@
 		"no start":       func(r *srwarm.Ramp) { r.Report("") },
 		"refused":        func(r *srwarm.Ramp) { r.Refused() },
 		"missing report": func(r *srwarm.Ramp) { r.ReportMissing(); r.ReportMissing() },
-		"slow first":     func(r *srwarm.Ramp) { r.Completed(r.Run(), 2*time.Second, 100*time.Millisecond) },
+		"slow first":     func(r *srwarm.Ramp) { r.Completed(now, r.Run(), 2*time.Second, 100*time.Millisecond) },
 		"another class":  func(r *srwarm.Ramp) { r.SetClass(sr.Class{Name: "b", Slots: 6, Cold: 2}) },
 	}
 	for name, doubt := range doubts {
@@ -57,7 +79,7 @@
 			doubt(r)
 			assert.Equal(t, r.Limit(), 2)
 			for range 20 {
-				r.Completed(before, 0, 0)
+				r.Completed(now, before, 0, 0)
 			}
 			assert.Equal(t, r.Limit(), 2, "requests of the run before count for nothing")
 		})
@@ -86,7 +108,7 @@
 			"report":   func(t *rapid.T) { r.Report(rapid.SampledFrom([]string{"", "s1", "s2"}).Draw(t, "start")) },
 			"missing":  func(*rapid.T) { r.ReportMissing() },
 			"refused":  func(*rapid.T) { r.Refused() },
-			"complete": func(*rapid.T) { r.Completed(r.Run(), 0, 0) },
+			"complete": func(*rapid.T) { r.Completed(now, r.Run(), 0, 0) },
 			"class": func(t *rapid.T) {
 				c := class
 				c.Slots = rapid.IntRange(1, 9).Draw(t, "slots")
--- a/internal/state/srmanifest/table.go
+++ b/internal/state/srmanifest/table.go
@@ -21,6 +21,7 @@
 	maxBudget     = 24 * time.Hour
 	maxRate       = 1e6
 	maxTokenRate  = 1e9
+	maxSettle     = 10 * time.Minute
 	maxSlots      = 4096
 	maxCount      = math.MaxInt32
 )
@@ -81,6 +82,8 @@
 		{Section: kindClass, Name: "decode", Value: srini.Float(&c.Decode, "tokens a second per stream", 0, maxTokenRate), Default: "0", About: "first estimate of the answer rate; above 0 for a class that serves models"},
 		{Section: kindClass, Name: "slots", Value: srini.Int(&c.Slots, "requests", 1, maxSlots), Required: true, About: "requests that an endpoint runs at once"},
 		{Section: kindClass, Name: "cold", Value: srini.Int(&c.Cold, "requests", 1, maxSlots), Default: "1", About: "requests that a cold endpoint bears at once; at most slots"},
+		{Section: kindClass, Name: "warm", Value: srini.Int(&c.Warm, "requests", 0, maxCount), Default: "0", About: "requests that a cold endpoint completes before it bears more than cold"},
+		{Section: kindClass, Name: "settle", Value: srini.Duration(&c.Settle, 0, maxSettle), Default: "0s", About: "time from the first completed request until a cold endpoint bears more than cold"},
 		{Section: kindClass, Name: "cache", Value: srini.Int(&c.Cache, "blocks", 0, maxCount), Default: "0", About: "prefix blocks that fit"},
 	}
 }
--- a/manifest.go
+++ b/manifest.go
@@ -63,6 +63,10 @@
 	Slots int
 	// Cold is how many requests a cold endpoint bears at once.
 	Cold int
+	// Warm is how many requests a cold endpoint completes, and Settle how long
+	// it takes from the first of them on, before it bears more than Cold.
+	Warm   int
+	Settle time.Duration
 	// Cache is the number of prefix blocks that fit.
 	Cache int
 }
