--- a/internal/state/srmanifest/store.go
+++ b/internal/state/srmanifest/store.go
@@ -1,6 +1,7 @@
 package srmanifest
 
 import (
+	"context"
 	"maps"
 	"sync"
 
@@ -28,6 +29,8 @@
 	ResultConflict
 	// ResultInvalid: it breaks a rule.
 	ResultInvalid
+	// ResultBusy: another one is being fetched.
+	ResultBusy
 )
 
 // Counts tells how many offers had which result.
@@ -41,14 +44,19 @@
 
 // Store keeps the last accepted manifest. It is safe for concurrent use.
 type Store struct {
-	// offering lets one manifest be parsed at a time.
-	offering sync.Mutex
-
-	mu          sync.RWMutex
-	manifest    sr.Manifest
-	text        sr.ManifestText
-	parts       map[sr.Digest]*part
-	counts      Counts
+	// offering lets one manifest be parsed at a time, following one be fetched
+	// from a peer.
+	offering  sync.Mutex
+	following sync.Mutex
+
+	mu       sync.RWMutex
+	manifest sr.Manifest
+	text     sr.ManifestText
+	parts    map[sr.Digest]*part
+	counts   Counts
+	// rejected is the last complete manifest that broke a rule, problem why.
+	rejected    sr.Version
+	problem     error
 	subscribers map[chan sr.Manifest]struct{}
 }
 
@@ -72,6 +80,7 @@
 	}
 	m, parts, err := parse(t, s.parts)
 	if err != nil {
+		s.reject(root, t, err)
 		return s.count(ResultInvalid), err
 	}
 	s.accept(m, sr.ManifestText{Root: t.Root, Parts: maps.Clone(t.Parts)}, parts)
@@ -93,6 +102,37 @@
 		v.Number, current.Digest, v.Digest)
 }
 
+// Follow fetches the manifest from a peer that has version v when it is newer
+// than the one in force, and offers it.
+func (s *Store) Follow(ctx context.Context, peer sr.Handler, v sr.Version) (Result, error) {
+	if result, err := s.wanted(v); result != ResultAccepted {
+		return result, err
+	}
+	if !s.following.TryLock() {
+		return ResultBusy, nil
+	}
+	defer s.following.Unlock()
+	t, err := peer.Manifest(ctx, v)
+	if err != nil {
+		return ResultBusy, errors.Wrapf(err, "srmanifest: fetch version %d from a peer", v.Number)
+	}
+	return s.Offer(t)
+}
+
+// wanted is Compare without those that were rejected; conflicts are counted.
+func (s *Store) wanted(v sr.Version) (Result, error) {
+	result, err := s.Compare(v)
+	if result == ResultConflict {
+		return s.count(result), err
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if result == ResultAccepted && v == s.rejected {
+		return ResultInvalid, s.problem
+	}
+	return result, err
+}
+
 // Current returns the manifest in force; ok is false before the first one.
 func (s *Store) Current() (m sr.Manifest, ok bool) {
 	s.mu.RLock()
@@ -114,6 +154,17 @@
 	return s.text
 }
 
+// Problem returns why the last complete manifest was kept out, nil when none
+// was since the one in force.
+func (s *Store) Problem() error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.rejected.Number <= s.manifest.Version.Number {
+		return nil
+	}
+	return s.problem
+}
+
 // Counts returns how many offers had which result so far.
 func (s *Store) Counts() Counts {
 	s.mu.RLock()
@@ -167,6 +218,20 @@
 	}
 }
 
+// reject remembers a manifest that breaks a rule, unless parts were missing or
+// did not match the root, which another try may mend.
+func (s *Store) reject(root Root, t sr.ManifestText, problem error) {
+	for name, digest := range root.Parts {
+		if Hash(t.Parts[name]) != digest {
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejected = root.Version
+	s.problem = problem
+}
+
 func (s *Store) count(r Result) Result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/state/srmember/electorate.go
+++ b/internal/state/srmember/electorate.go
@@ -12,8 +12,6 @@
 // majorities of lists that are a little apart in time still share an instance.
 type electorate struct {
 	entries map[string]*listing
-	// first is when the first list came.
-	first time.Time
 }
 
 type listing struct {
@@ -26,7 +24,6 @@
 func (e *electorate) add(now time.Time, linger time.Duration, instances []sr.Instance) {
 	if e.entries == nil {
 		e.entries = make(map[string]*listing)
-		e.first = now
 	}
 	listed := make(map[string]bool, len(instances))
 	for _, in := range instances {
@@ -48,10 +45,9 @@
 // known reports whether a list was seen.
 func (e *electorate) known() bool { return len(e.entries) > 0 }
 
-// majority reports whether voice holds for more than half: of the addresses
-// that were listed at any time within linger, those listed throughout count.
-func (e *electorate) majority(now time.Time, linger time.Duration, voice func(address string) bool) bool {
-	size, n := 0, 0
+// tally counts the addresses that were listed throughout linger and for which
+// voice holds, and those that were listed at any time within it.
+func (e *electorate) tally(now time.Time, linger time.Duration, voice func(address string) bool) (n, size int) {
 	for a, l := range e.entries {
 		if !l.counts(now, linger) {
 			continue
@@ -61,22 +57,13 @@
 			n++
 		}
 	}
-	return 2*n > size
+	return n, size
 }
 
-// half reports whether more than half of the addresses that count are in set.
-func (e *electorate) half(now time.Time, linger time.Duration, set map[string]struct{}) bool {
-	size, n := 0, 0
-	for a, l := range e.entries {
-		if !l.counts(now, linger) {
-			continue
-		}
-		size++
-		if _, ok := set[a]; ok {
-			n++
-		}
-	}
-	return 2*n > size
+// lists reports whether an address is listed now.
+func (e *electorate) lists(address string) bool {
+	l, ok := e.entries[address]
+	return ok && l.gone.IsZero()
 }
 
 // published returns the addresses that are listed now.
--- a/internal/state/srmember/members.go
+++ b/internal/state/srmember/members.go
@@ -104,8 +104,9 @@
 	// ticked is when Takeover was last called.
 	ticked time.Time
 	// majoritySince is when the majority was heard after it was not, zero
-	// without a majority.
+	// without a majority. It need not be counted again before majorityUntil.
 	majoritySince time.Time
+	majorityUntil time.Time
 
 	peers  map[string]*peer
 	list   electorate
@@ -141,6 +142,7 @@
 func (m *Members) Listed(now time.Time, instances []sr.Instance) {
 	m.observe(now)
 	m.list.add(now, m.opts.Linger, instances)
+	m.majorityUntil = now
 	m.marked = false
 	for _, in := range instances {
 		if in.Address == m.self.Address {
@@ -150,6 +152,7 @@
 			p.listed(in)
 		}
 	}
+	m.forget(now)
 	m.cache = nil
 	m.observe(now)
 }
@@ -266,6 +269,9 @@
 		m.ticked = now
 		m.wake(now)
 	}
+	if !m.majoritySince.IsZero() && now.Before(m.majorityUntil) {
+		return
+	}
 	if !m.votes(now, m.opts.Lapse, time.Time{}) {
 		m.majoritySince = time.Time{}
 		for _, c := range m.claims {
@@ -276,6 +282,7 @@
 	if m.majoritySince.IsZero() {
 		m.majoritySince = now
 	}
+	m.majorityUntil = m.majorityEnd(now)
 }
 
 func (m *Members) leaves() bool { return m.leaving || m.marked }
@@ -283,6 +290,7 @@
 // wake drops every proof.
 func (m *Members) wake(now time.Time) {
 	m.awake = now
+	m.majorityUntil = now
 	for _, p := range m.peers {
 		p.proof = time.Time{}
 	}
@@ -292,17 +300,39 @@
 // votes reports whether a majority was proved by heartbeats sent after since
 // and less than age ago.
 func (m *Members) votes(now time.Time, age time.Duration, since time.Time) bool {
-	return m.list.majority(now, m.opts.Linger, func(address string) bool {
+	n, size := m.list.tally(now, m.opts.Linger, func(address string) bool {
 		if address == m.self.Address {
-			return now.Sub(m.born) >= m.opts.Quiet()
+			return m.remembers(now, m.born)
 		}
 		p := m.peers[address]
-		if p == nil || p.proof.IsZero() {
-			return false
+		return p != nil && m.remembers(now, p.since) && now.Sub(p.proof) < age && p.proof.After(since)
+	})
+	return 2*n > size
+}
+
+// majorityEnd returns until when the majority that is heard now lasts without
+// further answers.
+func (m *Members) majorityEnd(now time.Time) time.Time {
+	var proofs []time.Time
+	self, size := m.list.tally(now, m.opts.Linger, func(address string) bool {
+		p := m.peers[address]
+		if p != nil && m.remembers(now, p.since) && m.proved(now, p) {
+			proofs = append(proofs, p.proof)
 		}
-		remembers := now.Sub(p.since) >= m.opts.Quiet()
-		return remembers && now.Sub(p.proof) < age && p.proof.After(since)
+		return address == m.self.Address && m.remembers(now, m.born)
 	})
+	needed := size/2 + 1 - self
+	if needed <= 0 {
+		return now.Add(m.opts.Lapse)
+	}
+	slices.SortFunc(proofs, func(a, b time.Time) int { return b.Compare(a) })
+	return proofs[needed-1].Add(m.opts.Lapse)
+}
+
+// remembers reports whether an instance that is up since then has every claim
+// in mind that could matter.
+func (m *Members) remembers(now, since time.Time) bool {
+	return now.Sub(since) >= m.opts.Quiet()
 }
 
 func (m *Members) proved(now time.Time, p *peer) bool {
@@ -330,9 +360,10 @@
 
 func (m *Members) replace(now time.Time, p *peer, id sr.InstanceID) {
 	if p.alive {
-		m.lost = append(m.lost, p.id)
+		m.lose(p.id)
 	}
 	p.replace(now, id)
+	m.majorityUntil = now
 	m.cache = nil
 }
 
@@ -366,6 +397,22 @@
 	return p
 }
 
+// forget drops the instances that are neither listed nor heard of.
+func (m *Members) forget(now time.Time) {
+	for a, p := range m.peers {
+		if !p.alive && !m.list.lists(a) && now.Sub(p.last()) >= m.opts.Forget {
+			delete(m.peers, a)
+		}
+	}
+}
+
+// lose notes a dead instance for Lost.
+func (m *Members) lose(id sr.InstanceID) {
+	if len(m.lost) < m.opts.MaxPeers {
+		m.lost = append(m.lost, id)
+	}
+}
+
 func (m *Members) sorted() []*peer {
 	ps := make([]*peer, 0, len(m.peers))
 	for _, p := range m.peers {
--- a/internal/state/srmember/members_test.go
+++ b/internal/state/srmember/members_test.go
@@ -1,6 +1,10 @@
 package srmember
 
 import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,3 +31,200 @@
 	assert.Equal(t, owned, m.opts.Quiet()+DefaultHeartbeat)
 	assert.DeepEqual(t, m.Mode(start.Add(20*time.Second), pool), sr.PoolMode{Own: true, Majority: true})
 }
+
+func instances(n int) []sr.Instance {
+	var in []sr.Instance
+	for i := range n {
+		in = append(in, sr.Instance{Address: address(i), Domain: domainName(i)})
+	}
+	return in
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/200, i%200+1) }
+
+func answer(i int, hb sr.Heartbeat) sr.Heartbeat {
+	hb.From = sr.InstanceID{Address: address(i), Incarnation: 7}
+	hb.Domain = domainName(i)
+	return hb
+}
+
+// fleet returns the first of n instances after it heard all others for a while.
+func fleet(n int) (*Members, time.Time) {
+	m := New(sr.InstanceID{Address: address(0), Incarnation: 7}, domainName(0), Options{})
+	now := start
+	for now.Sub(start) < 2*m.opts.Quiet() {
+		m.Listed(now, instances(n))
+		for i := 1; i < n; i++ {
+			m.Heard(now, now, answer(i, sr.Heartbeat{}))
+		}
+		now = now.Add(m.opts.Heartbeat)
+	}
+	return m, now
+}
+
+func TestMajorityCountsAnswersNotMessages(t *testing.T) {
+	m, now := fleet(5)
+	assert.Assert(t, m.Majority(now))
+	last := now.Add(-m.opts.Heartbeat)
+	assert.Assert(t, m.Majority(last.Add(m.opts.Lapse-1)))
+	for i := 1; i < 5; i++ {
+		m.Received(last.Add(m.opts.Lapse-1), answer(i, sr.Heartbeat{}))
+	}
+	assert.Assert(t, !m.Majority(last.Add(m.opts.Lapse)))
+	assert.Equal(t, len(m.Live(last.Add(m.opts.Lapse))), 5)
+}
+
+func TestAnswersCountFromWhenTheHeartbeatWasSent(t *testing.T) {
+	m, now := fleet(3)
+	sent := now
+	now = now.Add(m.opts.Lapse - 1)
+	m.Heard(now, sent, answer(1, sr.Heartbeat{}))
+	assert.Assert(t, m.Majority(now))
+	assert.Assert(t, !m.Majority(now.Add(1)))
+}
+
+func TestAnAnswerFromBeforeThePauseIsNoProof(t *testing.T) {
+	m, now := fleet(3)
+	m.Woke(now)
+	assert.Assert(t, !m.Majority(now))
+	m.Heard(now, now.Add(-1), answer(1, sr.Heartbeat{}))
+	assert.Assert(t, !m.Majority(now))
+	m.Heard(now, now, answer(1, sr.Heartbeat{}))
+	assert.Assert(t, m.Majority(now))
+}
+
+func TestARestartedInstanceHasNoVoiceUntilItRemembers(t *testing.T) {
+	m, now := fleet(3)
+	fresh := answer(1, sr.Heartbeat{})
+	fresh.From.Incarnation = 8
+	for end := now.Add(m.opts.Quiet()); now.Before(end); now = now.Add(m.opts.Heartbeat) {
+		m.Heard(now, now, fresh)
+	}
+	assert.Assert(t, !m.Majority(now.Add(-1)))
+	assert.DeepEqual(t, m.Lost(now), []sr.InstanceID{
+		{Address: address(1), Incarnation: 7},
+		{Address: address(2), Incarnation: 7},
+	})
+	m.Heard(now, now, fresh)
+	assert.Assert(t, m.Majority(now))
+	m.Heard(now, now, answer(1, sr.Heartbeat{}))
+	assert.Equal(t, m.peers[address(1)].id.Incarnation, uint64(8), "the old incarnation answers late")
+}
+
+func TestLeavingInstancesCountUntilTheyAreOffTheList(t *testing.T) {
+	m, now := fleet(3)
+	list := instances(3)
+	list[1].Leaving = true
+	list[2].Leaving = true
+	m.Listed(now, list)
+	now = now.Add(m.opts.Lapse)
+	assert.Assert(t, !m.Majority(now))
+	m.Listed(now, list[:1])
+	assert.Assert(t, !m.Majority(now.Add(m.opts.Linger-1)))
+	assert.Assert(t, m.Majority(now.Add(m.opts.Linger)))
+}
+
+func TestTargetsAreSeedsUntilTheListIsThere(t *testing.T) {
+	m := New(sr.InstanceID{Address: address(0), Incarnation: 7}, "d0", Options{Seeds: []string{address(0), address(4)}})
+	assert.DeepEqual(t, m.Targets(start), []string{address(4)})
+	assert.Assert(t, !m.Greeted(start))
+	m.Heard(start, start, answer(4, sr.Heartbeat{Heard: []sr.InstanceID{{Address: address(3), Incarnation: 7}}}))
+	assert.DeepEqual(t, m.Targets(start), []string{address(3), address(4)})
+	m.Failed(start, address(3))
+	assert.Assert(t, m.Greeted(start))
+	m.Listed(start, instances(2))
+	later := start.Add(m.opts.Forget)
+	assert.DeepEqual(t, m.Targets(later), []string{address(1)})
+	m.Lost(later)
+	m.Listed(later, instances(2))
+	assert.Equal(t, len(m.peers), 1)
+}
+
+func TestPeersAreBounded(t *testing.T) {
+	m := New(sr.InstanceID{Address: address(0), Incarnation: 7}, "d0", Options{MaxPeers: 10})
+	for i := range 50 {
+		m.Received(start, answer(i+1, sr.Heartbeat{}))
+	}
+	assert.Equal(t, len(m.peers), 10)
+}
+
+func TestNothingBeginsWhileClaimsAreDropped(t *testing.T) {
+	m, now := fleet(3)
+	pool := sr.PoolID{Target: "m", Domain: "d0"}
+	m.opts.MaxClaims = 2
+	m.news.limit = 2
+	flood := sr.Heartbeat{}
+	for i := range 5 {
+		flood.Ownership = append(flood.Ownership, sr.Claim{
+			Pool: sr.PoolID{Target: fmt.Sprint(i)}, Owner: answer(1, flood).From, Majority: true,
+		})
+	}
+	for range 40 {
+		m.Heard(now, now, answer(1, flood))
+		m.Heard(now, now, answer(2, sr.Heartbeat{}))
+		assert.Equal(t, m.Takeover(now, []sr.PoolID{pool})[0].Mode, sr.PoolMode{})
+		now = now.Add(m.opts.Heartbeat)
+	}
+	assert.Equal(t, m.news.count, 2)
+}
+
+func TestReadersOfARegionAreReplaced(t *testing.T) {
+	region := func(domain string) string { return domain }
+	watching := func(n int, gone map[int]bool) []int {
+		var readers []int
+		for i := range n {
+			if gone[i] {
+				continue
+			}
+			m := New(sr.InstanceID{Address: address(i), Incarnation: 7}, domainName(i), Options{})
+			for j := range n {
+				if j != i && !gone[j] {
+					m.Received(start, answer(j, sr.Heartbeat{}))
+				}
+			}
+			if m.Watches(start, region, 2) {
+				readers = append(readers, i)
+			}
+		}
+		return readers
+	}
+	before := watching(30, nil)
+	assert.Equal(t, len(before), 2*simDomains)
+	after := watching(30, map[int]bool{before[0]: true})
+	assert.Equal(t, len(after), 2*simDomains)
+	assert.Assert(t, !slices.Contains(after, before[0]))
+}
+
+func BenchmarkHeartbeatInterval(b *testing.B) {
+	for _, n := range []int{7, 80, 320} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			m, now := fleet(n)
+			var pools []sr.PoolID
+			for i := range 12 {
+				pools = append(pools, sr.PoolID{Target: fmt.Sprint(i % 4), Domain: domainName(i)})
+			}
+			hb := m.Heartbeat(now)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(m.opts.Heartbeat)
+				for i := 1; i < n; i++ {
+					m.Heard(now, now, answer(i, hb))
+				}
+				m.Takeover(now, pools)
+				hb = m.Heartbeat(now)
+			}
+			b.ReportMetric(encodedSize(b, hb), "B/heartbeat")
+		})
+	}
+}
+
+// encodedSize returns the size of a heartbeat on a connection that has carried
+// one before.
+func encodedSize(b *testing.B, hb sr.Heartbeat) float64 {
+	var buf bytes.Buffer
+	enc := gob.NewEncoder(&buf)
+	assert.NilError(b, enc.Encode(hb))
+	first := buf.Len()
+	assert.NilError(b, enc.Encode(hb))
+	return float64(buf.Len() - first)
+}
--- a/internal/state/srmember/peer.go
+++ b/internal/state/srmember/peer.go
@@ -31,7 +31,7 @@
 	replaced []uint64
 	// tried reports whether a heartbeat to it failed.
 	tried bool
-	// alive is what the last view said.
+	// alive is whether it was heard, or live in the last view, and not lost since.
 	alive bool
 }
 
@@ -48,6 +48,7 @@
 	changed := now.Sub(p.heard) >= lapse || p.domain != hb.Domain || hb.Leaving && !p.leaving
 	changed = changed || !slices.Equal(p.reports, hb.Heard)
 	p.heard = now
+	p.alive = true
 	p.domain = hb.Domain
 	p.leaving = p.leaving || hb.Leaving
 	p.version = hb.Version
--- a/internal/state/srmember/view.go
+++ b/internal/state/srmember/view.go
@@ -82,6 +82,26 @@
 	return m.view(now).owner(pool)
 }
 
+// Watches reports whether this instance is one of the readers that hold a
+// watch on the manifest in their region. An instance that dies or leaves is
+// replaced by the next. region returns the region of a failure domain.
+func (m *Members) Watches(now time.Time, region func(domain string) string, readers int) bool {
+	if m.leaves() {
+		return false
+	}
+	mine := weigh(m.self.Address, watchRole)
+	before := 0
+	for _, l := range m.Live(now) {
+		if l.ID == m.self || l.Leaving || region(l.Domain) != region(m.domain) {
+			continue
+		}
+		if weigh(l.ID.Address, watchRole) > mine {
+			before++
+		}
+	}
+	return before < readers
+}
+
 func (m *Members) view(now time.Time) *view {
 	if m.cache != nil && now.Sub(m.cache.at) < m.opts.Heartbeat {
 		return m.cache
@@ -109,7 +129,7 @@
 	heard := !p.heard.IsZero() && now.Sub(p.heard) < m.opts.Lapse
 	alive := heard || len(reporters) > 0
 	if p.alive && !alive {
-		m.lost = append(m.lost, p.id)
+		m.lose(p.id)
 	}
 	p.alive = alive
 	if !alive {
@@ -152,7 +172,17 @@
 			support[id.Address] = struct{}{}
 		}
 	}
-	return m.list.half(now, m.opts.Linger, support)
+	n, size := 0, 0
+	for a, l := range m.list.entries {
+		if !l.counts(now, m.opts.Linger) {
+			continue
+		}
+		size++
+		if _, ok := support[a]; ok {
+			n++
+		}
+	}
+	return 2*n > size
 }
 
 func (v *view) add(l Member, able bool) {
@@ -179,6 +209,9 @@
 	return id, ok
 }
 
+// watchRole is the name for which the readers of the manifest are weighed.
+const watchRole = "watch"
+
 // weigh returns the rendezvous weight of an address for a name.
 func weigh(address, name string) uint64 {
 	return xxhash.Sum64String(address + "\x00" + name)
