Bound the start of a fleet and the death of an owner, and set the readers

Change: a test holds the times that docs/MEMBERSHIP.md promises; [platform] readers says how many instances of a region hold a watch.

--- a/internal/state/srmember/ownership_test.go
+++ b/internal/state/srmember/ownership_test.go
@@ -105,6 +105,20 @@
 	assert.Assert(t, isolated(trial{noQuiet: true}).broken != "")
 }
 
+func TestAFleetStartsAndAnOwnerIsFollowedInTime(t *testing.T) {
+	s := newSim(2, Options{}, trial{})
+	quiet := s.opts.Quiet()
+	s.runFor(simListPoll + quiet + 4*DefaultHeartbeat)
+	s.assertSettled(t)
+	owner := s.nodes[fullOwners(s.able(), s.pools[0])[0]]
+	s.stop(owner)
+	s.runFor(2*DefaultLapse + quiet)
+	for _, pool := range s.pools {
+		assert.Equal(t, len(fullOwners(s.able(), pool)), 1, "%v", pool)
+	}
+	assert.Equal(t, s.broken, "")
+}
+
 func TestRollingRestartHandsOverWithoutAGap(t *testing.T) {
 	s := newSim(3, Options{}, trial{})
 	s.runFor(settleBound)
@@ -160,7 +174,7 @@
 		s.runFor(settleBound)
 		pool := s.pools[0]
 		n := s.nodes[fullOwners(s.able(), pool)[0]]
-		s.pause(n)
+		n.paused = true
 		s.runFor(settleBound)
 		n.held = nil
 		s.wake(n, noticed)
--- a/internal/state/srmember/sim_test.go
+++ b/internal/state/srmember/sim_test.go
@@ -14,6 +14,7 @@
 	simNodes    = 7
 	simDomains  = 3
 	simTimeout  = time.Second
+	simDelay    = 5 * time.Millisecond
 	simListPoll = 500 * time.Millisecond
 	// simListLag is how stale the list that an instance reads may be.
 	simListLag = 1500 * time.Millisecond
@@ -92,7 +93,7 @@
 		opts:    opts.withDefaults(),
 		trial:   tr,
 		cuts:    make(map[link]bool),
-		delay:   5 * time.Millisecond,
+		delay:   simDelay,
 		granted: make(map[sr.PoolID]bool),
 		gap:     make(map[sr.PoolID]time.Time),
 	}
@@ -180,8 +181,6 @@
 	do()
 }
 
-func (s *sim) pause(n *node) { n.paused = true }
-
 func (s *sim) wake(n *node, noticed bool) {
 	if !n.paused || n.members == nil {
 		return
@@ -366,38 +365,35 @@
 func (s *sim) fault() {
 	n, other := s.randomNode(), s.randomNode()
 	d := time.Duration(s.rand.Int64N(int64(8 * time.Second)))
-	switch s.rand.IntN(9) {
+	coin := s.rand.IntN(2) == 0
+	switch s.rand.IntN(8) {
 	case 0:
 		s.split()
 		s.after(d, s.heal)
 	case 1:
-		s.cut(n.address, other.address, true)
-		s.after(d, s.heal)
-	case 2:
-		s.cut(n.address, other.address, false)
+		s.cut(n.address, other.address, coin)
 		s.after(2*d, s.heal)
-	case 3:
-		s.isolate(n, s.rand.IntN(2) == 0)
+	case 2:
+		s.isolate(n, coin)
 		s.after(d, s.heal)
-	case 4:
-		noticed := s.rand.IntN(2) == 0
+	case 3:
 		run := n.run
-		s.pause(n)
+		n.paused = true
 		s.after(d, func() {
 			if n.run == run {
-				s.wake(n, noticed)
+				s.wake(n, coin)
 			}
 		})
-	case 5:
+	case 4:
 		s.stop(n)
 		s.after(d/4, func() { s.revive(n) })
-	case 6:
+	case 5:
 		s.nonTransitive()
 		s.after(2*d, s.heal)
-	case 7:
+	case 6:
 		s.delay = time.Duration(1+s.rand.IntN(400)) * time.Millisecond
-		s.after(d, func() { s.delay = 5 * time.Millisecond })
-	case 8:
+		s.after(d, func() { s.delay = simDelay })
+	case 7:
 		s.replaceSome()
 	}
 }
@@ -464,7 +460,7 @@
 // mend ends every fault.
 func (s *sim) mend() {
 	s.heal()
-	s.delay = 5 * time.Millisecond
+	s.delay = simDelay
 	for _, a := range sortedKeys(s.nodes) {
 		s.wake(s.nodes[a], false)
 		s.revive(s.nodes[a])
--- a/internal/state/srsettings/settings.go
+++ b/internal/state/srsettings/settings.go
@@ -29,9 +29,10 @@
 	Domain  string
 
 	// Platform is the address of the configuration service, Root the key of
-	// the manifest's root value.
+	// the manifest's root value, Readers how many instances of a region watch it.
 	Platform string
 	Root     string
+	Readers  int
 	Seeds    []string
 
 	// Body is in bytes, the other limits are counts.
--- a/internal/state/srsettings/table.go
+++ b/internal/state/srsettings/table.go
@@ -24,6 +24,7 @@
 
 		{Section: "platform", Name: "address", Value: srini.Address(&s.Platform), Required: true, About: "configuration service"},
 		{Section: "platform", Name: "root", Value: srini.Word(&s.Root), Default: "manifest", About: "key of the manifest's root value"},
+		{Section: "platform", Name: "readers", Value: srini.Int(&s.Readers, "instances", 1, 1000), Default: "7", About: "instances of a region that hold a watch on the manifest"},
 
 		{Section: "peers", Name: "seeds", Value: srini.Addresses(&s.Seeds, maxSeeds), About: "instances to ask until the platform's list is there"},
 
