--- a/peer.go
+++ b/peer.go
@@ -54,14 +54,21 @@
 	// Heard lists the instances with which an exchange succeeded within the
 	// heartbeat lapse.
 	Heard []InstanceID
-	// Claims lists the pools that the sender owns or is taking over.
+	// Claims summarises the pools whose slots the sender grants.
 	Claims []PoolNews
 	// Ownership lists the claims that the sender makes, and those it heard
 	// from their owners within lapse and lease time.
 	Ownership []Claim
 	Floors    []Floor
-	// Held lists the leases that the sender holds from the receiver, in full.
-	Held []LeaseID
+	// Held, in an answer, lists the sender's leases of each pool that the
+	// heartbeat it answers claims, in full.
+	Held []HeldPool
+}
+
+// HeldPool lists the leases that an instance holds in one pool, in full.
+type HeldPool struct {
+	Pool   PoolID
+	Leases []LeaseID
 }
 
 // Yield asks the claimant of a pool to hand it over.
@@ -101,6 +108,9 @@
 type Submission struct {
 	Ticket  string
 	Request Request
+	// Refusal, when it has a name, is recorded under the ticket instead of
+	// running the request: the receiver's manifest does not allow it.
+	Refusal Refusal
 }
 
 // Poll asks for the events of a request behind After; it waits up to Wait.
@@ -117,6 +127,15 @@
 	Events []Event
 }
 
+// Follower delivers the events of one answer, each once and in order. It is
+// used by one goroutine.
+type Follower interface {
+	// Next returns the next events, or none after a while without news. No
+	// more events will come once the status is ended or unknown.
+	Next(ctx context.Context) ([]Event, Status, error)
+	Close()
+}
+
 // Step is one recorded decision.
 type Step struct {
 	At     time.Time
