Count answers from when their heartbeat was composed

Cause: srfleet composes a heartbeat, then takes over pools, then notes the time of sending. A claim made in between counted as answered though no heartbeat had carried it, so a takeover could rest on answers that prove nothing. Also, times taken before a lock could reach Members out of order.

Change: Heard says what sentAt must be, srfleet passes the time of composition, and Members never goes back in time.

Ruled out: stamping the claim when it is first composed, since a heartbeat composed before can still be sent after that.

--- a/internal/app/srfleet/round.go
+++ b/internal/app/srfleet/round.go
@@ -72,7 +72,7 @@
 		round.Add(1)
 		wg.Go(func() {
 			defer round.Done()
-			f.exchange(ctx, address, hb)
+			f.exchange(ctx, address, hb, now)
 		})
 	}
 	wg.Go(func() {
@@ -105,9 +105,8 @@
 	}
 }
 
-// exchange sends one heartbeat and takes its answer.
-func (f *Fleet) exchange(ctx context.Context, address string, hb sr.Heartbeat) {
-	sent := time.Now()
+// exchange sends one heartbeat, composed at sent, and takes its answer.
+func (f *Fleet) exchange(ctx context.Context, address string, hb sr.Heartbeat, sent time.Time) {
 	callCtx, cancel := context.WithTimeout(ctx, f.deps.Lapse/4)
 	defer cancel()
 	answer, err := f.deps.Peers.Peer(address).Heartbeat(callCtx, hb)
--- a/internal/state/srmember/members.go
+++ b/internal/state/srmember/members.go
@@ -88,7 +88,7 @@
 }
 
 // Members is what one instance knows of the others. It is used by one
-// goroutine. Now never goes back.
+// goroutine at a time. A now that is older than the latest one counts as that.
 type Members struct {
 	self   sr.InstanceID
 	domain string
@@ -101,6 +101,8 @@
 	// born is when the first input came, awake the same or the last wake-up.
 	born  time.Time
 	awake time.Time
+	// latest is the latest time seen.
+	latest time.Time
 	// ticked is when Takeover was last called.
 	ticked time.Time
 	// majoritySince is when the majority was heard after it was not, zero
@@ -140,7 +142,7 @@
 
 // Listed takes the platform's list of instances.
 func (m *Members) Listed(now time.Time, instances []sr.Instance) {
-	m.observe(now)
+	now = m.observe(now)
 	m.list.add(now, m.opts.Linger, instances)
 	m.majorityUntil = now
 	m.marked = false
@@ -154,12 +156,14 @@
 	}
 	m.forget(now)
 	m.cache = nil
-	m.observe(now)
+	m.advance(now)
 }
 
-// Heard takes the answer to the heartbeat that this instance sent at sentAt.
+// Heard takes the answer to a heartbeat of this instance; sentAt is the now for
+// which Heartbeat composed it, or earlier. With a later one, claims could count
+// as answered that the heartbeat did not carry.
 func (m *Members) Heard(now, sentAt time.Time, hb sr.Heartbeat) {
-	m.observe(now)
+	now = m.observe(now)
 	p := m.take(now, hb)
 	if p == nil || sentAt.After(now) || sentAt.Before(m.awake) {
 		return
@@ -167,13 +171,13 @@
 	if sentAt.After(p.proof) {
 		p.proof = sentAt
 	}
-	m.observe(now)
+	m.advance(now)
 }
 
 // Received takes a heartbeat of another instance. It is no proof that the
 // other hears this instance.
 func (m *Members) Received(now time.Time, hb sr.Heartbeat) {
-	m.observe(now)
+	now = m.observe(now)
 	m.take(now, hb)
 }
 
@@ -188,9 +192,9 @@
 // Woke tells that the process was paused: every proof is dropped. A time of a
 // lapse without Takeover counts as a pause too.
 func (m *Members) Woke(now time.Time) {
-	m.observe(now)
+	now = m.observe(now)
 	m.wake(now)
-	m.observe(now)
+	m.advance(now)
 }
 
 // Leave tells that this instance shuts down: it claims nothing more and gives
@@ -204,7 +208,7 @@
 // Heartbeat returns the heartbeat to send at now to any instance, or to answer
 // with. The caller adds Version, Claims, Floors and Held.
 func (m *Members) Heartbeat(now time.Time) sr.Heartbeat {
-	m.observe(now)
+	now = m.observe(now)
 	hb := sr.Heartbeat{From: m.self, Domain: m.domain, Leaving: m.leaves()}
 	for _, p := range m.sorted() {
 		if m.proved(now, p) {
@@ -220,7 +224,7 @@
 
 // Targets returns the addresses to send heartbeats to, in order.
 func (m *Members) Targets(now time.Time) []string {
-	m.observe(now)
+	now = m.observe(now)
 	set := make(map[string]struct{})
 	for _, a := range m.list.published() {
 		set[a] = struct{}{}
@@ -258,9 +262,17 @@
 	return !m.majoritySince.IsZero()
 }
 
-// observe brings the state forward to now. It is called before each input, so
-// that no loss of the majority goes unseen.
-func (m *Members) observe(now time.Time) {
+// observe brings the state forward to now, and returns now, or the latest time
+// seen when now is older. It is called before each input, so that no loss of
+// the majority goes unseen.
+func (m *Members) observe(now time.Time) time.Time {
+	now = later(now, m.latest)
+	m.latest = now
+	m.advance(now)
+	return now
+}
+
+func (m *Members) advance(now time.Time) {
 	if m.born.IsZero() {
 		m.born = now
 		m.awake = now
--- a/internal/state/srmember/members_test.go
+++ b/internal/state/srmember/members_test.go
@@ -93,6 +93,29 @@
 	assert.Assert(t, m.Majority(now))
 }
 
+func TestATakeoverNeedsAnswersToHeartbeatsWithTheClaim(t *testing.T) {
+	m, now := fleet(3)
+	pool := sr.PoolID{Target: "m", Domain: "d0"}
+	exchange := func(sentAt time.Time) Act {
+		for i := 1; i < 3; i++ {
+			m.Heard(now, sentAt, answer(i, sr.Heartbeat{}))
+		}
+		return m.Takeover(now, []sr.PoolID{pool})[0].Act
+	}
+	composed := now
+	assert.Equal(t, exchange(now), ActWait, "the claim is made")
+	now = now.Add(1)
+	assert.Equal(t, exchange(composed), ActWait, "composed before the claim")
+	assert.Equal(t, exchange(now), ActOwn)
+}
+
+func TestTimeDoesNotGoBack(t *testing.T) {
+	m, now := fleet(3)
+	assert.Assert(t, m.Majority(now))
+	assert.Assert(t, !m.Majority(now.Add(m.opts.Lapse)))
+	assert.Assert(t, !m.Majority(now))
+}
+
 func TestARestartedInstanceHasNoVoiceUntilItRemembers(t *testing.T) {
 	m, now := fleet(3)
 	fresh := answer(1, sr.Heartbeat{})
--- a/internal/state/srmember/takeover.go
+++ b/internal/state/srmember/takeover.go
@@ -41,7 +41,7 @@
 // Takeover takes over, keeps and releases pools, and returns what to do in the
 // order of pools. It is called once per heartbeat.
 func (m *Members) Takeover(now time.Time, pools []sr.PoolID) []Turn {
-	m.observe(now)
+	now = m.observe(now)
 	m.ticked = now
 	turns := make([]Turn, 0, len(pools))
 	known := make(map[sr.PoolID]bool, len(pools))
@@ -62,7 +62,7 @@
 
 // Mode returns what this instance may do as the owner of a pool at now.
 func (m *Members) Mode(now time.Time, pool sr.PoolID) sr.PoolMode {
-	m.observe(now)
+	now = m.observe(now)
 	c := m.claims[pool]
 	if c == nil || !c.grants {
 		return sr.PoolMode{}
@@ -76,7 +76,7 @@
 // Yield answers another instance that asks for a pool. When it returns true
 // the pool's state is to be handed over: this instance grants nothing more.
 func (m *Members) Yield(now time.Time, y sr.Yield) bool {
-	m.observe(now)
+	now = m.observe(now)
 	if y.To == m.self || !m.mayYield(now, y) {
 		return false
 	}
@@ -100,7 +100,7 @@
 // Handed tells that from handed a pool over, as asked by a Yield sent at
 // sentAt, and returns what this instance may do now.
 func (m *Members) Handed(now time.Time, pool sr.PoolID, from sr.InstanceID, sentAt time.Time) sr.PoolMode {
-	m.observe(now)
+	now = m.observe(now)
 	c := m.claims[pool]
 	if c == nil {
 		return sr.PoolMode{}
--- a/internal/state/srmember/view.go
+++ b/internal/state/srmember/view.go
@@ -29,14 +29,14 @@
 // included. An instance is live when it or one that hears it was heard within
 // the lapse.
 func (m *Members) Live(now time.Time) []Member {
-	m.observe(now)
+	now = m.observe(now)
 	return m.view(now).live
 }
 
 // Lost returns the instances that died, were replaced or fell silent since the
 // last call.
 func (m *Members) Lost(now time.Time) []sr.InstanceID {
-	m.observe(now)
+	now = m.observe(now)
 	m.cache = nil
 	m.view(now)
 	lost := m.lost
@@ -58,14 +58,14 @@
 // Owner returns the instance that should own a pool; ok is false when every
 // live instance is leaving.
 func (m *Members) Owner(now time.Time, pool sr.PoolID) (id sr.InstanceID, ok bool) {
-	m.observe(now)
+	now = m.observe(now)
 	return m.view(now).owner(pool)
 }
 
 // Holder returns the instance that grants the pool's slots now as far as is
 // known, and else the one that should.
 func (m *Members) Holder(now time.Time, pool sr.PoolID) (id sr.InstanceID, ok bool) {
-	m.observe(now)
+	now = m.observe(now)
 	if m.Mode(now, pool).Own {
 		return m.self, true
 	}
