--- a/internal/state/srmember/members.go
+++ b/internal/state/srmember/members.go
@@ -88,7 +88,7 @@
 }
 
 // Members is what one instance knows of the others. It is used by one
-// goroutine. Now never goes back.
+// goroutine at a time. A now that is older than the latest one counts as that.
 type Members struct {
 	self   sr.InstanceID
 	domain string
@@ -101,11 +101,14 @@
 	// born is when the first input came, awake the same or the last wake-up.
 	born  time.Time
 	awake time.Time
+	// latest is the latest time seen.
+	latest time.Time
 	// ticked is when Takeover was last called.
 	ticked time.Time
 	// majoritySince is when the majority was heard after it was not, zero
-	// without a majority.
+	// without a majority. It need not be counted again before majorityUntil.
 	majoritySince time.Time
+	majorityUntil time.Time
 
 	peers  map[string]*peer
 	list   electorate
@@ -139,8 +142,9 @@
 
 // Listed takes the platform's list of instances.
 func (m *Members) Listed(now time.Time, instances []sr.Instance) {
-	m.observe(now)
+	now = m.observe(now)
 	m.list.add(now, m.opts.Linger, instances)
+	m.majorityUntil = now
 	m.marked = false
 	for _, in := range instances {
 		if in.Address == m.self.Address {
@@ -150,13 +154,16 @@
 			p.listed(in)
 		}
 	}
+	m.forget(now)
 	m.cache = nil
-	m.observe(now)
+	m.advance(now)
 }
 
-// Heard takes the answer to the heartbeat that this instance sent at sentAt.
+// Heard takes the answer to a heartbeat of this instance; sentAt is the now for
+// which Heartbeat composed it, or earlier. With a later one, claims could count
+// as answered that the heartbeat did not carry.
 func (m *Members) Heard(now, sentAt time.Time, hb sr.Heartbeat) {
-	m.observe(now)
+	now = m.observe(now)
 	p := m.take(now, hb)
 	if p == nil || sentAt.After(now) || sentAt.Before(m.awake) {
 		return
@@ -164,13 +171,13 @@
 	if sentAt.After(p.proof) {
 		p.proof = sentAt
 	}
-	m.observe(now)
+	m.advance(now)
 }
 
 // Received takes a heartbeat of another instance. It is no proof that the
 // other hears this instance.
 func (m *Members) Received(now time.Time, hb sr.Heartbeat) {
-	m.observe(now)
+	now = m.observe(now)
 	m.take(now, hb)
 }
 
@@ -185,9 +192,9 @@
 // Woke tells that the process was paused: every proof is dropped. A time of a
 // lapse without Takeover counts as a pause too.
 func (m *Members) Woke(now time.Time) {
-	m.observe(now)
+	now = m.observe(now)
 	m.wake(now)
-	m.observe(now)
+	m.advance(now)
 }
 
 // Leave tells that this instance shuts down: it claims nothing more and gives
@@ -201,7 +208,7 @@
 // Heartbeat returns the heartbeat to send at now to any instance, or to answer
 // with. The caller adds Version, Claims, Floors and Held.
 func (m *Members) Heartbeat(now time.Time) sr.Heartbeat {
-	m.observe(now)
+	now = m.observe(now)
 	hb := sr.Heartbeat{From: m.self, Domain: m.domain, Leaving: m.leaves()}
 	for _, p := range m.sorted() {
 		if m.proved(now, p) {
@@ -217,7 +224,7 @@
 
 // Targets returns the addresses to send heartbeats to, in order.
 func (m *Members) Targets(now time.Time) []string {
-	m.observe(now)
+	now = m.observe(now)
 	set := make(map[string]struct{})
 	for _, a := range m.list.published() {
 		set[a] = struct{}{}
@@ -255,9 +262,17 @@
 	return !m.majoritySince.IsZero()
 }
 
-// observe brings the state forward to now. It is called before each input, so
-// that no loss of the majority goes unseen.
-func (m *Members) observe(now time.Time) {
+// observe brings the state forward to now, and returns now, or the latest time
+// seen when now is older. It is called before each input, so that no loss of
+// the majority goes unseen.
+func (m *Members) observe(now time.Time) time.Time {
+	now = later(now, m.latest)
+	m.latest = now
+	m.advance(now)
+	return now
+}
+
+func (m *Members) advance(now time.Time) {
 	if m.born.IsZero() {
 		m.born = now
 		m.awake = now
@@ -266,6 +281,9 @@
 		m.ticked = now
 		m.wake(now)
 	}
+	if !m.majoritySince.IsZero() && now.Before(m.majorityUntil) {
+		return
+	}
 	if !m.votes(now, m.opts.Lapse, time.Time{}) {
 		m.majoritySince = time.Time{}
 		for _, c := range m.claims {
@@ -276,6 +294,7 @@
 	if m.majoritySince.IsZero() {
 		m.majoritySince = now
 	}
+	m.majorityUntil = m.majorityEnd(now)
 }
 
 func (m *Members) leaves() bool { return m.leaving || m.marked }
@@ -283,6 +302,7 @@
 // wake drops every proof.
 func (m *Members) wake(now time.Time) {
 	m.awake = now
+	m.majorityUntil = now
 	for _, p := range m.peers {
 		p.proof = time.Time{}
 	}
@@ -292,17 +312,39 @@
 // votes reports whether a majority was proved by heartbeats sent after since
 // and less than age ago.
 func (m *Members) votes(now time.Time, age time.Duration, since time.Time) bool {
-	return m.list.majority(now, m.opts.Linger, func(address string) bool {
+	n, size := m.list.tally(now, m.opts.Linger, func(address string) bool {
 		if address == m.self.Address {
-			return now.Sub(m.born) >= m.opts.Quiet()
+			return m.remembers(now, m.born)
 		}
 		p := m.peers[address]
-		if p == nil || p.proof.IsZero() {
-			return false
+		return p != nil && m.remembers(now, p.since) && now.Sub(p.proof) < age && p.proof.After(since)
+	})
+	return 2*n > size
+}
+
+// majorityEnd returns until when the majority that is heard now lasts without
+// further answers.
+func (m *Members) majorityEnd(now time.Time) time.Time {
+	var proofs []time.Time
+	self, size := m.list.tally(now, m.opts.Linger, func(address string) bool {
+		p := m.peers[address]
+		if p != nil && m.remembers(now, p.since) && m.proved(now, p) {
+			proofs = append(proofs, p.proof)
 		}
-		remembers := now.Sub(p.since) >= m.opts.Quiet()
-		return remembers && now.Sub(p.proof) < age && p.proof.After(since)
+		return address == m.self.Address && m.remembers(now, m.born)
 	})
+	needed := size/2 + 1 - self
+	if needed <= 0 {
+		return now.Add(m.opts.Lapse)
+	}
+	slices.SortFunc(proofs, func(a, b time.Time) int { return b.Compare(a) })
+	return proofs[needed-1].Add(m.opts.Lapse)
+}
+
+// remembers reports whether an instance that is up since then has every claim
+// in mind that could matter.
+func (m *Members) remembers(now, since time.Time) bool {
+	return now.Sub(since) >= m.opts.Quiet()
 }
 
 func (m *Members) proved(now time.Time, p *peer) bool {
@@ -330,9 +372,10 @@
 
 func (m *Members) replace(now time.Time, p *peer, id sr.InstanceID) {
 	if p.alive {
-		m.lost = append(m.lost, p.id)
+		m.lose(p.id)
 	}
 	p.replace(now, id)
+	m.majorityUntil = now
 	m.cache = nil
 }
 
@@ -366,6 +409,22 @@
 	return p
 }
 
+// forget drops the instances that are neither listed nor heard of.
+func (m *Members) forget(now time.Time) {
+	for a, p := range m.peers {
+		if !p.alive && !m.list.lists(a) && now.Sub(p.last()) >= m.opts.Forget {
+			delete(m.peers, a)
+		}
+	}
+}
+
+// lose notes a dead instance for Lost.
+func (m *Members) lose(id sr.InstanceID) {
+	if len(m.lost) < m.opts.MaxPeers {
+		m.lost = append(m.lost, id)
+	}
+}
+
 func (m *Members) sorted() []*peer {
 	ps := make([]*peer, 0, len(m.peers))
 	for _, p := range m.peers {
