--- a/internal/proof/srrig/caller.go
+++ b/internal/proof/srrig/caller.go
@@ -122,6 +122,8 @@
 		err := f(ctx, s)
 		if p.wait() && r.pass(p.ID.Address, "caller") && p.Alive() {
 			s.finish(err)
+		} else {
+			s.takeEnd()
 		}
 		done <- s.answer
 	}()
@@ -188,10 +190,17 @@
 		s.answer.Reason = err.Error()
 		return
 	}
-	if n := len(s.answer.Events); n > 0 && s.answer.Events[n-1].Type == sr.EventEnd {
-		s.answer.Outcome = s.answer.Events[n-1].Outcome
-		s.answer.Reason = s.answer.Events[n-1].Reason
+	s.takeEnd()
+}
+
+// takeEnd takes the outcome from the last event, when it came.
+func (s *sink) takeEnd() {
+	n := len(s.answer.Events)
+	if n == 0 || s.answer.Events[n-1].Type != sr.EventEnd {
+		return
 	}
+	s.answer.Outcome = s.answer.Events[n-1].Outcome
+	s.answer.Reason = s.answer.Events[n-1].Reason
 }
 
 func text(s *string) string {
--- a/internal/proof/srrig/order_test.go
+++ b/internal/proof/srrig/order_test.go
@@ -71,14 +71,17 @@
 			time.Sleep(10 * time.Second)
 		},
 		"paused across the order": func(t *testing.T, r *Rig) {
-			r.Process(1).Pause()
-			r.Process(5).Pause()
-			time.Sleep(time.Duration(r.intN(1000)) * time.Millisecond)
-			assert.NilError(t, r.TakeOut("brno-a", true))
-			time.Sleep(time.Duration(2+r.intN(20)) * time.Second)
-			r.Process(1).Wake()
-			r.Process(5).Wake()
-			time.Sleep(10 * time.Second)
+			for n := range 6 {
+				i, j := r.intN(Instances), r.intN(Instances)
+				r.Process(i).Pause()
+				r.Process(j).Pause()
+				time.Sleep(time.Duration(r.intN(1000)) * time.Millisecond)
+				assert.NilError(t, r.TakeOut("brno-a", n%2 == 0))
+				time.Sleep(srhistory.OutBound + time.Duration(r.intN(4000))*time.Millisecond)
+				r.Process(i).Wake()
+				r.Process(j).Wake()
+				time.Sleep(4 * time.Second)
+			}
 		},
 		"undone quickly": func(t *testing.T, r *Rig) {
 			for range 3 {
