Call a view fresh only after exchanges with all peers

Cause: a round of heartbeats leaves out the peers whose last exchange is still on its way, and a round without any peer left counted as an exchange with all. While exchanges hang, also those from before a pause of the process, each second round made the view fresh at once, and a request could be sent to a failure domain that had been taken out meanwhile. Ruled out: marking only rounds with all peers, since two peers that hang in turn would leave none. Change: for each target the begin of its last ended exchange is kept; the view is fresh when each of them lies within the lapse.

--- a/internal/app/srfleet/fleet.go
+++ b/internal/app/srfleet/fleet.go
@@ -72,8 +72,10 @@
 	handovers map[sr.PoolID]handover
 	busy      map[string]bool
 	lastTick  time.Time
-	freshAt   time.Time
-	majority  bool
+	// ended holds when the last exchange with each target began that has
+	// ended, with an answer or without.
+	ended    map[string]time.Time
+	majority bool
 }
 
 // heardNews is a pool's summary and when it came.
@@ -102,6 +104,7 @@
 		news:      make(map[sr.PoolID]heardNews),
 		handovers: make(map[sr.PoolID]handover),
 		busy:      make(map[string]bool),
+		ended:     make(map[string]time.Time),
 	}
 }
 
@@ -202,8 +205,8 @@
 	return f.floors.State(time.Now(), target)
 }
 
-// Fresh returns once a round of heartbeats has ended within the lapse and no
-// live instance is known to have a newer manifest.
+// Fresh returns once an exchange with each target that began within the lapse
+// has ended and no live instance is known to have a newer manifest.
 func (f *Fleet) Fresh(ctx context.Context) error {
 	limit := time.Now().Add(f.deps.Lapse)
 	for {
@@ -224,7 +227,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	seen = !f.freshAt.IsZero() && now.Sub(f.freshAt) < f.deps.Lapse
+	seen = !f.lastTick.IsZero()
+	for _, address := range f.members.Targets(now) {
+		at, ok := f.ended[address]
+		seen = seen && ok && now.Sub(at) < f.deps.Lapse
+	}
 	return seen, f.deps.Store.CaughtUp(f.members.Versions(now))
 }
 
--- a/internal/app/srfleet/round.go
+++ b/internal/app/srfleet/round.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,7 +58,7 @@
 	defer f.mu.Unlock()
 	if !f.lastTick.IsZero() && now.Sub(f.lastTick) > f.deps.Lapse {
 		f.members.Woke(now)
-		f.freshAt = time.Time{}
+		clear(f.ended)
 		f.count("pauses")
 		f.deps.Log.Info("process was paused", "for", now.Sub(f.lastTick).String())
 	}
@@ -66,28 +68,20 @@
 // sendAll sends a heartbeat to each target that has none on its way.
 func (f *Fleet) sendAll(ctx context.Context, now time.Time, wg *sync.WaitGroup) {
 	hb := f.compose(now)
-	targets := f.takeTargets(now)
-	var round sync.WaitGroup
-	for _, address := range targets {
-		round.Add(1)
-		wg.Go(func() {
-			defer round.Done()
-			f.exchange(ctx, address, hb, now)
-		})
-	}
-	wg.Go(func() {
-		round.Wait()
-		f.markFresh(now)
-	})
+	for _, address := range f.takeTargets(now) {
+		wg.Go(func() { f.exchange(ctx, address, hb, now) })
+	}
 }
 
 // takeTargets returns the targets without a heartbeat on its way and marks
-// them.
+// them. Exchanges with what is no target any longer are forgotten.
 func (f *Fleet) takeTargets(now time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var targets []string
-	for _, address := range f.members.Targets(now) {
+	all := f.members.Targets(now)
+	maps.DeleteFunc(f.ended, func(address string, _ time.Time) bool { return !slices.Contains(all, address) })
+	for _, address := range all {
 		if f.busy[address] {
 			continue
 		}
@@ -97,14 +91,6 @@
 	return targets
 }
 
-func (f *Fleet) markFresh(started time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if started.After(f.freshAt) {
-		f.freshAt = started
-	}
-}
-
 // exchange sends one heartbeat, composed at sent, and takes its answer.
 func (f *Fleet) exchange(ctx context.Context, address string, hb sr.Heartbeat, sent time.Time) {
 	callCtx, cancel := context.WithTimeout(ctx, f.deps.Lapse/4)
@@ -113,6 +99,7 @@
 	now := time.Now()
 	f.mu.Lock()
 	delete(f.busy, address)
+	f.ended[address] = sent
 	if err != nil {
 		f.members.Failed(now, address)
 		f.mu.Unlock()
