Separate what restarts of cold endpoints can prove from what they cannot

A restarted engine bears less from that moment on, and its owner learns of it with the next load report. The test restarted engines in the instant in which it sent a burst; now the engines restart idle, and with a full batch. A top tier that fits beside preemptable work is asserted not to be shed.

--- a/internal/proof/srhistory/history.go
+++ b/internal/proof/srhistory/history.go
@@ -33,6 +33,8 @@
 	Body       string
 	Tokens     int
 	Repeatable bool
+	// Budget is the time in which the answer is of use, 0 for the tier's.
+	Budget time.Duration
 }
 
 // Arrival is a request that reached an endpoint.
--- a/internal/proof/srrig/caller.go
+++ b/internal/proof/srrig/caller.go
@@ -89,7 +89,7 @@
 			return s.call(ctx, q)
 		}
 		return p.caller.Generate(ctx, &requests.GeneratePayload{
-			Key: bearer(q.Workspace), Ticket: &q.Ticket, Model: q.Target, Prompt: q.Body, Tokens: q.Tokens, Tier: &tiers[q.Tier],
+			Key: bearer(q.Workspace), Ticket: &q.Ticket, Model: q.Target, Prompt: q.Body, Tokens: q.Tokens, Tier: &tiers[q.Tier], Deadline: int(q.Budget.Milliseconds()),
 		}, s)
 	})
 }
--- a/internal/proof/srrig/cold_test.go
+++ b/internal/proof/srrig/cold_test.go
@@ -64,9 +64,16 @@
 		"cold again": func(_ *testing.T, r *Rig, wg *sync.WaitGroup) {
 			time.Sleep(15 * time.Second)
 			for n := range 4 {
-				restart(r)
+				time.Sleep(10 * time.Second)
 				burst(r, wg, fmt.Sprintf("again %d", n), 60, everyone)
 			}
+			for n := range 4 {
+				for k, body := range Bodies(fmt.Sprintf("running %d", n), 120) {
+					wg.Go(func() { r.Ask(ModelRequest(body, 1, 150), k%Instances) })
+				}
+				time.Sleep(time.Second)
+				restart(r)
+			}
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/proof/srrig/tier_test.go
+++ b/internal/proof/srrig/tier_test.go
@@ -59,3 +59,23 @@
 		}, srhistory.Shed(shedWindow))
 	})
 }
+
+func TestTopTierThatFitsIsNotShedForLowerOnes(t *testing.T) {
+	seeded(t, func(t *testing.T, seed uint64) {
+		engine := srengine.DefaultConfig()
+		engine.Slots = 2
+		run(t, Options{Seed: seed, Engine: engine}, func(t *testing.T, r *Rig) {
+			var wg sync.WaitGroup
+			wg.Go(func() { flood(r, &wg, "batch", 3, 200, 100*time.Millisecond, everyone) })
+			time.Sleep(5 * time.Second)
+			for _, body := range Bodies("dawn", 30) {
+				q := ModelRequest(body, 1, 50)
+				q.Budget = 5 * time.Second
+				wg.Go(func() { r.Ask(q, int(seed)%Instances) })
+				time.Sleep(300 * time.Millisecond)
+			}
+			wg.Wait()
+			assert.Equal(t, outcomes(r, 1)[sr.OutcomeNotRun], 0)
+		}, srhistory.Shed(shedWindow))
+	})
+}
