Prove tiers behind a slow failure domain

The earlier tests of tiers pass also without floors, since every pool has to refuse a request before it is shed. This one fails without them.

--- a/internal/proof/srrig/tier_test.go
+++ b/internal/proof/srrig/tier_test.go
@@ -79,3 +79,40 @@
 		}, srhistory.Shed(shedWindow))
 	})
 }
+
+func TestTopTierIsNotShedBehindASlowDomainWhileOthersServeLowerOnes(t *testing.T) {
+	seeded(t, func(t *testing.T, seed uint64) {
+		engine := srengine.DefaultConfig()
+		engine.Slots = 2
+		run(t, Options{Seed: seed, Engine: engine}, func(t *testing.T, r *Rig) {
+			var wg sync.WaitGroup
+			wg.Go(func() { flood(r, &wg, "batch", 3, 400, 50*time.Millisecond, everyone) })
+			time.Sleep(2 * time.Second)
+			for n := range 4 {
+				for _, body := range Bodies(fmt.Sprintf("dawn %d", n), 120) {
+					q := ModelRequest(body, 1, 50)
+					q.Budget = 7 * time.Second
+					wg.Go(func() { r.Ask(q, r.intN(Instances)) })
+				}
+				time.Sleep(300 * time.Millisecond)
+				slow := r.manifest.models[r.intN(runners)].Domain
+				speed(t, r, slow, 0.02)
+				time.Sleep(4 * time.Second)
+				speed(t, r, slow, 1)
+			}
+			wg.Wait()
+	DEL
+			assert.Check(t, outcomes(r, 1)[sr.OutcomeNotRun] > 0, "the load was too small to shed")
+		}, srhistory.Shed(shedWindow))
+	})
+}
+
+// speed sets the speed of the engines of a domain.
+func speed(t *testing.T, r *Rig, domain string, factor float64) {
+	t.Helper()
+	for _, e := range r.manifest.models {
+		if e.Domain == domain {
+			assert.NilError(t, r.Engines.Engine(e.Address).SetSpeed(factor))
+		}
+	}
+}
