--- a/internal/app/srentry/submit.go
+++ b/internal/app/srentry/submit.go
@@ -49,6 +49,8 @@
 		return e.Submit(ctx, s)
 	}
 	e.count("relays")
+	e.callers.Add(1)
+	defer e.callers.Add(-1)
 	return e.relay(ctx, t.Issuer, s)
 }
 
@@ -79,6 +81,8 @@
 // Submit starts a request whose ticket was issued here. A ticket that is
 // already in use joins its request.
 func (e *Entry) Submit(_ context.Context, s sr.Submission) (sr.Status, error) {
+	e.accepting.RLock()
+	defer e.accepting.RUnlock()
 	now := time.Now()
 	if r, ok := e.table.Get(s.Ticket); ok {
 		return e.join(r, s)
--- a/internal/app/srfleet/fleet.go
+++ b/internal/app/srfleet/fleet.go
@@ -147,6 +147,16 @@
 	return f.members.Versions(time.Now())
 }
 
+// Watches reports whether this instance is one of the readers of its region
+// that hold a watch on the manifest.
+func (f *Fleet) Watches(readers int) bool {
+	m, _ := f.deps.Store.Current()
+	region := func(domain string) string { return m.Domains[domain].Region }
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.Watches(time.Now(), region, readers)
+}
+
 // Leave tells the others that this instance shuts down.
 func (f *Fleet) Leave() {
 	f.mu.Lock()
--- a/internal/app/srserve/instance.go
+++ b/internal/app/srserve/instance.go
@@ -69,7 +69,7 @@
 type Instance struct {
 	deps   Deps
 	store  *srmanifest.Store
-	reader tmpReader
+	reader *srmanifest.Reader
 	entry  *srentry.Entry
 	owners *srowner.Owners
 	fleet  *srfleet.Fleet
@@ -101,7 +101,10 @@
 		started: time.Now(),
 	}
 	i.deps.Peers = localPeers{self: deps.Self.Address, local: i, remote: deps.Peers}
-	i.reader = tmpReader{deps.Platform, i.store, deps.Settings.Root}
+	i.reader = srmanifest.NewReader(deps.Platform, i.store, srmanifest.ReaderOptions{
+		Root:    deps.Settings.Root,
+		Watches: func() bool { return i.fleet.Watches(deps.Settings.Readers) },
+	})
 	i.owners = i.newOwners()
 	i.fleet = i.newFleet()
 	i.entry = i.newEntry(issuer)
@@ -169,7 +172,7 @@
 // read their answers. Pools that nobody takes are given up after a while.
 func (i *Instance) waitForHandover(ctx context.Context) error {
 	limit := time.Now().Add(2 * i.deps.Settings.Lapse)
-	for i.entry.Count().Readers > 0 || len(i.owners.Owned()) > 0 && time.Now().Before(limit) {
+	for i.entry.Callers() > 0 || i.entry.Count().Readers > 0 || len(i.owners.Owned()) > 0 && time.Now().Before(limit) {
 		if err := pause(ctx, drainPoll); err != nil {
 			return err
 		}
@@ -199,7 +202,7 @@
 	for {
 		select {
 		case b := <-i.behind:
-			if err := i.reader.Fetch(ctx, i.deps.Peers.Peer(b.address), b.version); err != nil {
+			if _, err := i.store.Follow(ctx, i.deps.Peers.Peer(b.address), b.version); err != nil {
 				i.count("manifests.fetch.failed")
 			}
 		case <-ctx.Done():
--- a/internal/peer/srcaller/deliver.go
+++ b/internal/peer/srcaller/deliver.go
@@ -38,9 +38,9 @@
 		case status.State == sr.StateUnknown:
 			return send(ctx, unknownEnd(sent, status.Reason))
 		case status.State == sr.StateIssued:
-			return newProblem("missing", "the ticket was not used yet", sr.OutcomeNotRun)
+			return newProblem("missing", "the ticket was not used yet; its request may still arrive", sr.OutcomeUnknown)
 		case status.State == sr.StateEnded && sent == 0 && status.Outcome == sr.OutcomeComplete:
-			return newProblem("expired", "the answer was complete and is not kept any longer", sr.OutcomeComplete)
+			return notKept()
 		case status.State == sr.StateEnded && sent == 0:
 			return problemOfStatus(status)
 		case status.State == sr.StateEnded:
@@ -65,6 +65,9 @@
 		if status.Outcome == sr.OutcomeNotRun {
 			return nil, problemOfStatus(status)
 		}
+		if status.Trimmed && status.Outcome == sr.OutcomeComplete {
+			return nil, notKept()
+		}
 		return &requests.CallResult{
 			Ticket:   ticket,
 			Outcome:  string(status.Outcome),
@@ -76,6 +79,11 @@
 	}
 }
 
+// notKept refuses the answer of a request that ended long ago.
+func notKept() *requests.Problem {
+	return newProblem("expired", "the answer was complete and is not kept any longer", sr.OutcomeComplete)
+}
+
 func newEvent(e sr.Event) *requests.Event {
 	data := &requests.EventData{
 		Ticket:   optional(e.Ticket),
--- a/internal/peer/srcaller/problem.go
+++ b/internal/peer/srcaller/problem.go
@@ -51,6 +51,17 @@
 	return &requests.Problem{Name: name, Reason: reason, Outcome: string(outcome)}
 }
 
+// ofTicket changes the refusal of an instance without a manifest, which came
+// before the ticket was looked at: its request may have run through another
+// instance.
+func ofTicket(err error, ticket *string) error {
+	var p *requests.Problem
+	if value(ticket) == "" || !errors.As(err, &p) || p.Name != "overloaded" {
+		return err
+	}
+	return newProblem(p.Name, p.Reason, sr.OutcomeUnknown)
+}
+
 // problemOf turns an error of the entry into a refusal.
 func problemOf(err error) *requests.Problem {
 	for _, p := range problemNames {
--- a/internal/state/srrequest/request.go
+++ b/internal/state/srrequest/request.go
@@ -229,5 +229,6 @@
 	if r.status.State == sr.StateEnded && r.readers == 0 && now.After(r.ended.Add(retain)) {
 		r.events = nil
 		r.status.Body = ""
+		r.status.Trimmed = true
 	}
 }
--- a/internal/state/srrequest/table.go
+++ b/internal/state/srrequest/table.go
@@ -16,7 +16,10 @@
 
 	mu       sync.Mutex
 	requests map[string]*Request
-	number   uint64
+	// swept is the latest time of a sweep: no record of a ticket that had
+	// expired by then is sure to be kept.
+	swept  time.Time
+	number uint64
 }
 
 // New returns a Table of at most maxRequests records with at most maxEvents
@@ -31,7 +34,8 @@
 
 // Begin records a request under its ticket. A ticket that is in use returns
 // its record with created false, ErrConflict when it is used for a different
-// request. ErrOverloaded means that the table is full.
+// request. ErrOverloaded means that the table is full, ErrExpired that the
+// ticket's record may have been removed.
 func (t *Table) Begin(now time.Time, ticket string, expires time.Time, req sr.Request) (r *Request, created bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -44,6 +48,9 @@
 	if len(t.requests) >= t.maxRequests {
 		return nil, false, errors.Wrapf(sr.ErrOverloaded, "srrequest: %d requests are on record", len(t.requests))
 	}
+	if t.swept.After(expires) {
+		return nil, false, errors.Wrap(sr.ErrExpired, "srrequest: begin")
+	}
 	t.number++
 	r = &Request{
 		Ticket:    ticket,
@@ -72,6 +79,9 @@
 func (t *Table) Sweep(now time.Time, retain time.Duration) (removed int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.After(t.swept) {
+		t.swept = now
+	}
 	for ticket, r := range t.requests {
 		if r.removable(now, retain) {
 			delete(t.requests, ticket)
--- a/request.go
+++ b/request.go
@@ -135,6 +135,8 @@
 	// Code and Body are the answer of a plain service.
 	Code int
 	Body string
+	// Trimmed reports whether the answer is not kept any longer.
+	Trimmed bool
 	// Retry is when a refused caller may come back, 0 when it should not.
 	Retry time.Duration
 }
