Prove fair shares, and revoke nothing for a tier that is held back

An ask below a floor can't be granted, so a revoke for its first token only cut lower work. Shares are now checked against the bound of start-time fair queueing while all workspaces have a backlog.

--- a/internal/policy/srslot/ask.go
+++ b/internal/policy/srslot/ask.go
@@ -32,6 +32,8 @@
 
 func (p *Pool) enqueue(now time.Time, a sr.Ask) {
 	a.Tier = p.clampTier(a.Tier)
+	a.Work.Prefill = max(a.Work.Prefill, 0)
+	a.Work.Decode = max(a.Work.Decode, 0)
 	p.seq++
 	w := &waiter{
 		ask:      a,
--- a/internal/policy/srslot/pool_test.go
+++ b/internal/policy/srslot/pool_test.go
@@ -1,12 +1,18 @@
 package srslot_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srslot"
@@ -172,6 +178,17 @@
 	assert.Equal(t, r.refuse["a0"].Name, "withdrawn")
 }
 
+func TestWaitedCountsFromTheLastRepeat(t *testing.T) {
+	r := newRig(t, srslot.Options{}, "e1")
+	r.ask(5, "a", 1)
+	r.tick(time.Second)
+	r.Ask(r.now, ask("a4", 1))
+	r.tick(2 * time.Second)
+	r.release("a0", sr.ReleaseDone)
+	r.tick(0)
+	assert.Equal(t, r.grants["a4"].Waited, 2*time.Second, "the holder adds it to the time of its last ask")
+}
+
 func TestHeldFreesOnlyExpiredLeases(t *testing.T) {
 	r := newRig(t, srslot.Options{HeldDelay: time.Second}, "e1")
 	r.ask(4, "a", 1)
@@ -335,6 +352,18 @@
 	assert.Equal(t, len(r.refuse), 2)
 }
 
+func TestDumpIsReadable(t *testing.T) {
+	r := newRig(t, srslot.Options{}, "e1", "e2")
+	r.ask(9, "a", 1)
+	r.tick(time.Second)
+	r.HolderLost(r.now, other)
+	r.report("e1", "s1", 4)
+	r.report("e2", "s2", 5)
+	text, err := json.MarshalIndent(r.Dump(r.now.Add(time.Second)), "", "  ")
+	assert.NilError(t, err)
+	golden.Assert(t, string(text)+"\n", "dump.golden")
+}
+
 func TestAvoidedEndpointIsNotChosen(t *testing.T) {
 	r := newRig(t, srslot.Options{}, "e1", "e2")
 	a := ask("a", 1)
@@ -373,6 +402,87 @@
 	assert.Assert(t, hog > 80, "without fair shares: hog %d, light %d", hog, light)
 }
 
+func TestBacklogsAreServedWithinOneRequestOfTheirShares(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const rounds = 100
+		r := newRig(t, srslot.Options{Queue: 5 * rounds}, "e1")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		n := 2 + rng.IntN(3)
+		share, served, most := make([]float64, n), make([]float64, n), make([]float64, n)
+		cost := make(map[string]float64)
+		for i := range n * rounds {
+			w := i % n
+			share[w] = float64(1 + w*w)
+			a := ask(fmt.Sprint(i), 2)
+			a.Workspace, a.Share, a.Budget, a.First = fmt.Sprint(w), share[w], 0, 0
+			a.Work = sr.Work{Decode: 1 + rng.IntN(100)}
+			cost[a.ID] = float64(a.Work.Decode) / share[w]
+			most[w] = max(most[w], cost[a.ID])
+			r.Ask(r.now, a)
+		}
+		for range rounds - 4 {
+			r.tick(0)
+			for id := range r.grants {
+				i, _ := strconv.Atoi(id)
+				served[i%n] += cost[id]
+				cost[id] = 0
+			}
+			for i := range n {
+				for j := range n {
+					assert.Assert(rt, served[i]-served[j] <= most[i]+most[j], "%v %v", served, most)
+				}
+			}
+			id := slices.Min(slices.Collect(maps.Keys(r.grants)))
+			r.release(id, sr.ReleaseDone)
+			delete(r.grants, id)
+		}
+	})
+}
+
+func TestIdleWorkspaceGathersNoCredit(t *testing.T) {
+	r := newRig(t, srslot.Options{}, "e1")
+	flood := func(workspace string, n int) {
+		for i := range n {
+			a := ask(fmt.Sprintf("%s%d", workspace, i), 2)
+			a.Workspace, a.Budget, a.First = workspace, 0, 0
+			r.Ask(r.now, a)
+		}
+	}
+	serve := func(n int) (light int) {
+		for range n {
+			r.tick(0)
+			id := slices.Min(slices.Collect(maps.Keys(r.grants)))
+			r.release(id, sr.ReleaseDone)
+			delete(r.grants, id)
+			if id[0] == 'l' {
+				light++
+			}
+		}
+		return light
+	}
+	flood("light", 1)
+	flood("hog", 200)
+	serve(80)
+	flood("light", 50)
+	light := serve(20)
+	assert.Assert(t, light <= 12, "%d of 20", light)
+}
+
+func TestNothingIsRevokedForATierThatAFloorHoldsBack(t *testing.T) {
+	r := newRig(t, srslot.Options{}, "e1")
+	r.ask(4, "low", lowest)
+	r.tick(0)
+	r.SetFloor(r.now, sr.FloorState{InForce: 1})
+	a := ask("mid", 2)
+	a.First = time.Millisecond
+	r.Ask(r.now, a)
+	r.tick(time.Second)
+	assert.Equal(t, len(r.revoke), 0)
+	r.SetFloor(r.now, sr.FloorState{})
+	r.tick(time.Second)
+	assert.Assert(t, len(r.revoke) > 0)
+}
+
 // serveTwo returns how many of 100 grants go to a workspace that asks for ten
 // times as much as the other.
 func serveTwo(t *testing.T, opts srslot.Options) (hog, light int) {
--- a/internal/policy/srslot/preempt.go
+++ b/internal/policy/srslot/preempt.go
@@ -41,7 +41,7 @@
 // serves reports whether an ask could use a lease's slot.
 func (p *Pool) serves(now time.Time, l *lease, w *waiter) bool {
 	e := l.endpoint
-	if slices.Contains(w.ask.Avoid, e.spec.Name) {
+	if slices.Contains(w.ask.Avoid, e.spec.Name) || !p.mayGrant(now, w.ask.Tier) {
 		return false
 	}
 	return e.taken() <= p.limitAt(now, e)
--- a/internal/policy/srslot/queue.go
+++ b/internal/policy/srslot/queue.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"container/list"
+	"math"
 	"slices"
 	"time"
 
@@ -239,8 +240,8 @@
 }
 
 func shareOf(a sr.Ask) float64 {
-	if a.Share <= 0 {
-		return 1
+	if a.Share > 0 && !math.IsInf(a.Share, 1) {
+		return a.Share
 	}
-	return a.Share
+	return 1
 }
--- a/internal/policy/srslot/world_test.go
+++ b/internal/policy/srslot/world_test.go
@@ -364,8 +364,11 @@
 	if g.running {
 		r.Total = w.now.Sub(g.started)
 	}
-	late := time.Duration(w.pick(int(worldDelay/time.Millisecond))) * time.Millisecond
-	w.releases = append(w.releases, pendingRelease{at: w.now.Add(late), r: r})
+	w.releases = append(w.releases, pendingRelease{at: w.now.Add(w.transit()), r: r})
+}
+
+func (w *world) transit() time.Duration {
+	return time.Duration(w.pick(int(worldDelay/time.Millisecond))) * time.Millisecond
 }
 
 func (w *world) wait() {
@@ -423,7 +426,8 @@
 	for len(w.reports) > 0 && w.reports[0].taken.Equal(taken) {
 		r := w.reports[0]
 		w.reports = w.reports[1:]
-		r.load.Age = w.now.Sub(r.taken)
+		// The time on the network is not part of the age.
+		r.load.Age = max(0, w.now.Sub(r.taken)-w.transit())
 		w.pool.Report(w.now, r.endpoint, r.load)
 	}
 }
