Let load reports clear leases that no holder lists

An ask that arrived after its holder was declared lost was granted a lease that nobody would ever end, since neither a list nor another loss would come. A lease that its holder has not listed for a while is now compared with load reports like an orphan; it stays counted, revocable and its holder's until a report taken later shows it gone, and is the holder's alone again once listed.

--- a/internal/policy/srslot/endpoint.go
+++ b/internal/policy/srslot/endpoint.go
@@ -97,3 +97,20 @@
 	}
 	e.unsee(l)
 }
+
+// reclaim counts a lease by its name alone again, since its holder has it.
+func (e *endpoint) reclaim(l *lease) {
+	if l.orphan {
+		l.orphan = false
+		e.orphans--
+	}
+}
+
+// doubt lets reports clear the leases that no holder has listed since a time.
+func (e *endpoint) doubt(now, since time.Time) {
+	for _, l := range e.leases {
+		if !l.orphan && l.listed.Before(since) && l.startBy.Before(now) {
+			e.orphanise(l, now)
+		}
+	}
+}
--- a/internal/policy/srslot/lease.go
+++ b/internal/policy/srslot/lease.go
@@ -12,6 +12,8 @@
 	ask     sr.Ask
 	grant   sr.Lease
 	granted time.Time
+	// listed is when the holder last listed it, at first the time of the grant.
+	listed time.Time
 	// startBy is the end of the lease's TTL.
 	startBy  time.Time
 	endpoint *endpoint
@@ -30,8 +32,8 @@
 	// revoked is when the holder was last told to cut it, zero for never.
 	revoked    time.Time
 	revokedFor sr.Tier
-	// listed, prev and next are the place in its tier's leaseList.
-	listed     bool
+	// linked, prev and next are the place in its tier's leaseList.
+	linked     bool
 	prev, next *lease
 }
 
@@ -42,7 +44,7 @@
 }
 
 func (l *leaseList) push(x *lease) {
-	x.prev, x.next, x.listed = l.last, nil, true
+	x.prev, x.next, x.linked = l.last, nil, true
 	if l.last == nil {
 		l.first = x
 	} else {
@@ -53,7 +55,7 @@
 }
 
 func (l *leaseList) remove(x *lease) {
-	if !x.listed {
+	if !x.linked {
 		return
 	}
 	if x.prev == nil {
@@ -66,12 +68,13 @@
 	} else {
 		x.next.prev = x.prev
 	}
-	x.prev, x.next, x.listed = nil, nil, false
+	x.prev, x.next, x.linked = nil, nil, false
 	l.n--
 }
 
 // addLease counts a lease against its endpoint.
 func (p *Pool) addLease(e *endpoint, l *lease) {
+	l.listed = l.granted
 	e.add(l)
 	p.leases[l.id] = l
 	if l.orphan {
@@ -187,7 +190,12 @@
 		named[id] = struct{}{}
 	}
 	for id, l := range held {
-		if _, ok := named[id]; ok || now.Before(l.startBy.Add(p.opts.HeldDelay)) {
+		if _, ok := named[id]; ok {
+			l.listed = now
+			l.endpoint.reclaim(l)
+			continue
+		}
+		if now.Before(l.startBy.Add(p.opts.HeldDelay)) {
 			continue
 		}
 		if !l.adopted {
--- a/internal/policy/srslot/options.go
+++ b/internal/policy/srslot/options.go
@@ -11,6 +11,7 @@
 const (
 	defaultGrantTTL    = time.Second
 	defaultHeldDelay   = time.Second
+	defaultUnlisted    = 30 * time.Second
 	defaultNetDelay    = 250 * time.Millisecond
 	defaultBlindWait   = 10 * time.Second
 	defaultFloorEvery  = 500 * time.Millisecond
@@ -36,6 +37,9 @@
 	// HeldDelay is the longest time between the making and the arrival of a
 	// holder's list of leases.
 	HeldDelay time.Duration
+	// Unlisted is how long a holder may leave a lease out of its lists, or send
+	// none, before load reports decide whether the lease still runs.
+	Unlisted time.Duration
 	// NetDelay is the longest time that a load report or a release takes to
 	// arrive: what they say about a time is sure only beyond it.
 	NetDelay time.Duration
@@ -103,6 +107,7 @@
 func (o Options) withDefaults() Options {
 	orDuration(&o.GrantTTL, defaultGrantTTL)
 	orDuration(&o.HeldDelay, defaultHeldDelay)
+	orDuration(&o.Unlisted, defaultUnlisted)
 	orDuration(&o.NetDelay, defaultNetDelay)
 	orDuration(&o.BlindWait, defaultBlindWait)
 	orDuration(&o.FloorEvery, defaultFloorEvery)
--- a/internal/policy/srslot/pool_test.go
+++ b/internal/policy/srslot/pool_test.go
@@ -203,6 +203,24 @@
 	assert.Equal(t, len(r.grants), 5)
 }
 
+func TestReportsClearLeasesThatNoHolderLists(t *testing.T) {
+	r := newRig(t, srslot.Options{Unlisted: 10 * time.Second}, "e1")
+	r.ask(3, "a", 1)
+	r.tick(20 * time.Second)
+	r.Held(r.now, holder, []sr.LeaseID{r.grants["a0"].ID, r.grants["a1"].ID, r.grants["a2"].ID})
+	r.tick(8 * time.Second)
+	r.report("e1", "s1", 1)
+	r.tick(time.Second)
+	r.report("e1", "s1", 1)
+	assert.Equal(t, r.Dump(r.now).Endpoints[0].Leases, 3, "the holder had them 9 s ago")
+	r.tick(10 * time.Second)
+	r.report("e1", "s1", 0)
+	r.tick(time.Second)
+	r.report("e1", "s1", 0)
+	d := r.Dump(r.now).Endpoints[0]
+	assert.Equal(t, d.Leases+d.Orphans, 0)
+}
+
 func TestOrphansOfABusyEndpointAreClearedByLaterReleases(t *testing.T) {
 	r := newRig(t, srslot.Options{}, "e1")
 	lost := ask("lost", 1)
--- a/internal/policy/srslot/world_test.go
+++ b/internal/policy/srslot/world_test.go
@@ -73,6 +73,7 @@
 	opts.GrantTTL = worldTTL
 	opts.HeldDelay = worldDelay
 	opts.NetDelay = worldDelay
+	opts.Unlisted = time.Second
 	opts.ShedHold = worldHold
 	opts.Queue = worldQueue
 	opts.Warm.Step = 2
@@ -457,6 +458,12 @@
 	w.releases = slices.DeleteFunc(w.releases, func(x pendingRelease) bool { return x.r.Holder == h })
 	w.holders[i].Incarnation++
 	w.pool.HolderLost(w.now, h)
+	w.tick()
+	for _, a := range w.open {
+		if a.Holder == h {
+			w.fail("ask %s waits for a lost holder", a.ID)
+		}
+	}
 }
 
 // restart ends all that runs at an endpoint.
