--- a/internal/policy/srslot/options.go
+++ b/internal/policy/srslot/options.go
@@ -10,6 +10,7 @@
 // Defaults of Options.
 const (
 	defaultGrantTTL    = time.Second
+	defaultUnlisted    = 30 * time.Second
 	defaultNetDelay    = 250 * time.Millisecond
 	defaultBlindWait   = 10 * time.Second
 	defaultFloorEvery  = 500 * time.Millisecond
@@ -32,6 +33,9 @@
 type Options struct {
 	// GrantTTL is how long after its grant a lease may be started.
 	GrantTTL time.Duration
+	// Unlisted is how long a holder may leave a lease out of its lists, or send
+	// none, before load reports decide whether the lease still runs.
+	Unlisted time.Duration
 	// NetDelay is the longest time that a load report or a release takes to
 	// arrive: what they say about a time is sure only beyond it.
 	NetDelay time.Duration
@@ -98,6 +102,7 @@
 
 func (o Options) withDefaults() Options {
 	orDuration(&o.GrantTTL, defaultGrantTTL)
+	orDuration(&o.Unlisted, defaultUnlisted)
 	orDuration(&o.NetDelay, defaultNetDelay)
 	orDuration(&o.BlindWait, defaultBlindWait)
 	orDuration(&o.FloorEvery, defaultFloorEvery)
