Divide prefixes by their share of their workspace's asks

Cause: under a flood the sessions of a small workspace stayed whole per template, since a template's share of all asks was small; one pool got most of the workspace, and its fair share there was less than it asked for.

Change: the bound of a common prefix is relative to the workspace's asks.

--- a/internal/policy/srroute/picker.go
+++ b/internal/policy/srroute/picker.go
@@ -36,7 +36,7 @@
 	pickTie = 0.01
 	// keyShare is the part of a pool's even share of the asks that a prefix
 	// may have to be kept in one pool.
-	keyShare = 0.5
+	keyShare = 1.0
 )
 
 // PickerOptions configures a Picker. Zero values take the defaults.
@@ -128,7 +128,7 @@
 func (k *Picker) Asked(now time.Time, a sr.Ask, id sr.PoolID) {
 	p := k.open(id)
 	p.asked.add(k.since(now))
-	k.traffic.add(a.Blocks)
+	k.traffic.add(xxhash.Sum64String(a.Workspace), a.Blocks)
 	if k.prefixes == nil {
 		return
 	}
@@ -245,7 +245,7 @@
 	if k.prefixes == nil || len(a.Blocks) == 0 {
 		return sr.PoolID{}
 	}
-	key := k.traffic.key(a.Blocks, keyShare/float64(max(1, len(news))))
+	key := k.traffic.key(xxhash.Sum64String(a.Workspace), a.Blocks, keyShare/float64(max(1, len(news))))
 	var best sr.PoolID
 	least := math.Inf(1)
 	for _, n := range news {
--- a/internal/policy/srroute/traffic.go
+++ b/internal/policy/srroute/traffic.go
@@ -18,16 +18,21 @@
 	asks  int
 }
 
-func (s *traffic) add(blocks []uint64) {
+func (s *traffic) add(workspace uint64, blocks []uint64) {
 	if s.asks >= trafficAsks {
 		s.halve()
 	}
 	s.asks++
+	s.increment(workspace)
 	for i := 0; i < len(blocks); i = 2*i + 1 {
-		for row := range s.cells {
-			c := &s.cells[row][cell(blocks[i], row)]
-			*c += 1 - *c>>15
-		}
+		s.increment(blocks[i])
+	}
+}
+
+func (s *traffic) increment(key uint64) {
+	for row := range s.cells {
+		c := &s.cells[row][cell(key, row)]
+		*c += 1 - *c>>15
 	}
 }
 
@@ -48,10 +53,10 @@
 	return int(least)
 }
 
-// key returns the first block of the chain with at most share of the asks, so
-// that a common prefix is divided by what follows it.
-func (s *traffic) key(blocks []uint64, share float64) uint64 {
-	bound := max(trafficLeast, int(share*float64(s.asks)))
+// key returns the first block of the chain with at most share of the asks of
+// its workspace, so that a common prefix is divided by what follows it.
+func (s *traffic) key(workspace uint64, blocks []uint64, share float64) uint64 {
+	bound := max(trafficLeast, int(share*float64(s.count(workspace))))
 	for i := 0; i < len(blocks); i = 2*i + 1 {
 		if s.count(blocks[i]) <= bound {
 			return blocks[i]
