Show incarnations as text in dumps and withdraw only lost asks

Cause: a dump of the running demo showed incarnations rounded by JSON readers and its own version as 0; its metrics counted 119 failed withdrawals of asks that an instance had refused because it did not own the pool. Change: the dump has its own member type; an ask is withdrawn only when its answer was lost or its request has ended.

--- a/internal/app/srcli/ask.go
+++ b/internal/app/srcli/ask.go
@@ -1,6 +1,7 @@
 package srcli
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -113,11 +114,10 @@
 }
 
 func printJSON(w io.Writer, body []byte) error {
-	var v any
-	if err := json.Unmarshal(body, &v); err != nil {
+	var b bytes.Buffer
+	if err := json.Indent(&b, body, "", "  "); err != nil {
 		return errors.Wrap(err, "srcli: answer of the instance")
 	}
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(v)
+	_, err := fmt.Fprintln(w, b.String())
+	return err
 }
--- a/internal/app/srentry/acquire.go
+++ b/internal/app/srentry/acquire.go
@@ -120,7 +120,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
 		grant, err := e.deps.Peers.Peer(owner.Address).Acquire(callCtx, ask)
 		cancel()
-		if err != nil || ctx.Err() != nil {
+		if errors.Is(err, sr.ErrUnreachable) || ctx.Err() != nil {
 			go e.withdraw(owner, ask)
 		}
 		if err != nil {
--- a/internal/app/srserve/dump.go
+++ b/internal/app/srserve/dump.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srmanifest"
-	"github.com/sassafrasrail/sassafrasrail/internal/state/srmember"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srrequest"
 )
 
@@ -21,13 +21,24 @@
 	Why      string
 	Leaving  bool
 	Manifest ManifestDump
-	Members  []srmember.Member
+	Members  []MemberDump
 	Majority bool
 	Requests srrequest.Count
 	Records  RecordDump
 	Pools    []sr.PoolDump
 }
 
+// MemberDump is a live instance as this one sees it.
+type MemberDump struct {
+	Address     string
+	Incarnation string
+	Domain      string
+	Leaving     bool
+	// Proved reports whether an exchange with it succeeded within the lapse.
+	Proved  bool
+	Version uint64
+}
+
 // ManifestDump is the manifest in force and what became of the offered ones.
 type ManifestDump struct {
 	Version sr.Version
@@ -53,7 +64,7 @@
 		Why:      why,
 		Leaving:  i.leaving.Load(),
 		Manifest: i.dumpManifest(),
-		Members:  i.fleet.Live(),
+		Members:  i.dumpMembers(),
 		Majority: i.fleet.Majority(),
 		Requests: i.entry.Count(),
 		Records:  RecordDump{Kept: kept, Dropped: dropped},
@@ -78,6 +89,26 @@
 	return i.entry.Ask(ctx, ticket)
 }
 
+func (i *Instance) dumpMembers() []MemberDump {
+	own, _ := i.store.Version()
+	var dumps []MemberDump
+	for _, m := range i.fleet.Live() {
+		d := MemberDump{
+			Address:     m.ID.Address,
+			Incarnation: fmt.Sprintf("%016x", m.ID.Incarnation),
+			Domain:      m.Domain,
+			Leaving:     m.Leaving,
+			Proved:      m.Proved,
+			Version:     m.Version.Number,
+		}
+		if m.ID == i.deps.Self {
+			d.Version = own.Number
+		}
+		dumps = append(dumps, d)
+	}
+	return dumps
+}
+
 func (i *Instance) dumpManifest() ManifestDump {
 	m, _ := i.store.Current()
 	d := ManifestDump{Version: m.Version, Counts: i.store.Counts()}
