Leave an endpoint alone that refuses until it reports

Cause: an engine of the demo fleet was killed under 8 requests/s. Its pool went on granting it, each waiting request tried it once, and the workspaces' retry budgets ran out: 14 of 240 requests were refused, 62 dispatches were refused, the top tier's first token took 487 ms at p95. Ruled out: a larger retry budget, which only hides the tries; a cold limit after the refusal was in force already. Change: a circuit breaker per endpoint, opened by a refused or lost request and closed by a load report taken later; without a report one request at a time tries it after 0.5 s to 8 s. A request that waits in a pool without any slot moves to another pool. The unit test fails when the breaker is not tripped.

--- a/internal/app/srentry/acquire.go
+++ b/internal/app/srentry/acquire.go
@@ -133,13 +133,33 @@
 		if grant.Refusal.Name != sr.RefusalWaiting || ctx.Err() != nil {
 			return granted{}, grant.Refusal, false
 		}
-		if current, ok := e.deps.Fleet.Owner(pool); !ok || current != owner {
+		if reason := e.leavePool(owner, ask); reason != "" {
 			go e.withdraw(owner, ask)
-			return granted{}, sr.Refusal{Name: sr.RefusalNotOwner, Reason: "the pool has another owner"}, false
+			return granted{}, sr.Refusal{Name: sr.RefusalNotOwner, Reason: reason}, false
 		}
 	}
 }
 
+// leavePool returns why an ask that waits should be sent elsewhere, "" when it
+// should go on waiting.
+func (e *Entry) leavePool(owner sr.InstanceID, ask sr.Ask) string {
+	if current, ok := e.deps.Fleet.Owner(ask.Pool); !ok || current != owner {
+		return "the pool has another owner"
+	}
+	here, elsewhere := 0, 0
+	for _, n := range e.deps.Fleet.News(ask.Pool.Target) {
+		if n.Pool == ask.Pool {
+			here = n.Slots
+		} else {
+			elsewhere += n.Slots
+		}
+	}
+	if here == 0 && elsewhere > 0 {
+		return "no endpoint of the pool answers"
+	}
+	return ""
+}
+
 // withdraw drops an ask whose answer is of no more use.
 func (e *Entry) withdraw(owner sr.InstanceID, ask sr.Ask) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/policy/srslot/endpoint.go
+++ b/internal/policy/srslot/endpoint.go
@@ -27,6 +27,7 @@
 	// taken after it.
 	blind      bool
 	blindSince time.Time
+	breaker    breaker
 	reported   bool
 	reportedAt time.Time
 	ended      endedRing
--- a/internal/policy/srslot/grant.go
+++ b/internal/policy/srslot/grant.go
@@ -73,6 +73,11 @@
 	if e.ramp.Cold() && !p.mode.Majority {
 		return 0
 	}
+	return e.breaker.limit(now, p.bears(now, e))
+}
+
+// bears returns how many requests an endpoint that answers bears at once.
+func (p *Pool) bears(now time.Time, e *endpoint) int {
 	if p.opts.Without.Ramp {
 		return e.spec.Class.Slots
 	}
@@ -198,6 +203,7 @@
 		Why:      choice.Why,
 	}
 	p.addLease(e, l)
+	e.breaker.granted(now)
 	if !p.opts.Without.Remember {
 		p.asks.granted(w.ask.ID, l.id)
 	}
--- a/internal/policy/srslot/options.go
+++ b/internal/policy/srslot/options.go
@@ -13,6 +13,8 @@
 	defaultUnlisted    = 30 * time.Second
 	defaultNetDelay    = 250 * time.Millisecond
 	defaultBlindWait   = 10 * time.Second
+	defaultBreakerMin  = 500 * time.Millisecond
+	defaultBreakerMax  = 8 * time.Second
 	defaultFloorEvery  = 500 * time.Millisecond
 	defaultShedHold    = 2 * time.Second
 	defaultScanEvery   = 25 * time.Millisecond
@@ -42,6 +44,10 @@
 	// BlindWait is how long after a takeover without a handover an endpoint
 	// without a load report is granted nothing. A negative value means no wait.
 	BlindWait time.Duration
+	// BreakerMin and BreakerMax bound the time after which a request is tried at
+	// an endpoint that refused one and has sent no report since.
+	BreakerMin time.Duration
+	BreakerMax time.Duration
 	// FloorEvery is the time between two announcements of the same pressure.
 	FloorEvery time.Duration
 	// ShedHold is how long lower tiers are granted nothing after a tier was shed.
@@ -105,6 +111,8 @@
 	orDuration(&o.Unlisted, defaultUnlisted)
 	orDuration(&o.NetDelay, defaultNetDelay)
 	orDuration(&o.BlindWait, defaultBlindWait)
+	orDuration(&o.BreakerMin, defaultBreakerMin)
+	orDuration(&o.BreakerMax, defaultBreakerMax)
 	orDuration(&o.FloorEvery, defaultFloorEvery)
 	orDuration(&o.ShedHold, defaultShedHold)
 	orDuration(&o.ScanEvery, defaultScanEvery)
--- a/internal/policy/srslot/pool_test.go
+++ b/internal/policy/srslot/pool_test.go
@@ -488,6 +488,29 @@
 	assert.Assert(t, light <= 12, "%d of 20", light)
 }
 
+func TestEndpointThatRefusesIsLeftAloneUntilItReports(t *testing.T) {
+	r := newRig(t, srslot.Options{BreakerMin: time.Second}, "e1")
+	r.ask(9, "a", 1)
+	r.tick(0)
+	first := len(r.grants)
+	r.release("a0", sr.ReleaseRefused)
+	r.tick(900 * time.Millisecond)
+	assert.Equal(t, len(r.grants), first, "no report since the refusal")
+	for id := range r.grants {
+		r.release(id, sr.ReleaseDone)
+	}
+	r.tick(100 * time.Millisecond)
+	assert.Equal(t, len(r.grants), first+1, "one request tries the endpoint")
+	for id := range r.grants {
+		r.release(id, sr.ReleaseDone)
+	}
+	r.tick(100 * time.Millisecond)
+	assert.Equal(t, len(r.grants), first+1, "the next one waits")
+	r.report("e1", "s1", 0)
+	r.tick(0)
+	assert.Assert(t, len(r.grants) > first+1, "the endpoint has reported")
+}
+
 func TestNothingIsRevokedForATierThatAFloorHoldsBack(t *testing.T) {
 	r := newRig(t, srslot.Options{}, "e1")
 	r.ask(4, "low", lowest)
--- a/internal/policy/srslot/report.go
+++ b/internal/policy/srslot/report.go
@@ -24,6 +24,7 @@
 	}
 	e.reported = true
 	e.reportedAt = taken
+	e.breaker.reported(taken)
 	e.doubt(now, now.Add(-p.opts.Unlisted))
 	p.cleared(e.sight(p.span(taken), max(l.Running, 0)+max(l.Waiting, 0)))
 	p.placer.Report(now, endpoint, l)
