--- a/internal/app/srserve/instance.go
+++ b/internal/app/srserve/instance.go
@@ -69,7 +69,7 @@
 type Instance struct {
 	deps   Deps
 	store  *srmanifest.Store
-	reader tmpReader
+	reader *srmanifest.Reader
 	entry  *srentry.Entry
 	owners *srowner.Owners
 	fleet  *srfleet.Fleet
@@ -101,7 +101,10 @@
 		started: time.Now(),
 	}
 	i.deps.Peers = localPeers{self: deps.Self.Address, local: i, remote: deps.Peers}
-	i.reader = tmpReader{deps.Platform, i.store, deps.Settings.Root}
+	i.reader = srmanifest.NewReader(deps.Platform, i.store, srmanifest.ReaderOptions{
+		Root:    deps.Settings.Root,
+		Watches: func() bool { return i.fleet.Watches(deps.Settings.Readers) },
+	})
 	i.owners = i.newOwners()
 	i.fleet = i.newFleet()
 	i.entry = i.newEntry(issuer)
@@ -199,7 +202,7 @@
 	for {
 		select {
 		case b := <-i.behind:
-			if err := i.reader.Fetch(ctx, i.deps.Peers.Peer(b.address), b.version); err != nil {
+			if _, err := i.store.Follow(ctx, i.deps.Peers.Peer(b.address), b.version); err != nil {
 				i.count("manifests.fetch.failed")
 			}
 		case <-ctx.Done():
--- a/internal/policy/srslot/options.go
+++ b/internal/policy/srslot/options.go
@@ -10,8 +10,11 @@
 // Defaults of Options.
 const (
 	defaultGrantTTL    = time.Second
+	defaultUnlisted    = 30 * time.Second
 	defaultNetDelay    = 250 * time.Millisecond
 	defaultBlindWait   = 10 * time.Second
+	defaultBreakerMin  = 500 * time.Millisecond
+	defaultBreakerMax  = 8 * time.Second
 	defaultFloorEvery  = 500 * time.Millisecond
 	defaultShedHold    = 2 * time.Second
 	defaultScanEvery   = 25 * time.Millisecond
@@ -32,12 +35,19 @@
 type Options struct {
 	// GrantTTL is how long after its grant a lease may be started.
 	GrantTTL time.Duration
+	// Unlisted is how long a holder may leave a lease out of its lists, or send
+	// none, before load reports decide whether the lease still runs.
+	Unlisted time.Duration
 	// NetDelay is the longest time that a load report or a release takes to
 	// arrive: what they say about a time is sure only beyond it.
 	NetDelay time.Duration
 	// BlindWait is how long after a takeover without a handover an endpoint
 	// without a load report is granted nothing. A negative value means no wait.
 	BlindWait time.Duration
+	// BreakerMin and BreakerMax bound the time after which a request is tried at
+	// an endpoint that refused one and has sent no report since.
+	BreakerMin time.Duration
+	BreakerMax time.Duration
 	// FloorEvery is the time between two announcements of the same pressure.
 	FloorEvery time.Duration
 	// ShedHold is how long lower tiers are granted nothing after a tier was shed.
@@ -98,8 +108,11 @@
 
 func (o Options) withDefaults() Options {
 	orDuration(&o.GrantTTL, defaultGrantTTL)
+	orDuration(&o.Unlisted, defaultUnlisted)
 	orDuration(&o.NetDelay, defaultNetDelay)
 	orDuration(&o.BlindWait, defaultBlindWait)
+	orDuration(&o.BreakerMin, defaultBreakerMin)
+	orDuration(&o.BreakerMax, defaultBreakerMax)
 	orDuration(&o.FloorEvery, defaultFloorEvery)
 	orDuration(&o.ShedHold, defaultShedHold)
 	orDuration(&o.ScanEvery, defaultScanEvery)
--- a/internal/policy/srslot/queue.go
+++ b/internal/policy/srslot/queue.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"container/list"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -260,8 +261,8 @@
 }
 
 func shareOf(a sr.Ask) float64 {
-	if a.Share <= 0 {
-		return 1
+	if a.Share > 0 && !math.IsInf(a.Share, 1) {
+		return a.Share
 	}
-	return a.Share
+	return 1
 }
