--- a/internal/proof/srrig/tier_test.go
+++ b/internal/proof/srrig/tier_test.go
@@ -101,7 +101,6 @@
 				speed(t, r, slow, 1)
 			}
 			wg.Wait()
-	DEL
 			assert.Check(t, outcomes(r, 1)[sr.OutcomeNotRun] > 0, "the load was too small to shed")
 		}, srhistory.Shed(shedWindow))
 	})
