Prove cold endpoints with a class that warms up slowly

The engines bear two requests until four have completed and five seconds have passed, the stand-in's own default, and the class says so (warm, settle).

--- a/internal/proof/srrig/cold_test.go
+++ b/internal/proof/srrig/cold_test.go
@@ -15,10 +15,10 @@
 // a load report and the interval of reports.
 const reported = 2 * time.Second
 
-// coldOptions describe engines that start cold and bear little until they have
-// completed as many requests as that.
+// coldOptions describe engines that start cold and bear little until some
+// requests have completed and some time has passed, as their class says.
 func coldOptions(seed uint64) Options {
-	engine := srengine.DefaultConfig().WithCold(2, 2, 0)
+	engine := srengine.DefaultConfig().WithCold(2, 4, 5*time.Second)
 	engine.Slots = 8
 	engine.Outage = 2 * time.Second
 	return Options{Seed: seed, Engine: engine, Cold: 2}
--- a/internal/proof/srrig/manifest.go
+++ b/internal/proof/srrig/manifest.go
@@ -154,7 +154,8 @@
 }
 
 func (m manifest) classPart() string {
-	return fmt.Sprintf("[class gen1]\nprefill = 8000\ndecode = 50\nslots = %d\ncold = %d\ncache = 4096\n[class desk]\nslots = 8\n", m.opts.Slots, m.opts.Cold)
+	return fmt.Sprintf("[class gen1]\nprefill = 8000\ndecode = 50\nslots = %d\ncold = %d\nwarm = %d\nsettle = %s\ncache = 4096\n[class desk]\nslots = 8\n",
+		m.opts.Slots, m.opts.Cold, m.opts.Engine.WarmRequests, m.opts.Engine.WarmTime)
 }
 
 func (m manifest) endpointPart() string {
