--- a/internal/proof/srrig/cold_test.go
+++ b/internal/proof/srrig/cold_test.go
@@ -42,6 +42,19 @@
 				assert.NilError(t, err)
 			}
 		},
+		"holder dies": func(_ *testing.T, r *Rig, wg *sync.WaitGroup) {
+			time.Sleep(10 * time.Second)
+			restart(r)
+			for _, body := range Bodies("held", 2*runners) {
+				wg.Go(func() { r.Ask(ModelRequest(body, 1, 400), 3) })
+			}
+			time.Sleep(time.Second)
+			r.Process(3).Kill()
+			for n := range 5 {
+				burst(r, wg, fmt.Sprintf("others %d", n), 30, []int{0, 1, 2, 4, 5, 6})
+				time.Sleep(time.Second)
+			}
+		},
 		"hand-over": func(t *testing.T, r *Rig, _ *sync.WaitGroup) {
 			for _, i := range []int{4, 6} {
 				r.Process(i).Shutdown()
