--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,9 @@
 
 seeds: ## run the proofs under failure with many seeds
 	SEEDS=$${SEEDS:-50} $(GO) test -timeout 60m ./internal/proof/srrig
+
+bench: ## compare every variant of the policy in virtual time
+	$(GO) run ./cmd/srbench --all
+
+fuzz: ## run each fuzz target for FUZZTIME, 10s by default
+	bash scripts/fuzz.sh
