--- a/internal/app/srserve/metrics_test.go
+++ b/internal/app/srserve/metrics_test.go
@@ -68,8 +68,8 @@
 	})
 }
 
-// metricsOfFile collects the names given to the count helpers and to the
-// metrics library. Only a count helper may pass a name on.
+// metricsOfFile collects the names given to the count functions and to the
+// metrics library. Only a count function may pass a name on.
 func metricsOfFile(t *testing.T, files *token.FileSet, file *ast.File, names map[string]bool) {
 	t.Helper()
 	for _, decl := range file.Decls {
