--- a/internal/proof/srrig/caller.go
+++ b/internal/proof/srrig/caller.go
@@ -89,7 +89,7 @@
 			return s.call(ctx, q)
 		}
 		return p.caller.Generate(ctx, &requests.GeneratePayload{
-			Key: bearer(q.Workspace), Ticket: &q.Ticket, Model: q.Target, Prompt: q.Body, Tokens: q.Tokens, Tier: &tiers[q.Tier],
+			Key: bearer(q.Workspace), Ticket: &q.Ticket, Model: q.Target, Prompt: q.Body, Tokens: q.Tokens, Tier: &tiers[q.Tier], Deadline: int(q.Budget.Milliseconds()),
 		}, s)
 	})
 }
@@ -122,6 +122,8 @@
 		err := f(ctx, s)
 		if p.wait() && r.pass(p.ID.Address, "caller") && p.Alive() {
 			s.finish(err)
+		} else {
+			s.takeEnd()
 		}
 		done <- s.answer
 	}()
@@ -188,10 +190,17 @@
 		s.answer.Reason = err.Error()
 		return
 	}
-	if n := len(s.answer.Events); n > 0 && s.answer.Events[n-1].Type == sr.EventEnd {
-		s.answer.Outcome = s.answer.Events[n-1].Outcome
-		s.answer.Reason = s.answer.Events[n-1].Reason
+	s.takeEnd()
+}
+
+// takeEnd takes the outcome from the last event, when it came.
+func (s *sink) takeEnd() {
+	n := len(s.answer.Events)
+	if n == 0 || s.answer.Events[n-1].Type != sr.EventEnd {
+		return
 	}
+	s.answer.Outcome = s.answer.Events[n-1].Outcome
+	s.answer.Reason = s.answer.Events[n-1].Reason
 }
 
 func text(s *string) string {
--- a/internal/proof/srrig/cold_test.go
+++ b/internal/proof/srrig/cold_test.go
@@ -15,10 +15,10 @@
 // a load report and the interval of reports.
 const reported = 2 * time.Second
 
-// coldOptions describe engines that start cold and bear little until they have
-// completed as many requests as that.
+// coldOptions describe engines that start cold and bear little until some
+// requests have completed and some time has passed, as their class says.
 func coldOptions(seed uint64) Options {
-	engine := srengine.DefaultConfig().WithCold(2, 2, 0)
+	engine := srengine.DefaultConfig().WithCold(2, 4, 5*time.Second)
 	engine.Slots = 8
 	engine.Outage = 2 * time.Second
 	return Options{Seed: seed, Engine: engine, Cold: 2}
@@ -64,9 +64,16 @@
 		"cold again": func(_ *testing.T, r *Rig, wg *sync.WaitGroup) {
 			time.Sleep(15 * time.Second)
 			for n := range 4 {
-				restart(r)
+				time.Sleep(10 * time.Second)
 				burst(r, wg, fmt.Sprintf("again %d", n), 60, everyone)
 			}
+			for n := range 4 {
+				for k, body := range Bodies(fmt.Sprintf("running %d", n), 120) {
+					wg.Go(func() { r.Ask(ModelRequest(body, 1, 150), k%Instances) })
+				}
+				time.Sleep(time.Second)
+				restart(r)
+			}
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/proof/srrig/tier_test.go
+++ b/internal/proof/srrig/tier_test.go
@@ -59,3 +59,59 @@
 		}, srhistory.Shed(shedWindow))
 	})
 }
+
+func TestTopTierThatFitsIsNotShedForLowerOnes(t *testing.T) {
+	seeded(t, func(t *testing.T, seed uint64) {
+		engine := srengine.DefaultConfig()
+		engine.Slots = 2
+		run(t, Options{Seed: seed, Engine: engine}, func(t *testing.T, r *Rig) {
+			var wg sync.WaitGroup
+			wg.Go(func() { flood(r, &wg, "batch", 3, 200, 100*time.Millisecond, everyone) })
+			time.Sleep(5 * time.Second)
+			for _, body := range Bodies("dawn", 30) {
+				q := ModelRequest(body, 1, 50)
+				q.Budget = 5 * time.Second
+				wg.Go(func() { r.Ask(q, int(seed)%Instances) })
+				time.Sleep(300 * time.Millisecond)
+			}
+			wg.Wait()
+			assert.Equal(t, outcomes(r, 1)[sr.OutcomeNotRun], 0)
+		}, srhistory.Shed(shedWindow))
+	})
+}
+
+func TestTopTierIsNotShedBehindASlowDomainWhileOthersServeLowerOnes(t *testing.T) {
+	seeded(t, func(t *testing.T, seed uint64) {
+		engine := srengine.DefaultConfig()
+		engine.Slots = 2
+		run(t, Options{Seed: seed, Engine: engine}, func(t *testing.T, r *Rig) {
+			var wg sync.WaitGroup
+			wg.Go(func() { flood(r, &wg, "batch", 3, 400, 50*time.Millisecond, everyone) })
+			time.Sleep(2 * time.Second)
+			for n := range 4 {
+				for _, body := range Bodies(fmt.Sprintf("dawn %d", n), 120) {
+					q := ModelRequest(body, 1, 50)
+					q.Budget = 7 * time.Second
+					wg.Go(func() { r.Ask(q, r.intN(Instances)) })
+				}
+				time.Sleep(300 * time.Millisecond)
+				slow := r.manifest.models[r.intN(runners)].Domain
+				speed(t, r, slow, 0.02)
+				time.Sleep(4 * time.Second)
+				speed(t, r, slow, 1)
+			}
+			wg.Wait()
+			assert.Check(t, outcomes(r, 1)[sr.OutcomeNotRun] > 0, "the load was too small to shed")
+		}, srhistory.Shed(shedWindow))
+	})
+}
+
+// speed sets the speed of the engines of a domain.
+func speed(t *testing.T, r *Rig, domain string, factor float64) {
+	t.Helper()
+	for _, e := range r.manifest.models {
+		if e.Domain == domain {
+			assert.NilError(t, r.Engines.Engine(e.Address).SetSpeed(factor))
+		}
+	}
+}
