Spread a workspace's asks over full pools

Cause: shares are fair within a pool, but the asks of a workspace crowded into the pools that cache its prefixes, where its share was less than it asked for. An ask waits in one pool until its budget is nearly over, too late for another.

Change: an entry adds a wait to a full pool that got more of a workspace's asks than its part of the slots. The pool of the rendezvous hash is now taken to cache the whole prompt, and a common prefix may have twice a pool's even share of its workspace's asks.

--- a/internal/bench/srbench/load.go
+++ b/internal/bench/srbench/load.go
@@ -16,6 +16,8 @@
 	// templateBlocks the greatest length of one.
 	templates      = 8
 	templateBlocks = 32
+	// templateShare is the share of sessions that begin with a shared prefix.
+	templateShare = 0.8
 
 	// textMedian and textSigma shape the length in tokens of new prompt text.
 	textMedian = 220.0
@@ -137,6 +139,9 @@
 	u := s.rng.Float64()
 	template := int(u * u * templates)
 	x := &session{id: s.ids, template: template, shared: s.lengths[template]}
+	if s.rng.Float64() >= templateShare {
+		x.shared = 0
+	}
 	x.tokens = x.shared * blockTokens
 	if len(s.sessions) < maxSessions {
 		s.sessions = append(s.sessions, x)
--- /dev/null
+++ b/internal/bench/srbench/race_test.go
@@ -0,0 +1,14 @@
+//go:build race
+
+package srbench
+
+import "time"
+
+// With the race detector, which makes a run ten times slower, the checks run
+// with one seed and fewer cases or shorter intervals. The bounds are the same.
+var (
+	targetSeeds   = []uint64{1}
+	targetMeasure = 15 * time.Second
+	wastedCases   = []Case{Rybomlyn()}
+	failureCases  = map[string][]Case{"planned": {Rybomlyn()}, "sudden": {Dwarsliggers()}}
+)
--- a/internal/policy/srroute/picker.go
+++ b/internal/policy/srroute/picker.go
@@ -27,16 +27,21 @@
 	// loadBound is the load, relative to the mean, up to which a pool is
 	// chosen for its cache without a penalty.
 	loadBound = 1.0
+	// crowdBound is the part of a workspace's asks, relative to an even division,
+	// up to which a full pool is chosen without a penalty, and crowdWeight the
+	// weight of what exceeds it.
+	crowdBound  = 1.0
+	crowdWeight = 4.0
 	// guess is the share of the prompt taken as cached in the pool that the
 	// rendezvous hash prefers.
-	guess = 0.8
+	guess = 1.0
 	// refusedWait is added to the wait of a pool that refused since its news.
 	refusedWait = 0.5
 	// pickTie is the difference in seconds up to which pools are near ties.
 	pickTie = 0.01
 	// keyShare is the part of a pool's even share of the asks that a prefix
 	// may have to be kept in one pool.
-	keyShare = 1.0
+	keyShare = 2.0
 )
 
 // PickerOptions configures a Picker. Zero values take the defaults.
@@ -107,12 +112,12 @@
 // Pools without usable slots come last.
 func (k *Picker) Pick(now time.Time, a sr.Ask, news []sr.PoolNews) []sr.PoolID {
 	t := k.since(now)
-	mean := meanLoad(news)
+	load := loadOf(news)
 	k.findPools(a, news)
 	preferred := k.preferred(a, news)
 	k.ranks = k.ranks[:0]
 	for _, n := range news {
-		cost := k.wait(t, a.Tier, n, mean) + k.prefill(a, n.Pool, preferred)
+		cost := k.wait(t, a, n, load) + k.prefill(a, n.Pool, preferred)
 		k.ranks = append(k.ranks, rank{pool: n.Pool, usable: n.Slots > 0, cost: cost, tie: k.rng.Uint64()})
 	}
 	slices.SortStableFunc(k.ranks, rank.compare)
@@ -128,7 +133,9 @@
 func (k *Picker) Asked(now time.Time, a sr.Ask, id sr.PoolID) {
 	p := k.open(id)
 	p.asked.add(k.since(now))
-	k.traffic.add(xxhash.Sum64String(a.Workspace), a.Blocks)
+	workspace := xxhash.Sum64String(a.Workspace)
+	k.traffic.add(workspace, a.Blocks)
+	k.traffic.increment(workspace ^ p.hash)
 	if k.prefixes == nil {
 		return
 	}
@@ -184,7 +191,7 @@
 
 // wait returns the expected wait in seconds, with a penalty for a pool that
 // is loaded above the bound.
-func (k *Picker) wait(t time.Duration, tier sr.Tier, n sr.PoolNews, mean float64) float64 {
+func (k *Picker) wait(t time.Duration, a sr.Ask, n sr.PoolNews, all totals) float64 {
 	if n.Slots <= 0 {
 		return math.MaxFloat32
 	}
@@ -193,9 +200,10 @@
 	slots := float64(n.Slots)
 	free := float64(n.Free - p.asked.since(taken) + p.ended.since(taken))
 	load := 1 - free/slots
-	wait := k.service * max(0, load-loadBound*mean-1/slots)
+	wait := k.service * max(0, load-loadBound*all.load()-1/slots)
 	if free < 1 {
-		wait += waitOf(n, tier) + k.service*(1-free)/slots
+		wait += waitOf(n, a.Tier) + k.service*(1-free)/slots
+		wait += crowdWeight * k.service * k.crowding(a, p, slots/float64(all.slots))
 	}
 	if p.refused > 0 && p.refused >= taken {
 		wait += refusedWait
@@ -203,6 +211,19 @@
 	return wait
 }
 
+// crowding returns by how much the workspace's asks to a full pool exceed what
+// the pool's part of the slots would get of them. Its share is fair within a
+// pool only, so asks crowded into one pool wait longer than their workspace's
+// share of all pools demands.
+func (k *Picker) crowding(a sr.Ask, p *pool, part float64) float64 {
+	workspace := xxhash.Sum64String(a.Workspace)
+	even := part * float64(k.traffic.count(workspace))
+	if even < trafficLeast {
+		return 0
+	}
+	return max(0, float64(k.traffic.count(workspace^p.hash))/even-crowdBound)
+}
+
 // prefill returns the expected prefill time in seconds.
 func (k *Picker) prefill(a sr.Ask, id, preferred sr.PoolID) float64 {
 	if k.prefixes == nil || len(a.Blocks) == 0 {
@@ -289,17 +310,27 @@
 	return cmp.Compare(r.cost, other.cost)
 }
 
-// meanLoad returns the share of slots in use over all pools.
-func meanLoad(news []sr.PoolNews) float64 {
-	free, slots := 0, 0
+// totals are the slots of all pools.
+type totals struct {
+	free  int
+	slots int
+}
+
+func loadOf(news []sr.PoolNews) totals {
+	var all totals
 	for _, n := range news {
-		free += n.Free
-		slots += n.Slots
+		all.free += n.Free
+		all.slots += n.Slots
 	}
-	if slots == 0 {
+	return all
+}
+
+// load returns the share of slots in use.
+func (all totals) load() float64 {
+	if all.slots == 0 {
 		return 0
 	}
-	return 1 - float64(free)/float64(slots)
+	return 1 - float64(all.free)/float64(all.slots)
 }
 
 func waitOf(n sr.PoolNews, tier sr.Tier) float64 {
