Make the tiers that cut for a first token an option

The check that nothing is revoked for a tier held back by a floor needs a tier below the top one that cuts for a late first token. It sets the option and asserts what it did before.

--- a/internal/policy/srslot/options.go
+++ b/internal/policy/srslot/options.go
@@ -76,6 +76,9 @@
 	Tries int
 	// PreemptOff never revokes a lease.
 	PreemptOff bool
+	// FirstTier is the least important tier for whose late first tokens lower
+	// work is cut; by default only the top one.
+	FirstTier sr.Tier
 	// Headroom slots are kept free for tiers at or above HeadroomTier.
 	Headroom     int
 	HeadroomTier sr.Tier
@@ -124,6 +127,9 @@
 	orInt(&o.IdleFlows, defaultIdleFlows)
 	orInt(&o.Remember, defaultRemember)
 	orInt(&o.Tries, defaultTries)
+	if o.FirstTier == 0 {
+		o.FirstTier = sr.TopTier
+	}
 	if o.HeadroomTier == 0 {
 		o.HeadroomTier = sr.TopTier
 	}
--- a/internal/policy/srslot/pool_test.go
+++ b/internal/policy/srslot/pool_test.go
@@ -487,7 +487,7 @@
 }
 
 func TestNothingIsRevokedForATierThatAFloorHoldsBack(t *testing.T) {
-	r := newRig(t, srslot.Options{}, "e1")
+	r := newRig(t, srslot.Options{FirstTier: 2}, "e1")
 	r.ask(4, "low", lowest)
 	r.tick(0)
 	r.SetFloor(r.now, sr.FloorState{InForce: 1})
--- a/internal/policy/srslot/shed.go
+++ b/internal/policy/srslot/shed.go
@@ -45,7 +45,7 @@
 			}
 			n++
 			own += w.service
-			if due || mayCutForFirst(now, w, wait) {
+			if due || p.mayCutForFirst(now, w, wait) {
 				needy = append(needy, need{w: w, due: due})
 			}
 		}
@@ -107,9 +107,9 @@
 }
 
 // mayCutForFirst reports whether an ask's first token would come too late and
-// lower work may be cut for that: a cut loses an answer, so only for the top tier.
-func mayCutForFirst(now time.Time, w *waiter, wait time.Duration) bool {
-	return w.ask.Tier == sr.TopTier && !w.firstBy.IsZero() && now.Add(wait).After(w.firstBy)
+// lower work may be cut for that: a cut loses an answer.
+func (p *Pool) mayCutForFirst(now time.Time, w *waiter, wait time.Duration) bool {
+	return w.ask.Tier <= p.opts.FirstTier && !w.firstBy.IsZero() && now.Add(wait).After(w.firstBy)
 }
 
 // mayShed reports whether a tier may be refused for capacity: no lower one is
