Say not run of a given ticket only by its issuer, and try the only endpoint again

Cause: a read-through found that a used ticket with a removed key, or with another workspace's key, was still answered not-run; that withdrawn, which an owner says after it took a holder for dead, ended the request; that a body of up to a megabyte was kept for the whole retention time; that a request asked pools without an owner about eight times a second and recorded each answer; and that /v1/ready came seconds before any pool had an owner. A demo whose booking service was busy refused the booking after one refused connection, since a pool with one endpoint has none left to avoid. Change: refusals with a ticket before the issuer are unknown; withdrawn is passing; an ended request keeps a hash of its body and an answer keeps texts only; a repeated answer of a pool is recorded once and the prompt is hashed once; readiness waits for an owner per target; avoided endpoints are tried again after a pause when there are no others; breaker options renamed for the linter.

--- a/internal/app/srentry/acquire.go
+++ b/internal/app/srentry/acquire.go
@@ -34,22 +34,37 @@
 
 // search is the state of one search for a lease.
 type search struct {
-	try     int
-	asks    int
+	try  int
+	asks int
+	// work and blocks are those of the request's prompt.
+	work    sr.Work
+	blocks  []uint64
 	avoid   []string
 	refused map[sr.PoolID]sr.Refusal
 	skipped map[sr.PoolID]time.Time
+	// noted holds each pool's last answer, so that a repeated one is recorded once.
+	noted map[sr.PoolID]sr.Refusal
 }
 
-// acquire asks the owners of the target's pools, best first, until one grants
-// a lease or all have refused.
-func (e *Entry) acquire(ctx context.Context, r *srrequest.Request, try int, avoid []string) (granted, sr.Refusal, bool) {
+func newSearch(r *srrequest.Request, try int, avoid []string) *search {
 	s := &search{
 		try:     try,
 		avoid:   avoid,
 		refused: make(map[sr.PoolID]sr.Refusal),
 		skipped: make(map[sr.PoolID]time.Time),
+		noted:   make(map[sr.PoolID]sr.Refusal),
 	}
+	if r.Request.Kind == sr.KindModel {
+		s.work = sr.Work{Prefill: srprefix.Tokens(r.Request.Body), Decode: r.Request.Tokens}
+		s.blocks = srprefix.Blocks(r.Request.Workspace, r.Request.Body)
+	}
+	return s
+}
+
+// acquire asks the owners of the target's pools, best first, until one grants
+// a lease or all have refused.
+func (e *Entry) acquire(ctx context.Context, r *srrequest.Request, try int, avoid []string) (granted, sr.Refusal, bool) {
+	s := newSearch(r, try, avoid)
 	for ctx.Err() == nil {
 		pool, ok := e.nextPool(r, s)
 		if !ok {
@@ -170,8 +185,11 @@
 }
 
 func (e *Entry) noteRefusal(r *srrequest.Request, s *search, pool sr.PoolID, refusal sr.Refusal) {
-	e.note(r.Ticket, "ask", "%s answered %s: %s", pool, refusal.Name, refusal.Reason)
-	if refusal.Name == sr.RefusalNotOwner {
+	if refusal != s.noted[pool] {
+		s.noted[pool] = refusal
+		e.note(r.Ticket, "ask", "%s answered %s: %s", pool, refusal.Name, refusal.Reason)
+	}
+	if refusal.Name == sr.RefusalNotOwner || refusal.Name == sr.RefusalWithdrawn {
 		s.skipped[pool] = time.Now().Add(jitter(skipPool))
 		return
 	}
@@ -205,15 +223,13 @@
 		Cancellable: r.Request.Cancellable(),
 		Budget:      r.Deadline().Sub(now),
 		Avoid:       s.avoid,
+		Work:        s.work,
+		Blocks:      s.blocks,
 	}
 	if m, ok := e.deps.Manifest(); ok {
 		ask.Share = m.Workspaces[r.Request.Workspace].Share
 		ask.First = firstBudget(m, r.Request.Tier) - now.Sub(r.Arrived)
 	}
-	if r.Request.Kind == sr.KindModel {
-		ask.Work = sr.Work{Prefill: srprefix.Tokens(r.Request.Body), Decode: r.Request.Tokens}
-		ask.Blocks = srprefix.Blocks(r.Request.Workspace, r.Request.Body)
-	}
 	return ask
 }
 
--- a/internal/app/srentry/run.go
+++ b/internal/app/srentry/run.go
@@ -11,6 +11,10 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srrequest"
 )
 
+// avoidPause is the pause before the endpoints that refused a request are
+// tried again, when there are no others.
+const avoidPause = time.Second
+
 // run takes one request from its acceptance to its end. A refusal that is
 // given ends it at once.
 func (e *Entry) run(r *srrequest.Request, refusal sr.Refusal) {
@@ -51,6 +55,10 @@
 	var avoid []string
 	for try := 1; ; try++ {
 		g, refusal, ok := e.acquire(ctx, r, try, avoid)
+		if !ok && refusal.Name == sr.RefusalEmpty && len(avoid) > 0 && sleep(ctx, jitter(avoidPause)) == nil {
+			avoid = nil
+			continue
+		}
 		if !ok {
 			e.refuse(r, refusal)
 			return
--- a/internal/app/srentry/submit.go
+++ b/internal/app/srentry/submit.go
@@ -114,7 +114,7 @@
 }
 
 func (e *Entry) join(r *srrequest.Request, s sr.Submission) (sr.Status, error) {
-	if !r.Request.Same(s.Request) {
+	if !r.Same(s.Request) {
 		return sr.Status{}, errors.Wrap(sr.ErrConflict, "srentry: submit")
 	}
 	e.count("joins")
--- a/internal/app/srfleet/fleet.go
+++ b/internal/app/srfleet/fleet.go
@@ -14,7 +14,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -64,6 +66,8 @@
 type Fleet struct {
 	deps Deps
 	kick chan struct{}
+	// served is set once every target was seen to have an owner.
+	served atomic.Bool
 
 	mu        sync.Mutex
 	members   *srmember.Members
@@ -200,6 +204,28 @@
 	return all
 }
 
+// Served reports whether each target with usable endpoints has a pool whose
+// owner was heard granting slots. Once it was so, it stays true: a loss of
+// owners later is no reason to send callers elsewhere.
+func (f *Fleet) Served() bool {
+	if f.served.Load() {
+		return true
+	}
+	m, ok := f.deps.Store.Current()
+	if !ok {
+		return false
+	}
+	for _, pool := range m.Pools() {
+		news := f.News(pool.Target)
+		owned := func(n sr.PoolNews) bool { return n.Owner != sr.InstanceID{} }
+		if len(news) > 0 && !slices.ContainsFunc(news, owned) {
+			return false
+		}
+	}
+	f.served.Store(true)
+	return true
+}
+
 // Announce tells the others that a tier is under pressure.
 func (f *Fleet) Announce(target string, t sr.Tier) {
 	f.mu.Lock()
--- a/internal/app/srserve/instance.go
+++ b/internal/app/srserve/instance.go
@@ -143,6 +143,9 @@
 	if !i.store.CaughtUp(i.fleet.Versions()) {
 		return false, "another instance has a newer manifest"
 	}
+	if !i.fleet.Served() {
+		return false, "no pool of some target has an owner yet"
+	}
 	return true, ""
 }
 
--- a/internal/peer/srcaller/caller.go
+++ b/internal/peer/srcaller/caller.go
@@ -93,7 +93,7 @@
 	}
 	req, refusal := complete(m, w, req, value(p.Tier), p.Deadline)
 	if _, err := c.entry.Start(ctx, sr.Submission{Ticket: ticket, Request: req, Refusal: refusal}); err != nil {
-		return problemOf(err)
+		return ofTicket(problemOf(err), p.Ticket)
 	}
 	f := c.entry.Follow(ticket, w.Name, "", 0)
 	defer f.Close()
@@ -116,7 +116,7 @@
 	}
 	req, refusal := complete(m, w, req, "", p.Deadline)
 	if _, err := c.entry.Start(ctx, sr.Submission{Ticket: ticket, Request: req, Refusal: refusal}); err != nil {
-		return nil, problemOf(err)
+		return nil, ofTicket(problemOf(err), p.Ticket)
 	}
 	f := c.entry.Follow(ticket, w.Name, "", 0)
 	defer f.Close()
@@ -131,7 +131,7 @@
 	}
 	s, err := c.entry.Status(ctx, p.Ticket, w.Name)
 	if err != nil {
-		return nil, problemOf(err)
+		return nil, ofTicket(problemOf(err), &p.Ticket)
 	}
 	return &requests.StatusResult{
 		Ticket:   p.Ticket,
@@ -157,7 +157,7 @@
 	}
 	f := c.entry.Follow(p.Ticket, w.Name, value(p.Receipt), p.After)
 	defer f.Close()
-	return deliver(ctx, f, stream.SendWithContext)
+	return ofTicket(deliver(ctx, f, stream.SendWithContext), &p.Ticket)
 }
 
 // authorize returns the workspace of a key.
--- a/internal/peer/srcaller/caller_test.go
+++ b/internal/peer/srcaller/caller_test.go
@@ -194,6 +194,25 @@
 	assert.Assert(t, !strings.Contains(answer, string(sr.OutcomeNotRun)), "the ticket is in use: %s", answer)
 }
 
+func TestGivenTicketIsNotRunOnlyByItsIssuer(t *testing.T) {
+	body := question
+	tests := map[string]struct {
+		entry *entry
+		post  post
+	}{
+		"key removed":                {&entry{}, post{path: generate, key: "removed", ticket: "t", body: body}},
+		"key removed, resume":        {&entry{}, post{path: "/v1/requests/t/events", key: "removed", body: `{}`}},
+		"key removed, call":          {&entry{}, post{path: "/v1/services/intake/book", key: "removed", ticket: "t", body: `{}`}},
+		"another workspace's ticket": {&entry{err: sr.ErrInvalid}, post{path: generate, key: plantKey, ticket: "t", body: body}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			answer := send(t, tt.entry, tt.post)
+			assert.Assert(t, !strings.Contains(answer, string(sr.OutcomeNotRun)), "%s", answer)
+		})
+	}
+}
+
 func TestAnswerIsStreamed(t *testing.T) {
 	e := &entry{
 		events: []sr.Event{
--- a/internal/peer/srcaller/problem.go
+++ b/internal/peer/srcaller/problem.go
@@ -44,6 +44,7 @@
 	"cut":                  "unknown-outcome",
 	sr.RefusalNotOwner:     "overloaded",
 	sr.RefusalWaiting:      "overloaded",
+	sr.RefusalWithdrawn:    "overloaded",
 	sr.RefusalOverloaded:   "overloaded",
 }
 
@@ -51,15 +52,19 @@
 	return &requests.Problem{Name: name, Reason: reason, Outcome: string(outcome)}
 }
 
-// ofTicket changes the refusal of an instance without a manifest, which came
-// before the ticket was looked at: its request may have run through another
-// instance.
+// ofTicket says unknown of a given ticket when a refusal came before the
+// ticket's issuer looked at its record, or when the issuer found the ticket to
+// be somebody else's: the request may have run through another instance.
 func ofTicket(err error, ticket *string) error {
 	var p *requests.Problem
-	if value(ticket) == "" || !errors.As(err, &p) || p.Name != "overloaded" {
+	if value(ticket) == "" || !errors.As(err, &p) {
 		return err
 	}
-	return newProblem(p.Name, p.Reason, sr.OutcomeUnknown)
+	switch p.Name {
+	case "overloaded", "unauthorized", "invalid", "missing":
+		return newProblem(p.Name, p.Reason, sr.OutcomeUnknown)
+	}
+	return err
 }
 
 // problemOf turns an error of the entry into a refusal.
--- a/internal/policy/srslot/lease.go
+++ b/internal/policy/srslot/lease.go
@@ -163,7 +163,7 @@
 	case r.Result == sr.ReleaseDone:
 		ramp.Completed(now, l.run, r.First, l.first)
 	case r.Result == sr.ReleaseRefused || lost(r.Result):
-		l.endpoint.breaker.trip(now, p.opts.BreakerMin, p.opts.BreakerMax)
+		l.endpoint.breaker.trip(now, p.opts.BreakerLeast, p.opts.BreakerMost)
 		if l.run == ramp.Run() || l.adopted {
 			ramp.Refused()
 		}
--- a/internal/policy/srslot/options.go
+++ b/internal/policy/srslot/options.go
@@ -9,26 +9,26 @@
 
 // Defaults of Options.
 const (
-	defaultGrantTTL    = time.Second
-	defaultUnlisted    = 30 * time.Second
-	defaultNetDelay    = 250 * time.Millisecond
-	defaultBlindWait   = 10 * time.Second
-	defaultBreakerMin  = 500 * time.Millisecond
-	defaultBreakerMax  = 8 * time.Second
-	defaultFloorEvery  = 500 * time.Millisecond
-	defaultShedHold    = 2 * time.Second
-	defaultScanEvery   = 25 * time.Millisecond
-	defaultRevokeEvery = time.Second
-	defaultQueue       = 1024
-	defaultHardQueue   = 8
-	defaultQueueWork   = 4 << 20
-	defaultQueueAge    = time.Minute
-	defaultSlotWork    = 16 << 10
-	defaultRetryLeast  = 200 * time.Millisecond
-	defaultRetryMost   = 30 * time.Second
-	defaultIdleFlows   = 1024
-	defaultRemember    = 1024
-	defaultTries       = 16
+	defaultGrantTTL     = time.Second
+	defaultUnlisted     = 30 * time.Second
+	defaultNetDelay     = 250 * time.Millisecond
+	defaultBlindWait    = 10 * time.Second
+	defaultBreakerLeast = 500 * time.Millisecond
+	defaultBreakerMost  = 8 * time.Second
+	defaultFloorEvery   = 500 * time.Millisecond
+	defaultShedHold     = 2 * time.Second
+	defaultScanEvery    = 25 * time.Millisecond
+	defaultRevokeEvery  = time.Second
+	defaultQueue        = 1024
+	defaultHardQueue    = 8
+	defaultQueueWork    = 4 << 20
+	defaultQueueAge     = time.Minute
+	defaultSlotWork     = 16 << 10
+	defaultRetryLeast   = 200 * time.Millisecond
+	defaultRetryMost    = 30 * time.Second
+	defaultIdleFlows    = 1024
+	defaultRemember     = 1024
+	defaultTries        = 16
 )
 
 // Options sets the bounds and habits of a pool. Zero values take the defaults.
@@ -44,10 +44,10 @@
 	// BlindWait is how long after a takeover without a handover an endpoint
 	// without a load report is granted nothing. A negative value means no wait.
 	BlindWait time.Duration
-	// BreakerMin and BreakerMax bound the time after which a request is tried at
+	// BreakerLeast and BreakerMost bound the time after which a request is tried at
 	// an endpoint that refused one and has sent no report since.
-	BreakerMin time.Duration
-	BreakerMax time.Duration
+	BreakerLeast time.Duration
+	BreakerMost  time.Duration
 	// FloorEvery is the time between two announcements of the same pressure.
 	FloorEvery time.Duration
 	// ShedHold is how long lower tiers are granted nothing after a tier was shed.
@@ -114,8 +114,8 @@
 	orDuration(&o.Unlisted, defaultUnlisted)
 	orDuration(&o.NetDelay, defaultNetDelay)
 	orDuration(&o.BlindWait, defaultBlindWait)
-	orDuration(&o.BreakerMin, defaultBreakerMin)
-	orDuration(&o.BreakerMax, defaultBreakerMax)
+	orDuration(&o.BreakerLeast, defaultBreakerLeast)
+	orDuration(&o.BreakerMost, defaultBreakerMost)
 	orDuration(&o.FloorEvery, defaultFloorEvery)
 	orDuration(&o.ShedHold, defaultShedHold)
 	orDuration(&o.ScanEvery, defaultScanEvery)
--- a/internal/policy/srslot/pool_test.go
+++ b/internal/policy/srslot/pool_test.go
@@ -489,7 +489,7 @@
 }
 
 func TestEndpointThatRefusesIsLeftAloneUntilItReports(t *testing.T) {
-	r := newRig(t, srslot.Options{BreakerMin: time.Second}, "e1")
+	r := newRig(t, srslot.Options{BreakerLeast: time.Second}, "e1")
 	r.ask(9, "a", 1)
 	r.tick(0)
 	first := len(r.grants)
--- a/internal/state/srrequest/request.go
+++ b/internal/state/srrequest/request.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"sync"
 	"time"
 
@@ -31,12 +32,16 @@
 	Request sr.Request
 	Arrived time.Time
 
+	// digest is the hash of the body, which is dropped when the request ends.
+	digest [sha256.Size]byte
+	// head is the request without its body.
+	head      sr.Request
 	expires   time.Time
 	maxEvents int
 
 	mu     sync.Mutex
 	status sr.Status
-	events []sr.Event
+	answer answer
 	ended  time.Time
 	// mayHaveRun is set once a try of a repeatable call broke.
 	mayHaveRun bool
@@ -44,6 +49,15 @@
 	changed    chan struct{}
 }
 
+// Same reports whether a caller asks for the same thing again.
+func (r *Request) Same(req sr.Request) bool {
+	if r.digest != sha256.Sum256([]byte(req.Body)) {
+		return false
+	}
+	req.Body = ""
+	return r.head.Same(req)
+}
+
 // Deadline returns when the answer is of no more use.
 func (r *Request) Deadline() time.Time { return r.Arrived.Add(r.Request.Budget) }
 
@@ -73,7 +87,7 @@
 func (r *Request) MarkNotTaken() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.status.State != sr.StateSent || len(r.events) > 0 {
+	if r.status.State != sr.StateSent || r.answer.len() > 0 {
 		return
 	}
 	r.status.State = sr.StateWaiting
@@ -89,13 +103,13 @@
 	if r.status.State == sr.StateEnded {
 		return errors.Wrap(sr.ErrInvalid, "srrequest: event after the end")
 	}
-	if e.Seq != len(r.events)+1 {
-		return errors.Wrapf(sr.ErrInvalid, "srrequest: event %d follows event %d", e.Seq, len(r.events))
+	if e.Seq != r.answer.len()+1 {
+		return errors.Wrapf(sr.ErrInvalid, "srrequest: event %d follows event %d", e.Seq, r.answer.len())
 	}
-	if len(r.events) >= r.maxEvents {
+	if r.answer.len() >= r.maxEvents {
 		return errors.Wrapf(sr.ErrInvalid, "srrequest: answer has more than %d events", r.maxEvents)
 	}
-	r.events = append(r.events, e)
+	r.answer.add(e)
 	r.signalLocked()
 	return nil
 }
@@ -134,8 +148,9 @@
 	r.status.Code = s.Code
 	r.status.Body = s.Body
 	r.ended = now
-	if len(r.events) > 0 {
-		r.events = append(r.events, r.endEventLocked())
+	r.Request.Body = ""
+	if r.answer.len() > 0 {
+		r.answer.add(r.endEventLocked())
 	}
 	r.signalLocked()
 	return true
@@ -184,27 +199,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	status := r.statusLocked()
-	if after < 0 || after >= len(r.events) {
-		return nil, status, r.changed
-	}
-	return r.events[after:len(r.events):len(r.events)], status, r.changed
+	return r.answer.after(r.Ticket, after), status, r.changed
 }
 
 func (r *Request) statusLocked() sr.Status {
 	s := r.status
-	s.Events = len(r.events)
+	s.Events = r.answer.len()
 	return s
 }
 
 func (r *Request) endEventLocked() sr.Event {
 	return sr.Event{
-		Seq:      len(r.events) + 1,
+		Seq:      r.answer.len() + 1,
 		Type:     sr.EventEnd,
 		Ticket:   r.Ticket,
 		Endpoint: r.status.Endpoint,
 		Outcome:  r.status.Outcome,
 		Reason:   r.status.Reason,
-		Tokens:   len(r.events) - 1,
+		Tokens:   r.answer.len() - 1,
 	}
 }
 
@@ -227,7 +239,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.status.State == sr.StateEnded && r.readers == 0 && now.After(r.ended.Add(retain)) {
-		r.events = nil
+		r.answer = answer{}
 		r.status.Body = ""
 		r.status.Trimmed = true
 	}
--- a/internal/state/srrequest/table.go
+++ b/internal/state/srrequest/table.go
@@ -1,6 +1,7 @@
 package srrequest
 
 import (
+	"crypto/sha256"
 	"sync"
 	"time"
 
@@ -40,7 +41,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r, ok := t.requests[ticket]; ok {
-		if !r.Request.Same(req) {
+		if !r.Same(req) {
 			return nil, false, errors.Wrap(sr.ErrConflict, "srrequest: begin")
 		}
 		return r, false, nil
@@ -57,6 +58,8 @@
 		Number:    t.number,
 		Request:   req,
 		Arrived:   now,
+		digest:    sha256.Sum256([]byte(req.Body)),
+		head:      withoutBody(req),
 		expires:   expires,
 		maxEvents: t.maxEvents,
 		status:    sr.Status{Ticket: ticket, State: sr.StateWaiting},
@@ -119,3 +122,8 @@
 	}
 	return c
 }
+
+func withoutBody(req sr.Request) sr.Request {
+	req.Body = ""
+	return req
+}
--- a/pool.go
+++ b/pool.go
@@ -137,6 +137,8 @@
 	RefusalEmpty = "empty"
 	// RefusalNotOwner: the asked instance does not own the pool.
 	RefusalNotOwner = "not-owner"
+	// RefusalWithdrawn: the owner took the holder for dead; ask again.
+	RefusalWithdrawn = "withdrawn"
 	// RefusalWaiting: the ask keeps its place; ask again under the same ID.
 	RefusalWaiting = "waiting"
 )
