Wait for an endpoint that ends a long answer in time

Cause: at 1.5 load the top tier's lost answers were late ones: long answers that got the first free slot, at an endpoint too slow for their budget.

--- a/internal/policy/srroute/length.go
+++ b/internal/policy/srroute/length.go
@@ -13,6 +13,8 @@
 	lengthTrust = 8
 	// lengthQuantile is the quantile taken for the expected length.
 	lengthQuantile = 0.6
+	// longQuantile is the quantile taken for a long answer.
+	longQuantile = 0.98
 )
 
 // sketch is a histogram of lengths with logarithmic buckets.
--- a/internal/policy/srroute/placer.go
+++ b/internal/policy/srroute/placer.go
@@ -18,6 +18,9 @@
 	// delays the other prompts of the batch, whose targets are tight.
 	prefillWeight = 8.0
 
+	// lateWeight is the weight of the time by which a long answer would be late.
+	lateWeight = 2.0
+
 	// learnTokens is the least number of tokens that a rate sample needs.
 	learnTokens = 64
 	// deferGain is the share of the best score that waiting must save.
@@ -43,16 +46,20 @@
 	deferred  map[uint64]time.Duration
 	stamp     uint32
 	options   []option
-	holders   []int32
+	// stretch is a long answer's length over the expected one.
+	stretch float64
+	holders []int32
 }
 
 var _ sr.Placer = (*Placer)(nil)
 
-// option is a candidate with its score in seconds.
+// option is a candidate with its times and its score in seconds; late is by how
+// much a long answer would miss the budget.
 type option struct {
 	candidate *sr.Candidate
 	cached    int
 	first     float64
+	late      float64
 	score     float64
 }
 
@@ -96,6 +103,7 @@
 	p.stamp++
 	p.findHolders(a)
 	decode := p.length(a)
+	p.stretch = p.long(a) / max(1, decode)
 	p.options = p.options[:0]
 	for i := range free {
 		p.options = append(p.options, p.score(t, a, decode, &free[i]))
@@ -197,7 +205,13 @@
 	return now.Sub(p.epoch)
 }
 
-func (p *Placer) length(a sr.Ask) float64 {
+// length returns the expected number of generated tokens.
+func (p *Placer) length(a sr.Ask) float64 { return p.lengthAt(a, lengthQuantile) }
+
+// long returns the number of tokens of a long answer.
+func (p *Placer) long(a sr.Ask) float64 { return p.lengthAt(a, longQuantile) }
+
+func (p *Placer) lengthAt(a sr.Ask, q float64) float64 {
 	limit := a.Work.Decode
 	if p.opts.NoLengths {
 		return float64(limit)
@@ -207,7 +221,7 @@
 		if s == nil || s.total < lengthTrust {
 			continue
 		}
-		n := s.quantile(lengthQuantile)
+		n := s.quantile(q)
 		if limit > 0 {
 			n = min(n, limit)
 		}
@@ -246,7 +260,12 @@
 	e.free = p.stamp
 	cached := cachedTokens(a, p.depth(e))
 	first, rest := times(t, e, float64(a.Work.Prefill-cached), decode, c.Running)
-	return option{candidate: c, cached: cached, first: first, score: prefillWeight*first + rest}
+	late := 0.0
+	if a.Budget > 0 {
+		late = max(0, first+rest*p.stretch-a.Budget.Seconds())
+	}
+	score := prefillWeight*first + rest + lateWeight*late
+	return option{candidate: c, cached: cached, first: first, late: late, score: score}
 }
 
 // best returns the best option: of the near ties that cache most, one at
@@ -288,25 +307,37 @@
 	return limit, most
 }
 
-// rather reports whether waiting for a busy endpoint that caches more of the
-// prompt is expected to end sooner than the best option.
+// rather reports whether to wait for another endpoint, for at most Defer.
 func (p *Placer) rather(t time.Duration, a sr.Ask, decode float64, best option) bool {
-	if p.prefixes == nil {
-		return false
-	}
 	key := xxhash.Sum64String(a.ID)
 	since, waiting := p.deferred[key]
 	if waiting && t-since >= p.opts.Defer {
 		return false
 	}
+	wait := best.late > 0 && p.inTime(a) || p.cachedSoon(t, a, decode, best)
+	if wait && !waiting {
+		p.remember(t, key)
+	}
+	return wait
+}
+
+// cachedSoon reports whether waiting for a busy endpoint that caches more of
+// the prompt is expected to end sooner than the best option.
+func (p *Placer) cachedSoon(t time.Duration, a sr.Ask, decode float64, best option) bool {
 	for _, i := range p.holders {
-		if !p.betterLater(t, a, decode, best, &p.endpoints.list[i]) {
-			continue
+		if p.betterLater(t, a, decode, best, &p.endpoints.list[i]) {
+			return true
 		}
-		if !waiting {
-			p.remember(t, key)
+	}
+	return false
+}
+
+// inTime reports whether some class ends a long answer within the budget.
+func (p *Placer) inTime(a sr.Ask) bool {
+	for key, r := range p.rates {
+		if key.target == a.Pool.Target && p.long(a)*r.decode.at(float64(r.slots)) < a.Budget.Seconds() {
+			return true
 		}
-		return true
 	}
 	return false
 }
--- a/internal/policy/srroute/placer_test.go
+++ b/internal/policy/srroute/placer_test.go
@@ -216,3 +216,20 @@
 		assert.Equal(t, recorded(r), r)
 	})
 }
+
+func TestPlaceWaitsForClassThatIsInTime(t *testing.T) {
+	p := New(Options{Seed: 1, Classes: classes})
+	a := testAsk(1, nil)
+	a.Work.Decode = 800
+	a.Budget = 20 * time.Second
+	_, ok := p.Place(start, a, append(candidates("old", "a"), candidates("new", "b")...))
+	assert.Assert(t, ok)
+	_, ok = p.Place(start, a, candidates("old", "a"))
+	assert.Assert(t, !ok)
+	at, ok := p.Place(start.Add(DefaultDefer), a, candidates("old", "a"))
+	assert.Assert(t, ok)
+	assert.Equal(t, at.Endpoint, "a")
+	a.ID, a.Budget = "2", time.Second
+	_, ok = p.Place(start, a, candidates("old", "a"))
+	assert.Assert(t, ok)
+}
