--- a/internal/policy/srslot/pool_test.go
+++ b/internal/policy/srslot/pool_test.go
@@ -489,7 +489,7 @@
 }
 
 func TestEndpointThatRefusesIsLeftAloneUntilItReports(t *testing.T) {
-	r := newRig(t, srslot.Options{BreakerMin: time.Second}, "e1")
+	r := newRig(t, srslot.Options{BreakerLeast: time.Second}, "e1")
 	r.ask(9, "a", 1)
 	r.tick(0)
 	first := len(r.grants)
@@ -512,7 +512,7 @@
 }
 
 func TestNothingIsRevokedForATierThatAFloorHoldsBack(t *testing.T) {
-	r := newRig(t, srslot.Options{}, "e1")
+	r := newRig(t, srslot.Options{FirstTier: 2}, "e1")
 	r.ask(4, "low", lowest)
 	r.tick(0)
 	r.SetFloor(r.now, sr.FloorState{InForce: 1})
