Report a request as lost when its endpoint no longer continues it

Cause: a request whose stream broke and was unknown to its endpoint afterwards was released as cut, as if this instance had cancelled it. The pool then took the endpoint, which had restarted, for as warm as before until the next load report, and granted the freed slots at once. Ruled out: a change of the pool, which already treats a lost request as a doubt about the endpoint. Change: such a request is released as lost. Before: TestColdEndpointsBearTheirLoad/cold_again failed in 12 of 12 runs with 'cold endpoint runner1 fell over 1 times'. After: it passed in 8 of 8 runs.

--- a/internal/app/srentry/model.go
+++ b/internal/app/srentry/model.go
@@ -29,6 +29,8 @@
 	sent   time.Time
 	first  time.Duration
 	tokens int
+	// lost is set when the endpoint no longer continues the answer.
+	lost bool
 }
 
 // startModel dispatches a model request and follows its answer to the end.
@@ -95,6 +97,7 @@
 		}
 		failures++
 		if errors.Is(err, sr.ErrNoStream) || errors.Is(err, sr.ErrInvalid) || failures > resumeTries {
+			a.lost = true
 			e.cutShort(a, fmt.Sprintf("the answer broke off and could not be resumed: %v", err))
 			return
 		}
@@ -180,7 +183,10 @@
 // released describes the end of the request for the pool's owner.
 func (a *answer) released(s sr.Status) sr.Release {
 	rel := sr.Release{Result: sr.ReleaseDone, First: a.first, Total: time.Since(a.sent), Tokens: a.tokens}
-	if s.Outcome != sr.OutcomeComplete {
+	switch {
+	case a.lost:
+		rel.Result = sr.ReleaseLost
+	case s.Outcome != sr.OutcomeComplete:
 		rel.Result = sr.ReleaseCut
 	}
 	return rel
