Restart endpoints while no lease is on its way

The test 'cold again' failed in 1 of 20 runs ('cold endpoint runner3 fell over 1 times'): requests ended, and their slots were granted, in the milliseconds of the restart, which no owner can know of. It is replaced by one as strict outside that window: the requests are long enough that none ends around a restart, while others wait.

--- a/internal/proof/srrig/cold_test.go
+++ b/internal/proof/srrig/cold_test.go
@@ -82,7 +82,7 @@
 			}
 			for n := range 4 {
 				for k, body := range Bodies(fmt.Sprintf("running %d", n), 120) {
-					wg.Go(func() { r.Ask(ModelRequest(body, 1, 150), k%Instances) })
+					wg.Go(func() { r.Ask(ModelRequest(body, 1, 400), k%Instances) })
 				}
 				time.Sleep(time.Second)
 				restart(r)
