--- a/internal/policy/srroute/placer.go
+++ b/internal/policy/srroute/placer.go
@@ -16,7 +16,7 @@
 
 	// prefillWeight is the weight of the time to the first token: prefill also
 	// delays the other prompts of the batch, whose targets are tight.
-	prefillWeight = 8.0
+	prefillWeight = 16.0
 
 	// lateWeight is the weight of the time by which a long answer would be late.
 	lateWeight = 2.0
