--- a/internal/policy/srroute/placer.go
+++ b/internal/policy/srroute/placer.go
@@ -195,9 +195,6 @@
 	}
 }
 
-// Length returns the expected number of generated tokens.
-func (p *Placer) Length(a sr.Ask) int { return int(p.length(a)) }
-
 func (p *Placer) since(now time.Time) time.Duration {
 	if p.epoch.IsZero() {
 		p.epoch = now
--- a/internal/policy/srroute/placer_test.go
+++ b/internal/policy/srroute/placer_test.go
@@ -167,9 +167,9 @@
 	}
 	a := testAsk(1, nil)
 	a.Work.Decode = 4096
-	assert.Assert(t, p.Length(a) >= 32 && p.Length(a) <= 50, "%d", p.Length(a))
+	assert.Assert(t, int(p.length(a)) >= 32 && int(p.length(a)) <= 50, "%d", int(p.length(a)))
 	a.Work.Decode = 10
-	assert.Equal(t, p.Length(a), 10)
+	assert.Equal(t, int(p.length(a)), 10)
 }
 
 func TestReportCountsForeignLoad(t *testing.T) {
