--- a/internal/policy/srroute/placer.go
+++ b/internal/policy/srroute/placer.go
@@ -16,7 +16,7 @@
 
 	// prefillWeight is the weight of the time to the first token: prefill also
 	// delays the other prompts of the batch, whose targets are tight.
-	prefillWeight = 8.0
+	prefillWeight = 16.0
 
 	// lateWeight is the weight of the time by which a long answer would be late.
 	lateWeight = 2.0
@@ -195,9 +195,6 @@
 	}
 }
 
-// Length returns the expected number of generated tokens.
-func (p *Placer) Length(a sr.Ask) int { return int(p.length(a)) }
-
 func (p *Placer) since(now time.Time) time.Duration {
 	if p.epoch.IsZero() {
 		p.epoch = now
