Notice in the demo when one of its own processes has ended

Cause: the demo passed while other processes held its ports, since nobody looked whether its own processes had started. Change: the demo fails when an address is in use before the start, and when one of its processes has ended before an instance is ready or a request is judged. A failing send shows the logs too. Tried: while another run of the demo held every port the old script ended with "demo: done". With a foreign listener at runner03's port the new one names the address; without the look at the ports it says "process runner03 has ended". Without a foreign listener it passes.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,6 +8,7 @@
 config=examples/demo
 logs=$(mktemp -d)
 pids=()
+names=()
 callers=127.0.0.1:23001,127.0.0.1:23002,127.0.0.1:23003
 operator=127.0.0.1:23011
 
@@ -29,29 +30,56 @@
   shift
   "$@" >"$logs/$name.log" 2>&1 &
   pids+=($!)
+  names+=("$name")
+}
+
+# fail prints the end of every log and ends the demo.
+fail() {
+  echo "$1" >&2
+  tail -n 20 "$logs"/*.log >&2 || true
+  exit 1
+}
+
+# need_free fails when something listens at an address that the demo uses.
+need_free() {
+  local address
+  for address in "$@"; do
+    if (exec 3<>"/dev/tcp/${address%:*}/${address#*:}") 2>/dev/null; then
+      echo "another process listens at $address" >&2
+      exit 1
+    fi
+  done
+}
+
+# need_alive fails when a process that this script started has ended.
+need_alive() {
+  local i
+  for i in "${!pids[@]}"; do
+    if ! kill -0 "${pids[$i]}" 2>/dev/null; then
+      fail "process ${names[$i]} has ended"
+    fi
+  done
 }
 
 # wait_ready waits until an instance takes requests.
 wait_ready() {
   local address=$1 tries
   for tries in $(seq 150); do
+    need_alive
     if bin/sassafrasrail ready --operate "$address" >/dev/null 2>&1; then
       return 0
     fi
     sleep 0.2
   done
-  echo "instance at $address did not become ready:" >&2
-  tail -n 20 "$logs"/*.log >&2
-  return 1
+  fail "instance at $address did not become ready"
 }
 
 expect() {
   local answer=$1 outcome=$2
   echo "$answer"
+  need_alive
   if ! grep -q "^outcome: $outcome$" <<<"$answer"; then
-    echo "expected the outcome $outcome" >&2
-    tail -n 20 "$logs"/*.log >&2
-    exit 1
+    fail "expected the outcome $outcome"
   fi
 }
 
@@ -63,6 +91,11 @@
   sets+=(--set "$key=$part")
 done
 
+need_free 127.0.0.1:23090 127.0.0.1:23101 127.0.0.1:23102 127.0.0.1:23103 127.0.0.1:23111
+for i in 1 2 3; do
+  need_free "127.0.0.1:2300$i" "127.0.0.1:2301$i" "127.0.0.1:2302$i"
+done
+
 start platform bin/standin platform --listen 127.0.0.1:23090 "${sets[@]}" \
   --instance 127.0.0.1:23021@brno-a --instance 127.0.0.1:23022@brno-a --instance 127.0.0.1:23023@brno-b
 start runner01 bin/standin engine --listen 127.0.0.1:23101 --slots 4 --cold 1 --prefill 4000 --step 25ms
@@ -79,16 +112,16 @@
 
 echo "== two questions of the tier urgent"
 for question in "Which loads wait at gate 2?" "Draft the freshness report of load 17."; do
-  urgent=$(bin/sassafrasrail send --to "$callers" --key demo-urgent-key --model intake-assistant --tokens 24 "$question")
+  urgent=$(bin/sassafrasrail send --to "$callers" --key demo-urgent-key --model intake-assistant --tokens 24 "$question") || true
   expect "$urgent" complete
 done
 
 echo "== one draft of the tier batch"
-batch=$(bin/sassafrasrail send --to "$callers" --key demo-batch-key --model intake-assistant --tokens 24 "Summarise last week's loads.")
+batch=$(bin/sassafrasrail send --to "$callers" --key demo-batch-key --model intake-assistant --tokens 24 "Summarise last week's loads.") || true
 expect "$batch" complete
 
 echo "== one booking"
-booking=$(bin/sassafrasrail call --to "$callers" --key demo-urgent-key --service intake --operation book "load 17, gate 2")
+booking=$(bin/sassafrasrail call --to "$callers" --key demo-urgent-key --service intake --operation book "load 17, gate 2") || true
 expect "$booking" complete
 
 echo "== why the last question went where it did"
