Let the exit code of send and call say whether the request may have run

Cause: send and call ended with 0 for every outcome, so that a script took a cut or unknown booking for a done one. explain with a malformed ticket ended with 1 like a missing record. Change: 1 for a request that was certainly not run, 4 for one that may have run, also when the refusal itself does not say not-run; explain checks the ticket before it asks and ends with 2.

--- a/internal/app/srcli/ask.go
+++ b/internal/app/srcli/ask.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srticket"
 )
 
 const (
@@ -55,6 +56,9 @@
 
 // Run prints the decisions taken for a ticket.
 func (c explainCommand) Run(o *output) error {
+	if _, err := srticket.Parse(c.Ticket); err != nil {
+		return err
+	}
 	body, err := get(c.Operate, "/v1/explain/"+url.PathEscape(c.Ticket))
 	if err != nil {
 		return err
--- a/internal/app/srcli/cli.go
+++ b/internal/app/srcli/cli.go
@@ -11,8 +11,9 @@
 //	sassafrasrail call --to 127.0.0.1:7100 --key KEY --service S --operation O BODY
 //	sassafrasrail version
 //
-// Exit codes: 0 done, 1 the work failed, 2 the input is not valid, 3 a second
-// signal cut requests.
+// Exit codes: 0 done, 1 the work failed or was certainly not run, 2 the input
+// is not valid, 3 a second signal cut requests, 4 the request may have run and
+// its answer is not whole.
 package srcli
 
 import (
@@ -33,6 +34,7 @@
 	ExitFailed  = 1
 	ExitInvalid = 2
 	ExitCut     = 3
+	ExitMayRun  = 4
 )
 
 // commands is the grammar of the command line.
@@ -98,6 +100,8 @@
 		return ExitDone
 	case errors.Is(err, srserve.ErrCut):
 		return ExitCut
+	case errors.Is(err, errMayHaveRun):
+		return ExitMayRun
 	case errors.Is(err, sr.ErrInvalid), errors.Is(err, sr.ErrMissing):
 		return ExitInvalid
 	}
--- a/internal/app/srcli/send.go
+++ b/internal/app/srcli/send.go
@@ -8,12 +8,20 @@
 
 	"github.com/pkg/errors"
 
+	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srclient"
 )
 
 // sendTimeout bounds one request of the command line.
 const sendTimeout = 10 * time.Minute
 
+var (
+	// errNotRun means that no endpoint has seen the request.
+	errNotRun = errors.New("srcli: the request was not run")
+	// errMayHaveRun means that the answer is not whole.
+	errMayHaveRun = errors.New("the request may have run")
+)
+
 // caller says where and for whom a request is sent.
 type caller struct {
 	To  []string `required:"" help:"Caller addresses of the instances, IP:PORT." sep:","`
@@ -43,7 +51,7 @@
 		Tier:   c.Tier,
 	}, nil)
 	if err != nil {
-		return err
+		return sendError(err)
 	}
 	return printResult(o, result, result.Text)
 }
@@ -61,11 +69,21 @@
 	defer cancel()
 	result, err := c.client().Call(ctx, srclient.Call{Service: c.Service, Operation: c.Operation, Body: c.Body})
 	if err != nil {
-		return err
+		return sendError(err)
 	}
 	return printResult(o, result, result.Body)
 }
 
+// sendError tells refusals of what may have run from others.
+func sendError(err error) error {
+	var refusal *srclient.Refusal
+	if errors.As(err, &refusal) && refusal.Outcome != sr.OutcomeNotRun {
+		return errors.Wrap(errMayHaveRun, refusal.Error())
+	}
+	return err
+}
+
+// printResult prints an answer and returns an error unless it is whole.
 func printResult(o *output, r srclient.Result, text string) error {
 	fmt.Fprintf(o.out, "ticket: %s\noutcome: %s\n", r.Ticket, r.Outcome)
 	if r.Endpoint != "" {
@@ -75,5 +93,18 @@
 		fmt.Fprintf(o.out, "reason: %s\n", r.Reason)
 	}
 	_, err := fmt.Fprintf(o.out, "answer: %s\n", text)
-	return errors.Wrap(err, "srcli")
+	if err != nil {
+		return errors.Wrap(err, "srcli")
+	}
+	return outcomeError(r.Outcome)
+}
+
+func outcomeError(o sr.Outcome) error {
+	switch o {
+	case sr.OutcomeComplete:
+		return nil
+	case sr.OutcomeNotRun:
+		return errNotRun
+	}
+	return errors.Wrapf(errMayHaveRun, "srcli: outcome %s", o)
 }
