Bound what meets an endpoint that restarts without warning

Cause: an engine that restarts at once is known to the pool's owner only from a load report up to 1.5 s later, or from releases of broken requests. Until then the owner granted up to the warm limit, and what was granted but not yet started landed on the cold engine too. An idle endpoint gives no sign at all.

Change: at an endpoint of a model pool no more leases are unconfirmed at once than its class bears cold. A lease is confirmed once its holder says that the endpoint has taken the request (ReleaseTaken) and the answer names the run reported last (header Start, optional), or once a load report of the same run was taken late enough. An answer of another run makes the endpoint cold at once. For an engine that does not name its run, a request that surely runs on it is the witness; a holder tells of a broken connection before it resumes (ReleaseDoubt), and then reports decide. Confirmations pass to the next owner with the leases. Nobody is cut or shed for an ask that only waits for a confirmation.

Ruled out: early doubt alone, since nothing runs at an idle endpoint that could break; a witness alone, since a burst behind one running request lands whole before its doubt arrives; waiting for reports alone, since each takes up to 1.5 s.

Tests: the model of srslot has a restart without warning and what a cold endpoint bears; with the mechanism off it sees endpoints fall. The rig has a further case that restarts engines within bursts. The test rig of srslot plays the holder that confirms; the assertions are as they were.

Conclusion: for engines that name their run the bound holds whenever they restart. Turning cold within the same run gives no sign and isn't covered.

--- a/endpoint.go
+++ b/endpoint.go
@@ -29,6 +29,9 @@
 // ends before the token with End; the stream can then be resumed.
 type Stream interface {
 	Next(ctx context.Context) (Token, error)
+	// Start identifies the run of the engine process that answers, as in its
+	// load reports, "" when the engine does not say.
+	Start() string
 	Close() error
 }
 
--- a/internal/app/srentry/model.go
+++ b/internal/app/srentry/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,7 @@
 	r      *srrequest.Request
 	lease  sr.Lease
 	stream string
+	broke  func()
 	sent   time.Time
 	first  time.Duration
 	tokens int
@@ -40,6 +42,7 @@
 		return tryResult{ended: true}
 	}
 	a := &answer{r: r, lease: g.lease, stream: name, sent: time.Now()}
+	a.broke = sync.OnceFunc(func() { e.tell(r, g, sr.Release{Result: sr.ReleaseDoubt}) })
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go cancelOnRevoke(ctx, cancel, held)
@@ -56,6 +59,7 @@
 		return e.notTaken(r, g, err)
 	}
 	e.count("dispatches")
+	e.tellTaken(r, g, stream, err)
 	e.receive(ctx, a, stream, err)
 	e.release(r, g, a.released(r.Status()))
 	return tryResult{ended: true}
@@ -70,6 +74,21 @@
 	return tryResult{}
 }
 
+// tellTaken tells the pool's owner that the endpoint has taken the request.
+func (e *Entry) tellTaken(r *srrequest.Request, g granted, stream sr.Stream, err error) {
+	if err == nil {
+		e.tell(r, g, sr.Release{Result: sr.ReleaseTaken, Start: stream.Start()})
+	}
+}
+
+// tell sends the pool's owner news of a lease that goes on, when it asked for
+// them. One that does not arrive is made good by load reports.
+func (e *Entry) tell(r *srrequest.Request, g granted, news sr.Release) {
+	if g.lease.Confirm {
+		e.active.Go(func() { e.send(r, g, e.named(g, news)) })
+	}
+}
+
 // receive follows a stream, resuming it when its connection breaks.
 func (e *Entry) receive(ctx context.Context, a *answer, stream sr.Stream, err error) {
 	if err == nil {
@@ -90,6 +109,7 @@
 			e.cutShort(a, stopReason(ctx))
 			return
 		}
+		a.broke()
 		if a.tokens > before {
 			failures = 0
 		}
--- a/internal/app/srentry/run.go
+++ b/internal/app/srentry/run.go
@@ -153,10 +153,21 @@
 // release gives a lease back to the present owner of its pool. A release that
 // does not arrive is made good by the next list of held leases.
 func (e *Entry) release(r *srrequest.Request, g granted, rel sr.Release) {
+	rel = e.named(g, rel)
+	e.picked(func(p sr.Picker) { p.Ended(time.Now(), rel.Pool, rel) })
+	e.send(r, g, rel)
+}
+
+// named returns a release with its lease and its holder.
+func (e *Entry) named(g granted, rel sr.Release) sr.Release {
 	rel.Lease = g.lease.ID
 	rel.Pool = g.lease.Pool
 	rel.Holder = e.deps.Self
-	e.picked(func(p sr.Picker) { p.Ended(time.Now(), rel.Pool, rel) })
+	return rel
+}
+
+// send takes a release to the present owner of its pool.
+func (e *Entry) send(r *srrequest.Request, g granted, rel sr.Release) {
 	owner, ok := e.deps.Fleet.Owner(g.lease.Pool)
 	if !ok {
 		owner = g.lease.Owner
--- a/internal/bench/srbench/entry.go
+++ b/internal/bench/srbench/entry.go
@@ -129,12 +129,21 @@
 	e.b.hop(func() {
 		if c.engine.accept(s) {
 			e.b.stats.started(c.engine, s)
+			start := c.engine.runID()
+			e.b.hop(func() { e.taken(c.lease, start) })
 			return
 		}
 		e.b.hop(func() { e.refused(c) })
 	})
 }
 
+// taken tells the owner that an endpoint has taken a request, if it asked for that.
+func (e *entry) taken(l sr.Lease, start string) {
+	if l.Confirm {
+		e.tell(l.Pool, sr.Release{Lease: l.ID, Pool: l.Pool, Holder: e.id, Result: sr.ReleaseTaken, Start: start})
+	}
+}
+
 // refused takes the answer that an endpoint did not take the request.
 func (e *entry) refused(c *call) {
 	e.giveBack(c.lease.Pool, c.lease.ID, sr.Release{Result: sr.ReleaseRefused})
@@ -167,6 +176,10 @@
 	delete(e.leases, id)
 	r.Lease, r.Pool, r.Holder = id, pool, e.id
 	e.picker.Ended(e.b.q.time(), pool, r)
+	e.tell(pool, r)
+}
+
+func (e *entry) tell(pool sr.PoolID, r sr.Release) {
 	e.b.wire.call("Instance.Release", r)
 	o := e.b.owners[pool]
 	e.b.hop(func() { o.release(r) })
--- a/internal/bench/srcapacity/wire.go
+++ b/internal/bench/srcapacity/wire.go
@@ -50,15 +50,18 @@
 }
 
 // requestBytes is the control traffic of one request with a prompt of n
-// prefix blocks: ask, grant and release with their answers.
+// prefix blocks: ask, grant, confirmation and release with their answers.
 func requestBytes(blocks int) int {
 	ask := exampleAsk(blocks)
 	grant := sr.Grant{Lease: sr.Lease{
 		ID: 1 << 62, Pool: ask.Pool, Owner: instance(2), Endpoint: "runner0123", Address: "10.0.12.34:8000",
-		TTL: lease, Waited: lease / 10, Cached: 512, Why: "512 tokens cached, 3 running, first token in 0.105 s, end in 2.8 s, best of 12",
+		TTL: lease, Waited: lease / 10, Cached: 512, Confirm: true, Why: "512 tokens cached, 3 running, first token in 0.105 s, end in 2.8 s, best of 12",
 	}}
 	release := sr.Release{Lease: 1 << 62, Pool: ask.Pool, Holder: ask.Holder, Result: sr.ReleaseDone, First: lease / 4, Total: 3 * lease, Tokens: 200}
-	return sizeOf("Instance.Acquire", ask, grant) + sizeOf("Instance.Release", release, srinstance.None{})
+	taken := sr.Release{Lease: 1 << 62, Pool: ask.Pool, Holder: ask.Holder, Result: sr.ReleaseTaken, Start: "3w5e11264sgsf"}
+	return sizeOf("Instance.Acquire", ask, grant) +
+		sizeOf("Instance.Release", taken, srinstance.None{}) +
+		sizeOf("Instance.Release", release, srinstance.None{})
 }
 
 func exampleAsk(blocks int) sr.Ask {
--- a/internal/peer/srendpoint/client.go
+++ b/internal/peer/srendpoint/client.go
@@ -88,7 +88,7 @@
 		defer cancel()
 		return nil, errors.Wrapf(refusal(resp), "srendpoint: %s answered status %d", address, resp.StatusCode)
 	}
-	return newStream(resp.Body, cancel, c.limits, 0), nil
+	return newStream(resp, cancel, c.limits, 0), nil
 }
 
 // Resume implements sr.Engine.
@@ -106,7 +106,7 @@
 		defer cancel()
 		return nil, unexpected(resp, address)
 	}
-	return newStream(resp.Body, cancel, c.limits, after), nil
+	return newStream(resp, cancel, c.limits, after), nil
 }
 
 // Cancel implements sr.Engine.
--- a/internal/peer/srendpoint/stream.go
+++ b/internal/peer/srendpoint/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -14,6 +15,7 @@
 
 // stream reads an answer ahead of its reader by a bounded number of tokens.
 type stream struct {
+	start  string
 	cancel context.CancelFunc
 	closed chan struct{}
 	tokens chan sr.Token
@@ -21,18 +23,19 @@
 	err error
 }
 
-func newStream(body io.ReadCloser, cancel context.CancelFunc, limits Limits, after int) *stream {
+func newStream(resp *http.Response, cancel context.CancelFunc, limits Limits, after int) *stream {
 	s := &stream{
+		start:  resp.Header.Get(srwire.HeaderStart),
 		cancel: cancel,
 		closed: make(chan struct{}),
 		tokens: make(chan sr.Token, limits.Window),
 	}
 	r := &lineReader{
-		r:    bufio.NewReaderSize(body, limits.Line),
+		r:    bufio.NewReaderSize(resp.Body, limits.Line),
 		left: limits.Answer,
 		last: after,
 	}
-	go s.run(r, body)
+	go s.run(r, resp.Body)
 	return s
 }
 
@@ -49,6 +52,9 @@
 	}
 }
 
+// Start implements sr.Stream.
+func (s *stream) Start() string { return s.start }
+
 // Close implements sr.Stream. It closes the connection and waits for the reader.
 func (s *stream) Close() error {
 	s.cancel()
--- a/internal/peer/srwire/wire.go
+++ b/internal/peer/srwire/wire.go
@@ -28,6 +28,8 @@
 	HeaderWorkspace = "Workspace"
 	// HeaderRevision carries the revision of a configuration value.
 	HeaderRevision = "Revision"
+	// HeaderStart names the run of the engine process that answers.
+	HeaderStart = "Start"
 )
 
 // Refusal is the body of an answer with status 503. Taken is false when the
--- a/internal/policy/srslot/bench_test.go
+++ b/internal/policy/srslot/bench_test.go
@@ -74,6 +74,7 @@
 	for _, a := range p.Tick(p.now) {
 		if a.Kind == sr.ActionGrant {
 			p.leases = append(p.leases, a.Grant.Lease.ID)
+			p.Release(p.now, sr.Release{Lease: a.Grant.Lease.ID, Holder: holder, Result: sr.ReleaseTaken, Start: "s"})
 		}
 	}
 }
--- a/internal/policy/srslot/endpoint.go
+++ b/internal/policy/srslot/endpoint.go
@@ -16,6 +16,13 @@
 	leases  map[sr.LeaseID]*lease
 	// orphans counts the leases whose holder can no longer end them.
 	orphans int
+	// unconfirmed counts the leases that are not known to have reached the run
+	// reported last.
+	unconfirmed int
+	// suspect is set from a broken connection until a report taken after
+	// suspectSince.
+	suspect      bool
+	suspectSince time.Time
 	// nameless counts running requests that belong to no known lease, and
 	// namelessFrom is when the last of them was seen.
 	nameless     int
@@ -63,6 +70,9 @@
 	if l.orphan {
 		e.orphans++
 	}
+	if !l.confirmed {
+		e.unconfirmed++
+	}
 }
 
 func (e *endpoint) remove(l *lease) {
@@ -75,6 +85,9 @@
 	if l.orphan {
 		e.orphans--
 	}
+	if !l.confirmed {
+		e.unconfirmed--
+	}
 	e.unsee(l)
 }
 
--- a/internal/policy/srslot/grant.go
+++ b/internal/policy/srslot/grant.go
@@ -42,8 +42,8 @@
 	return true
 }
 
-// collectFree lists the endpoints with a free slot and returns the number of
-// free slots.
+// collectFree lists the endpoints that may be granted a lease and returns the
+// number of free slots.
 func (p *Pool) collectFree(now time.Time) int {
 	p.free = p.free[:0]
 	spare := 0
@@ -53,6 +53,9 @@
 			continue
 		}
 		spare += n
+		if p.roomAt(now, e) == 0 {
+			continue
+		}
 		p.free = append(p.free, sr.Candidate{
 			Endpoint: e.spec.Name,
 			Class:    e.spec.Class.Name,
@@ -195,13 +198,14 @@
 		Waited:   now.Sub(w.asked),
 		Cached:   choice.Cached,
 		Cold:     e.ramp.Cold(),
+		Confirm:  p.confirms(e),
 		Why:      choice.Why,
 	}
 	p.addLease(e, l)
 	if !p.opts.Without.Remember {
 		p.asks.granted(w.ask.ID, l.id)
 	}
-	p.occupy(e)
+	p.occupy(now, e)
 	p.placer.Granted(now, w.ask, e.spec.Name)
 	p.out = append(p.out, sr.Action{
 		Kind:   sr.ActionGrant,
@@ -212,12 +216,12 @@
 }
 
 // occupy updates the list of free endpoints after a grant.
-func (p *Pool) occupy(e *endpoint) {
+func (p *Pool) occupy(now time.Time, e *endpoint) {
 	i := slices.IndexFunc(p.free, func(c sr.Candidate) bool { return c.Endpoint == e.spec.Name })
 	c := &p.free[i]
 	c.Running = e.taken()
 	c.Pending = e.pending
-	if c.Running >= c.Limit {
+	if c.Running >= c.Limit || p.roomAt(now, e) == 0 {
 		p.free = slices.Delete(p.free, i, i+1)
 	}
 }
--- a/internal/policy/srslot/handover.go
+++ b/internal/policy/srslot/handover.go
@@ -45,6 +45,8 @@
 		granted: now,
 		startBy: now.Add(p.opts.GrantTTL),
 		adopted: true,
+
+		confirmed: held.Confirmed,
 	}
 	if held.Holder == (sr.InstanceID{}) {
 		l.orphan = true
@@ -73,7 +75,7 @@
 			h.Leases = append(h.Leases, heldLease(e, l))
 		}
 		for range e.nameless + e.surplus {
-			h.Leases = append(h.Leases, sr.HeldLease{ID: p.newID(), Endpoint: e.spec.Name, Tier: p.clampTier(0)})
+			h.Leases = append(h.Leases, sr.HeldLease{ID: p.newID(), Endpoint: e.spec.Name, Tier: p.clampTier(0), Confirmed: true})
 		}
 		if e.present && !e.blind {
 			h.Warm = append(h.Warm, e.ramp.Export(e.spec.Name))
@@ -96,6 +98,7 @@
 		Workspace:   l.ask.Workspace,
 		Work:        l.ask.Work,
 		Cancellable: l.ask.Cancellable,
+		Confirmed:   l.confirmed,
 	}
 	if !l.attached {
 		h.Holder = sr.InstanceID{}
--- a/internal/policy/srslot/lease.go
+++ b/internal/policy/srslot/lease.go
@@ -29,6 +29,15 @@
 	// taken after clearAfter does.
 	orphan     bool
 	clearAfter time.Time
+	// confirmed is set once the request has reached the endpoint's reported run
+	// or can reach none.
+	confirmed bool
+	// signed is when the holder said that the endpoint has taken the request,
+	// start the run that the endpoint named then, "" for none.
+	signed time.Time
+	start  string
+	// doubted is set once the holder said that the connection broke.
+	doubted bool
 	// revoked is when the holder was last told to cut it, zero for never.
 	revoked    time.Time
 	revokedFor sr.Tier
@@ -133,13 +142,22 @@
 	p.dirty = true
 }
 
-// Release ends a lease. An unknown lease is ignored.
+// Release ends a lease, or takes the news that its holder has of it. An
+// unknown lease is ignored.
 func (p *Pool) Release(now time.Time, r sr.Release) {
 	l := p.leases[r.Lease]
 	if l == nil || l.ask.Holder != r.Holder {
 		return
 	}
 	e := l.endpoint
+	switch r.Result {
+	case sr.ReleaseTaken:
+		p.taken(now, l, r.Start)
+		return
+	case sr.ReleaseDoubt:
+		e.broken(now, l)
+		return
+	}
 	p.judge(now, l, r)
 	if !l.adopted {
 		p.placer.Observe(now, l.ask, e.spec.Name, e.spec.Class.Name, r)
--- a/internal/policy/srslot/model_test.go
+++ b/internal/policy/srslot/model_test.go
@@ -46,6 +46,7 @@
 		"revoke":   {srslot.Without{Settling: true}, "was shed while"},
 		"hold":     {srslot.Without{Floor: true}, "after tier"},
 		"remember": {srslot.Without{Remember: true}, "got lease"},
+		"confirm":  {srslot.Without{Confirm: true}, "fell over"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			assert.Assert(t, breaks(srslot.Options{Without: c.without}, c.broken))
--- a/internal/policy/srslot/options.go
+++ b/internal/policy/srslot/options.go
@@ -98,6 +98,8 @@
 	Settling bool
 	// Remember forgets granted asks.
 	Remember bool
+	// Confirm grants a warm endpoint all slots of its class at once.
+	Confirm bool
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/policy/srslot/pool_test.go
+++ b/internal/policy/srslot/pool_test.go
@@ -39,6 +39,10 @@
 	refuse map[string]sr.Refusal
 	revoke []sr.Revoke
 	floors []sr.Tier
+	// starts are the runs of the endpoints, which answer holders with them, and
+	// silent ones are not told to the pool.
+	starts map[string]string
+	silent bool
 }
 
 func config(endpoints ...string) sr.PoolConfig {
@@ -55,6 +59,7 @@
 	h := sr.Handover{Yielded: true}
 	for _, name := range endpoints {
 		h.Warm = append(h.Warm, sr.WarmState{Endpoint: name, Start: "s1", Warm: true})
+		r.starts[name] = "s1"
 	}
 	r.Adopt(r.now, h)
 	r.SetMode(r.now, sr.PoolMode{Own: true, Majority: true})
@@ -69,6 +74,7 @@
 		placer: &leastLoaded{service: time.Second},
 		grants: make(map[string]sr.Lease),
 		refuse: make(map[string]sr.Refusal),
+		starts: make(map[string]string),
 	}
 	r.Pool = srslot.New(opts, r.placer, rand.New(rand.NewPCG(1, 2)))
 	r.Configure(r.now, config(endpoints...))
@@ -103,6 +109,9 @@
 	switch a.Kind {
 	case sr.ActionGrant:
 		r.grants[a.Ask] = a.Grant.Lease
+		if !r.silent {
+			r.taken(a.Holder, a.Ask, r.starts[a.Grant.Lease.Endpoint])
+		}
 	case sr.ActionRefuse:
 		r.refuse[a.Ask] = a.Grant.Refusal
 	case sr.ActionRevoke:
@@ -122,7 +131,13 @@
 	r.Release(r.now, sr.Release{Lease: r.grants[id].ID, Pool: poolID, Holder: holder, Result: result, Total: time.Second})
 }
 
+// taken says that an endpoint's run has taken a request.
+func (r *rig) taken(by sr.InstanceID, id, start string) {
+	r.Release(r.now, sr.Release{Lease: r.grants[id].ID, Pool: poolID, Holder: by, Result: sr.ReleaseTaken, Start: start})
+}
+
 func (r *rig) report(endpoint, start string, running int) {
+	r.starts[endpoint] = start
 	r.Report(r.now, endpoint, sr.Load{Start: start, Running: running})
 }
 
--- a/internal/policy/srslot/report.go
+++ b/internal/policy/srslot/report.go
@@ -25,6 +25,8 @@
 	e.reported = true
 	e.reportedAt = taken
 	e.doubt(now, now.Add(-p.opts.Unlisted))
+	e.confirmBy(p.span(taken), p.opts.NetDelay)
+	p.dirty = true
 	p.cleared(e.sight(p.span(taken), max(l.Running, 0)+max(l.Waiting, 0)))
 	p.placer.Report(now, endpoint, l)
 	p.forgetGone()
--- a/internal/policy/srslot/shed.go
+++ b/internal/policy/srslot/shed.go
@@ -38,7 +38,13 @@
 	for _, f := range slices.Clone(q.backlog.flows) {
 		n, own := 0, time.Duration(0)
 		for _, w := range slices.Clone(f.waiters) {
-			wait := o.wait(w.position(n, own))
+			asks, work := w.position(n, own)
+			wait := o.wait(asks, work)
+			if p.imminent(now, w, o, asks) {
+				n++
+				own += w.service
+				continue
+			}
 			r, due := p.judgeWait(now, w, wait)
 			if due && p.answerDue(now, w, r) {
 				continue
@@ -56,6 +62,12 @@
 	return needy
 }
 
+// imminent reports whether an ask behind n others gets a free slot once a lease
+// is confirmed, which takes a round trip: nobody is cut or shed for it meanwhile.
+func (p *Pool) imminent(now time.Time, w *waiter, o outlook, n int) bool {
+	return o.ahead+n < o.withheld && !w.expired(now) && p.mayGrant(now, w.ask.Tier) && p.placeable(w.ask)
+}
+
 // answerDue refuses an ask if its tier may be shed now.
 func (p *Pool) answerDue(now time.Time, w *waiter, r sr.Refusal) bool {
 	if r.Name == nameEmpty {
--- a/internal/policy/srslot/wait.go
+++ b/internal/policy/srslot/wait.go
@@ -13,6 +13,8 @@
 type outlook struct {
 	slots int
 	free  int
+	// withheld counts the free slots that wait for a confirmation.
+	withheld int
 	// ahead counts the asks of higher tiers and service their work.
 	ahead   int
 	service time.Duration
@@ -32,6 +34,7 @@
 		limit := p.limitAt(now, e)
 		o.slots += limit
 		o.free += max(0, limit-e.taken())
+		o.withheld += p.freeAt(now, e) - p.roomAt(now, e)
 		if e.blind && e.usable() && p.mode.Majority {
 			blind += e.ramp.ColdLimit()
 		}
--- a/internal/policy/srslot/world_test.go
+++ b/internal/policy/srslot/world_test.go
@@ -15,6 +15,8 @@
 	worldDelay = 100 * time.Millisecond
 	worldHold  = 2 * time.Second
 	worldQueue = 12
+	// worldCold is what a cold endpoint bears until it has completed as many.
+	worldCold = 2
 )
 
 // world knows what really runs at the endpoints of a pool, which the pool only
@@ -31,6 +33,7 @@
 	starts   int
 	asked    int
 	start    map[string]int
+	done     map[string]int
 	grants   []*granted
 	open     map[string]sr.Ask
 	answers  map[string]sr.LeaseID
@@ -46,11 +49,13 @@
 	lease sr.Lease
 	ask   sr.Ask
 	// by is the owner that granted the lease, owner the one that counts it.
-	by       uint64
-	owner    uint64
-	until    time.Time
-	started  time.Time
-	running  bool
+	by      uint64
+	owner   uint64
+	until   time.Time
+	started time.Time
+	running bool
+	// run is the run of the endpoint that took the request.
+	run      int
 	over     bool
 	lost     bool
 	released bool
@@ -87,6 +92,7 @@
 		now:     epoch,
 		mode:    sr.PoolMode{Own: true, Majority: true},
 		start:   map[string]int{"e1": 0, "e2": 0, "e3": 0},
+		done:    make(map[string]int),
 		open:    make(map[string]sr.Ask),
 		answers: make(map[string]sr.LeaseID),
 		shed:    make(map[sr.Tier]time.Time),
@@ -104,7 +110,7 @@
 	w.pool = srslot.New(w.opts, w.placer, rand.New(rand.NewPCG(w.owners, 7)))
 	c := config("e1", "e2", "e3")
 	for i := range c.Endpoints {
-		c.Endpoints[i].Class = sr.Class{Name: "w", Slots: 5, Cold: 2}
+		c.Endpoints[i].Class = sr.Class{Name: "w", Slots: 5, Cold: worldCold}
 	}
 	w.pool.Configure(w.now, c)
 	w.pool.Adopt(w.now, h)
@@ -241,7 +247,8 @@
 		"break": w.seldom(w.breakOne), "refuse": w.seldom(w.refuseOne), "unused": w.seldom(w.unused),
 		"cut": w.cutRevoked, "floor": w.seldom(w.setFloor), "majority": w.seldom(w.setMajority),
 		"holder lost": w.seldom(w.holderLost), "restart": w.seldom(w.restart),
-		"hand over": w.seldom(w.handOver), "owner dies": w.seldom(w.seldom(w.ownerDies)),
+		"restart unseen": w.seldom(w.restartUnseen),
+		"hand over":      w.seldom(w.handOver), "owner dies": w.seldom(w.seldom(w.ownerDies)),
 	}
 }
 
@@ -317,11 +324,37 @@
 	if g := w.some(startable(w)); g != nil {
 		g.running = true
 		g.started = w.now
+		g.run = w.start[g.lease.Endpoint]
+		w.bear(g.lease.Endpoint)
+		w.tellTaken(g)
 	}
 }
 
+// bear checks what an endpoint's present run has to bear.
+func (w *world) bear(endpoint string) {
+	n := 0
+	for _, g := range w.grants {
+		if g.lease.Endpoint == endpoint && g.running && !g.over && g.run == w.start[endpoint] {
+			n++
+		}
+	}
+	if w.done[endpoint] < worldCold && n > worldCold {
+		w.fail("cold %s fell over with %d requests", endpoint, n)
+	}
+}
+
+// tellTaken says that a request was taken; some of these messages are lost.
+func (w *world) tellTaken(g *granted) {
+	if g.lost || !g.lease.Confirm || w.pick(8) == 0 {
+		return
+	}
+	r := sr.Release{Lease: g.lease.ID, Pool: poolID, Holder: g.ask.Holder, Result: sr.ReleaseTaken, Start: fmt.Sprintf("s%d", g.run)}
+	w.releases = append(w.releases, pendingRelease{at: w.now.Add(w.transit()), r: r})
+}
+
 func (w *world) finishOne() {
 	if g := w.some(running); g != nil {
+		w.done[g.lease.Endpoint]++
 		w.end(g, sr.ReleaseDone)
 	}
 }
@@ -465,14 +498,20 @@
 	}
 }
 
-// restart ends all that runs at an endpoint.
-func (w *world) restart() {
+// restart ends all that runs at an endpoint; its holders say so.
+func (w *world) restart() { w.restartOne(sr.ReleaseLost) }
+
+// restartUnseen is a restart that holders take for broken connections.
+func (w *world) restartUnseen() { w.restartOne(sr.ReleaseCut) }
+
+func (w *world) restartOne(result sr.ReleaseResult) {
 	e := fmt.Sprintf("e%d", 1+w.pick(3))
 	w.starts++
 	w.start[e] = w.starts
+	w.done[e] = 0
 	for _, g := range w.grants {
 		if g.lease.Endpoint == e && g.running && !g.over {
-			w.end(g, sr.ReleaseLost)
+			w.end(g, result)
 		}
 	}
 }
--- a/internal/proof/srrig/cold_test.go
+++ b/internal/proof/srrig/cold_test.go
@@ -68,6 +68,21 @@
 				burst(r, wg, fmt.Sprintf("again %d", n), 60, everyone)
 			}
 		},
+		"cold again in a burst": func(_ *testing.T, r *Rig, wg *sync.WaitGroup) {
+			for n := range 6 {
+				time.Sleep(15 * time.Second)
+				burst(r, wg, "idle "+string(rune('a'+n)), 30, everyone)
+				for _, e := range r.manifest.models {
+					time.Sleep(time.Duration(r.intN(20)) * time.Millisecond)
+					r.Engines.Engine(e.Address).Restart()
+				}
+				burst(r, wg, "again "+string(rune('a'+n)), 30, everyone)
+				time.Sleep(time.Duration(r.intN(2000)) * time.Millisecond)
+				for _, e := range r.manifest.models {
+					r.Engines.Engine(e.Address).Restart()
+				}
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, coldOptions(uint64(len(name))), func(t *testing.T, r *Rig) {
--- a/internal/standin/srengine/engine.go
+++ b/internal/standin/srengine/engine.go
@@ -188,6 +188,7 @@
 		return nil, errors.Wrap(sr.ErrNotTaken, "srengine: waiting list is full")
 	}
 	e.counts.add(j)
+	j.start = e.start
 	if _, ok := e.jobs[j.d.Stream]; ok {
 		return nil, errors.Errorf("srengine: stream %s is in use", j.d.Stream)
 	}
--- a/internal/standin/srengine/handler.go
+++ b/internal/standin/srengine/handler.go
@@ -121,6 +121,7 @@
 // send writes an answer line by line as it comes.
 func send(ctx context.Context, w http.ResponseWriter, s sr.Stream) {
 	w.Header().Set("Content-Type", srwire.Lines)
+	w.Header().Set(srwire.HeaderStart, s.Start())
 	w.WriteHeader(http.StatusOK)
 	rc := http.NewResponseController(w)
 	enc := json.NewEncoder(w)
--- a/internal/standin/srengine/job.go
+++ b/internal/standin/srengine/job.go
@@ -10,6 +10,8 @@
 type job struct {
 	d      sr.Dispatch
 	digest uint64
+	// start is the run of the engine that took the request.
+	start  string
 	blocks []uint64
 	length int
 	// prefill is the number of prompt tokens still to process.
--- a/internal/standin/srengine/stream.go
+++ b/internal/standin/srengine/stream.go
@@ -35,6 +35,9 @@
 	}
 }
 
+// Start returns the run of the engine that took the request.
+func (s *stream) Start() string { return s.j.start }
+
 // Close ends the connection. The engine goes on with the request.
 func (s *stream) Close() error {
 	s.e.mu.Lock()
--- a/peer.go
+++ b/peer.go
@@ -86,6 +86,9 @@
 	Workspace   string
 	Work        Work
 	Cancellable bool
+	// Confirmed reports whether the request is known to have reached the run of
+	// the endpoint process that was reported last.
+	Confirmed bool
 }
 
 // WarmState is how far an endpoint has come in its cold start.
--- a/pool.go
+++ b/pool.go
@@ -69,6 +69,9 @@
 	Cached int
 	// Cold reports whether the endpoint is in a cold start.
 	Cold bool
+	// Confirm asks the holder to tell with ReleaseTaken and ReleaseDoubt how the
+	// request fares, which bounds what meets a restart without warning.
+	Confirm bool
 	// Why says on what grounds the endpoint was chosen.
 	Why string
 }
@@ -102,9 +105,15 @@
 	ReleaseRefused
 	// ReleaseLost: the connection broke; the request may still run.
 	ReleaseLost
+	// ReleaseTaken: the endpoint has taken the request; the lease goes on.
+	ReleaseTaken
+	// ReleaseDoubt: the connection broke; the lease goes on while its holder
+	// tries to resume the stream.
+	ReleaseDoubt
 )
 
-// Release gives a lease back and reports what was observed.
+// Release gives a lease back and reports what was observed. With ReleaseTaken
+// and ReleaseDoubt it is a message about a lease that goes on.
 type Release struct {
 	Lease  LeaseID
 	Pool   PoolID
@@ -116,6 +125,9 @@
 	Total time.Duration
 	// Tokens is the number of tokens generated.
 	Tokens int
+	// Start is, with ReleaseTaken, the run of the endpoint process as its answer
+	// names it, "" when it does not.
+	Start string
 }
 
 // Revoke tells a holder to cut a running request for a higher tier.
--- a/slots.go
+++ b/slots.go
@@ -79,7 +79,8 @@
 	Ask(now time.Time, a Ask)
 	// Withdraw drops a waiting ask.
 	Withdraw(now time.Time, ask string)
-	// Release ends a lease. An unknown lease is ignored.
+	// Release ends a lease, or takes the news that its holder has of it. An
+	// unknown lease is ignored.
 	Release(now time.Time, r Release)
 	// Held takes a holder's full list of its leases in the pool, made not
 	// before made: others of that holder whose TTL had passed by then are freed.
