--- a/internal/app/srcli/ask.go
+++ b/internal/app/srcli/ask.go
@@ -1,6 +1,7 @@
 package srcli
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srticket"
 )
 
 const (
@@ -54,6 +56,9 @@
 
 // Run prints the decisions taken for a ticket.
 func (c explainCommand) Run(o *output) error {
+	if _, err := srticket.Parse(c.Ticket); err != nil {
+		return err
+	}
 	body, err := get(c.Operate, "/v1/explain/"+url.PathEscape(c.Ticket))
 	if err != nil {
 		return err
@@ -113,11 +118,10 @@
 }
 
 func printJSON(w io.Writer, body []byte) error {
-	var v any
-	if err := json.Unmarshal(body, &v); err != nil {
+	var b bytes.Buffer
+	if err := json.Indent(&b, body, "", "  "); err != nil {
 		return errors.Wrap(err, "srcli: answer of the instance")
 	}
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(v)
+	_, err := fmt.Fprintln(w, b.String())
+	return err
 }
--- a/internal/app/srentry/acquire.go
+++ b/internal/app/srentry/acquire.go
@@ -34,22 +34,37 @@
 
 // search is the state of one search for a lease.
 type search struct {
-	try     int
-	asks    int
+	try  int
+	asks int
+	// work and blocks are those of the request's prompt.
+	work    sr.Work
+	blocks  []uint64
 	avoid   []string
 	refused map[sr.PoolID]sr.Refusal
 	skipped map[sr.PoolID]time.Time
+	// noted holds each pool's last answer, so that a repeated one is recorded once.
+	noted map[sr.PoolID]sr.Refusal
 }
 
-// acquire asks the owners of the target's pools, best first, until one grants
-// a lease or all have refused.
-func (e *Entry) acquire(ctx context.Context, r *srrequest.Request, try int, avoid []string) (granted, sr.Refusal, bool) {
+func newSearch(r *srrequest.Request, try int, avoid []string) *search {
 	s := &search{
 		try:     try,
 		avoid:   avoid,
 		refused: make(map[sr.PoolID]sr.Refusal),
 		skipped: make(map[sr.PoolID]time.Time),
+		noted:   make(map[sr.PoolID]sr.Refusal),
+	}
+	if r.Request.Kind == sr.KindModel {
+		s.work = sr.Work{Prefill: srprefix.Tokens(r.Request.Body), Decode: r.Request.Tokens}
+		s.blocks = srprefix.Blocks(r.Request.Workspace, r.Request.Body)
 	}
+	return s
+}
+
+// acquire asks the owners of the target's pools, best first, until one grants
+// a lease or all have refused.
+func (e *Entry) acquire(ctx context.Context, r *srrequest.Request, try int, avoid []string) (granted, sr.Refusal, bool) {
+	s := newSearch(r, try, avoid)
 	for ctx.Err() == nil {
 		pool, ok := e.nextPool(r, s)
 		if !ok {
@@ -120,7 +135,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
 		grant, err := e.deps.Peers.Peer(owner.Address).Acquire(callCtx, ask)
 		cancel()
-		if err != nil || ctx.Err() != nil {
+		if errors.Is(err, sr.ErrUnreachable) || ctx.Err() != nil {
 			go e.withdraw(owner, ask)
 		}
 		if err != nil {
@@ -133,13 +148,33 @@
 		if grant.Refusal.Name != sr.RefusalWaiting || ctx.Err() != nil {
 			return granted{}, grant.Refusal, false
 		}
-		if current, ok := e.deps.Fleet.Owner(pool); !ok || current != owner {
+		if reason := e.leavePool(owner, ask); reason != "" {
 			go e.withdraw(owner, ask)
-			return granted{}, sr.Refusal{Name: sr.RefusalNotOwner, Reason: "the pool has another owner"}, false
+			return granted{}, sr.Refusal{Name: sr.RefusalNotOwner, Reason: reason}, false
 		}
 	}
 }
 
+// leavePool returns why an ask that waits should be sent elsewhere, "" when it
+// should go on waiting.
+func (e *Entry) leavePool(owner sr.InstanceID, ask sr.Ask) string {
+	if current, ok := e.deps.Fleet.Owner(ask.Pool); !ok || current != owner {
+		return "the pool has another owner"
+	}
+	here, elsewhere := 0, 0
+	for _, n := range e.deps.Fleet.News(ask.Pool.Target) {
+		if n.Pool == ask.Pool {
+			here = n.Slots
+		} else {
+			elsewhere += n.Slots
+		}
+	}
+	if here == 0 && elsewhere > 0 {
+		return "no endpoint of the pool answers"
+	}
+	return ""
+}
+
 // withdraw drops an ask whose answer is of no more use.
 func (e *Entry) withdraw(owner sr.InstanceID, ask sr.Ask) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -150,8 +185,11 @@
 }
 
 func (e *Entry) noteRefusal(r *srrequest.Request, s *search, pool sr.PoolID, refusal sr.Refusal) {
-	e.note(r.Ticket, "ask", "%s answered %s: %s", pool, refusal.Name, refusal.Reason)
-	if refusal.Name == sr.RefusalNotOwner {
+	if refusal != s.noted[pool] {
+		s.noted[pool] = refusal
+		e.note(r.Ticket, "ask", "%s answered %s: %s", pool, refusal.Name, refusal.Reason)
+	}
+	if refusal.Name == sr.RefusalNotOwner || refusal.Name == sr.RefusalWithdrawn {
 		s.skipped[pool] = time.Now().Add(jitter(skipPool))
 		return
 	}
@@ -185,15 +223,13 @@
 		Cancellable: r.Request.Cancellable(),
 		Budget:      r.Deadline().Sub(now),
 		Avoid:       s.avoid,
+		Work:        s.work,
+		Blocks:      s.blocks,
 	}
 	if m, ok := e.deps.Manifest(); ok {
 		ask.Share = m.Workspaces[r.Request.Workspace].Share
 		ask.First = firstBudget(m, r.Request.Tier) - now.Sub(r.Arrived)
 	}
-	if r.Request.Kind == sr.KindModel {
-		ask.Work = sr.Work{Prefill: srprefix.Tokens(r.Request.Body), Decode: r.Request.Tokens}
-		ask.Blocks = srprefix.Blocks(r.Request.Workspace, r.Request.Body)
-	}
 	return ask
 }
 
--- a/internal/app/srfleet/fleet.go
+++ b/internal/app/srfleet/fleet.go
@@ -14,7 +14,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -64,6 +66,8 @@
 type Fleet struct {
 	deps Deps
 	kick chan struct{}
+	// served is set once every target was seen to have an owner.
+	served atomic.Bool
 
 	mu        sync.Mutex
 	members   *srmember.Members
@@ -72,8 +76,10 @@
 	handovers map[sr.PoolID]handover
 	busy      map[string]bool
 	lastTick  time.Time
-	freshAt   time.Time
-	majority  bool
+	// ended holds when the last exchange with each target began that has
+	// ended, with an answer or without.
+	ended    map[string]time.Time
+	majority bool
 }
 
 // heardNews is a pool's summary and when it came.
@@ -102,6 +108,7 @@
 		news:      make(map[sr.PoolID]heardNews),
 		handovers: make(map[sr.PoolID]handover),
 		busy:      make(map[string]bool),
+		ended:     make(map[string]time.Time),
 	}
 }
 
@@ -197,6 +204,28 @@
 	return all
 }
 
+// Served reports whether each target with usable endpoints has a pool whose
+// owner was heard granting slots. Once it was so, it stays true: a loss of
+// owners later is no reason to send callers elsewhere.
+func (f *Fleet) Served() bool {
+	if f.served.Load() {
+		return true
+	}
+	m, ok := f.deps.Store.Current()
+	if !ok {
+		return false
+	}
+	for _, pool := range m.Pools() {
+		news := f.News(pool.Target)
+		owned := func(n sr.PoolNews) bool { return n.Owner != sr.InstanceID{} }
+		if len(news) > 0 && !slices.ContainsFunc(news, owned) {
+			return false
+		}
+	}
+	f.served.Store(true)
+	return true
+}
+
 // Announce tells the others that a tier is under pressure.
 func (f *Fleet) Announce(target string, t sr.Tier) {
 	f.mu.Lock()
@@ -212,8 +241,8 @@
 	return f.floors.State(time.Now(), target)
 }
 
-// Fresh returns once a round of heartbeats has ended within the lapse and no
-// live instance is known to have a newer manifest.
+// Fresh returns once an exchange with each target that began within the lapse
+// has ended and no live instance is known to have a newer manifest.
 func (f *Fleet) Fresh(ctx context.Context) error {
 	limit := time.Now().Add(f.deps.Lapse)
 	for {
@@ -234,7 +263,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	seen = !f.freshAt.IsZero() && now.Sub(f.freshAt) < f.deps.Lapse
+	seen = !f.lastTick.IsZero()
+	for _, address := range f.members.Targets(now) {
+		at, ok := f.ended[address]
+		seen = seen && ok && now.Sub(at) < f.deps.Lapse
+	}
 	return seen, f.deps.Store.CaughtUp(f.members.Versions(now))
 }
 
--- a/internal/policy/srslot/report.go
+++ b/internal/policy/srslot/report.go
@@ -24,6 +24,7 @@
 	}
 	e.reported = true
 	e.reportedAt = taken
+	e.breaker.reported(taken)
 	e.doubt(now, now.Add(-p.opts.Unlisted))
 	e.confirmBy(p.span(taken), p.opts.NetDelay)
 	p.dirty = true
