--- a/internal/policy/srslot/report.go
+++ b/internal/policy/srslot/report.go
@@ -26,6 +26,8 @@
 	e.reportedAt = taken
 	e.breaker.reported(taken)
 	e.doubt(now, now.Add(-p.opts.Unlisted))
+	e.confirmBy(p.span(taken), p.opts.NetDelay)
+	p.dirty = true
 	p.cleared(e.sight(p.span(taken), max(l.Running, 0)+max(l.Waiting, 0)))
 	p.placer.Report(now, endpoint, l)
 	p.forgetGone()
