--- a/internal/policy/srroute/picker.go
+++ b/internal/policy/srroute/picker.go
@@ -30,7 +30,7 @@
 	// crowdBound is the part of a workspace's asks, relative to an even division,
 	// up to which a full pool is chosen without a penalty, and crowdWeight the
 	// weight of what exceeds it.
-	crowdBound  = 1.0
+	crowdBound  = 1.4
 	crowdWeight = 4.0
 	// guess is the share of the prompt taken as cached in the pool that the
 	// rendezvous hash prefers.
