Dial a peer once for all calls, without holding the lock

Cause: the lock was held while dialing, so every call to a dead peer, heartbeats included, waited for the dials of those before it. Change: the first call starts the dial, all wait for its end or for their own context. A connection that opens after the client was closed is closed. TestCallsToADeadPeerShareOneDialAndKeepTheirOwnDeadlines hung against the old code: waiting for a mutex stops virtual time.

--- a/internal/peer/srinstance/client.go
+++ b/internal/peer/srinstance/client.go
@@ -99,9 +99,18 @@
 	dial    Dial
 	connect time.Duration
 
-	mu     sync.Mutex
-	conn   *rpc.Client
-	closed bool
+	mu      sync.Mutex
+	conn    *rpc.Client
+	opening *opening
+	closed  bool
+}
+
+// opening is a connection that is being opened. Its results are set before
+// done is closed.
+type opening struct {
+	done chan struct{}
+	conn *rpc.Client
+	err  error
 }
 
 func (c *client) Heartbeat(ctx context.Context, h sr.Heartbeat) (sr.Heartbeat, error) {
@@ -147,24 +156,51 @@
 	return call[sr.Version, sr.ManifestText](ctx, c, "Manifest", v)
 }
 
-// connection returns the open connection or opens one.
+// connection returns the open connection, or waits for the one that is being
+// opened, until ctx ends at the latest.
 func (c *client) connection(ctx context.Context) (*rpc.Client, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.closed {
-		return nil, errors.Wrap(sr.ErrUnreachable, "srinstance: client is closed")
+		c.mu.Unlock()
+		return nil, errors.WithMessage(errNotConnected, "srinstance: client is closed")
 	}
 	if c.conn != nil {
+		defer c.mu.Unlock()
 		return c.conn, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.connect)
+	if c.opening == nil {
+		c.opening = &opening{done: make(chan struct{})}
+		go c.open(c.opening)
+	}
+	o := c.opening
+	c.mu.Unlock()
+	select {
+	case <-o.done:
+		return o.conn, o.err
+	case <-ctx.Done():
+		return nil, errors.WithMessagef(errNotConnected, "srinstance: connect to %s: %v", c.address, ctx.Err())
+	}
+}
+
+// open opens a connection for all who wait for it.
+func (c *client) open(o *opening) {
+	defer close(o.done)
+	ctx, cancel := context.WithTimeout(context.Background(), c.connect)
 	defer cancel()
 	conn, err := c.dial(ctx, "tcp", c.address)
-	if err != nil {
-		return nil, errors.WithMessagef(errNotConnected, "srinstance: connect to %s: %v", c.address, err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.opening = nil
+	switch {
+	case err != nil:
+		o.err = errors.WithMessagef(errNotConnected, "srinstance: connect to %s: %v", c.address, err)
+	case c.closed:
+		conn.Close()
+		o.err = errors.WithMessage(errNotConnected, "srinstance: client is closed")
+	default:
+		c.conn = rpc.NewClient(conn)
+		o.conn = c.conn
 	}
-	c.conn = rpc.NewClient(conn)
-	return c.conn, nil
 }
 
 // drop forgets a connection that failed.
--- /dev/null
+++ b/internal/peer/srinstance/dial_test.go
@@ -0,0 +1,62 @@
+package srinstance
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+const (
+	testConnect = time.Second
+	testWait    = 100 * time.Millisecond
+)
+
+func TestCallsToADeadPeerShareOneDialAndKeepTheirOwnDeadlines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dials atomic.Int32
+		peer := New(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			dials.Add(1)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}, testConnect).Peer("10.0.0.2:7300")
+		start := time.Now()
+		var wg sync.WaitGroup
+		for range 10 {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), testWait)
+				defer cancel()
+				_, err := peer.Heartbeat(ctx, sr.Heartbeat{})
+				assert.Check(t, errors.Is(err, sr.ErrUnreachable) && errors.Is(err, sr.ErrNotSent), "got %v", err)
+				assert.Check(t, time.Since(start) == testWait, "answered after %v", time.Since(start))
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, dials.Load(), int32(1))
+		time.Sleep(testConnect)
+	})
+}
+
+func TestConnectionThatOpensAfterCloseIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		here, there := net.Pipe()
+		peers := New(func(context.Context, string, string) (net.Conn, error) {
+			time.Sleep(testWait)
+			return here, nil
+		}, testConnect)
+		peer := peers.Peer("10.0.0.2:7300")
+		time.AfterFunc(testWait/2, peers.Close)
+		_, err := peer.Heartbeat(t.Context(), sr.Heartbeat{})
+		assert.Check(t, errors.Is(err, sr.ErrNotSent), "got %v", err)
+		_, err = there.Read(make([]byte, 1))
+		assert.Check(t, err != nil, "the connection is open")
+	})
+}
