Drop old summaries of pools, and prefer those of the holder

Cause: summaries were never dropped, and the last claimant's replaced the holder's, so pickers saw the numbers of an owner that grants nothing. Change: a summary is kept for three lapses; one from another than the known holder does not replace the holder's own meanwhile. TestNewsOfTheHolderIsPreferredAndOldNewsDropped failed before.

--- /dev/null
+++ b/internal/app/srfleet/news_test.go
@@ -0,0 +1,40 @@
+package srfleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srtier"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srmanifest"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srmember"
+)
+
+func TestNewsOfTheHolderIsPreferredAndOldNewsDropped(t *testing.T) {
+	self := sr.InstanceID{Address: "10.0.0.1:7300", Incarnation: 1}
+	holder := sr.InstanceID{Address: "10.0.0.2:7300", Incarnation: 2}
+	rival := sr.InstanceID{Address: "10.0.0.3:7300", Incarnation: 3}
+	pool := sr.PoolID{Target: "m", Domain: "a"}
+	f := New(Deps{
+		Self:    self,
+		Members: srmember.New(self, "a", srmember.Options{}),
+		Floors:  srtier.New(self, testLapse),
+		Store:   srmanifest.New(),
+		Lapse:   testLapse,
+		Metrics: metrics.NewRegistry(),
+	})
+	now := time.Now()
+	heartbeat := func(at time.Time, from sr.InstanceID, free int, claims ...sr.Claim) {
+		hb := sr.Heartbeat{From: from, Domain: "a", Ownership: claims, Claims: []sr.PoolNews{{Pool: pool, Owner: from, Free: free}}}
+		f.members.Received(at, hb)
+		f.take(at, hb)
+	}
+	heartbeat(now, holder, 5, sr.Claim{Pool: pool, Owner: holder, Grants: true, Majority: true})
+	heartbeat(now, rival, 9)
+	assert.Equal(t, f.heard(pool).Free, 5)
+	f.takeover(now.Add(newsLapses * testLapse))
+	assert.Equal(t, len(f.news), 0)
+}
--- a/internal/app/srfleet/round.go
+++ b/internal/app/srfleet/round.go
@@ -14,6 +14,8 @@
 const (
 	// kickPause is the shortest time between two rounds.
 	kickPause = 20 * time.Millisecond
+	// newsLapses is the number of lapses for which a pool's summary is kept.
+	newsLapses = 3
 	// listInterval is the interval at which the instance list is read.
 	listInterval = time.Second
 )
@@ -131,7 +133,7 @@
 	f.mu.Lock()
 	f.floors.Hear(now, hb.From, hb.Floors)
 	for _, n := range hb.Claims {
-		f.news[n.Pool] = heardNews{news: n, at: now}
+		f.hearNews(now, n)
 	}
 	f.mu.Unlock()
 	if v, _ := f.deps.Store.Version(); hb.Version.Number > v.Number {
@@ -142,6 +144,20 @@
 	}
 }
 
+// hearNews keeps a pool's summary unless it comes from another than the
+// pool's holder and the holder's own is still of use.
+func (f *Fleet) hearNews(now time.Time, n sr.PoolNews) {
+	old, ok := f.news[n.Pool]
+	holder, known := f.members.Holder(now, n.Pool)
+	if ok && known && old.news.Owner == holder && n.Owner != holder && now.Sub(old.at) < f.keepNews() {
+		return
+	}
+	f.news[n.Pool] = heardNews{news: n, at: now}
+}
+
+// keepNews is how long a summary is of use.
+func (f *Fleet) keepNews() time.Duration { return newsLapses * f.deps.Lapse }
+
 // compose returns a heartbeat of this instance.
 func (f *Fleet) compose(now time.Time) sr.Heartbeat {
 	news := f.deps.Owners.News()
@@ -175,6 +191,7 @@
 			delete(f.handovers, pool)
 		}
 	}
+	maps.DeleteFunc(f.news, func(_ sr.PoolID, h heardNews) bool { return now.Sub(h.at) >= f.keepNews() })
 	return turns, f.members.Lost(now)
 }
 
