Say things once in errors and explanations, and show the whole wait

Cause: an error that crossed the wire repeated its sentinel; the step end and the summary held blanks where there was no reason; the step grant showed only the last second of the wait in an owner's queue. Change: the sentinel is taken off the text that crosses the wire, blanks are gone, and grant counts from the first call for this ask. TestSentinelsCrossTheWire compares the texts; the texts of explain have no test of their own.

--- a/internal/app/srentry/acquire.go
+++ b/internal/app/srentry/acquire.go
@@ -112,6 +112,7 @@
 		return granted{}, sr.Refusal{Name: sr.RefusalNotOwner, Reason: "the pool has no owner"}, false
 	}
 	s.asks++
+	first := time.Now()
 	ask := e.newAsk(r, s, pool)
 	e.picked(func(p sr.Picker) { p.Asked(time.Now(), ask, pool) })
 	for {
@@ -127,7 +128,7 @@
 			return granted{}, refusalOf(err), false
 		}
 		if grant.Lease.ID != 0 && ctx.Err() == nil {
-			e.note(r.Ticket, "grant", "%s in %s by %s after %s: %s", grant.Lease.Endpoint, pool, owner.Address, time.Since(sent).Round(time.Millisecond), grant.Lease.Why)
+			e.note(r.Ticket, "grant", "%s in %s by %s after %s: %s", grant.Lease.Endpoint, pool, owner.Address, time.Since(first).Round(time.Millisecond), grant.Lease.Why)
 			return granted{lease: grant.Lease, expires: sent.Add(grant.Lease.Waited + grant.Lease.TTL)}, sr.Refusal{}, true
 		}
 		if grant.Refusal.Name != sr.RefusalWaiting || ctx.Err() != nil {
--- a/internal/app/srentry/explain.go
+++ b/internal/app/srentry/explain.go
@@ -75,5 +75,9 @@
 	if sends == 0 {
 		return fmt.Sprintf("The request was refused after %s and never sent: %s.", took, s.Reason)
 	}
-	return fmt.Sprintf("The request was sent %d time(s), waited %s for an endpoint, and ended %s after %s. %s", sends, waited, s.Outcome, took, s.Reason)
+	text := fmt.Sprintf("The request was sent %d time(s), waited %s for an endpoint, and ended %s after %s.", sends, waited, s.Outcome, took)
+	if s.Reason != "" {
+		text += " " + s.Reason
+	}
+	return text
 }
--- a/internal/app/srentry/run.go
+++ b/internal/app/srentry/run.go
@@ -147,7 +147,11 @@
 		return
 	}
 	e.count("outcomes." + string(s.Outcome))
-	e.note(r.Ticket, "end", "%s %s after %s", s.Outcome, s.Reason, time.Since(r.Arrived).Round(time.Millisecond))
+	detail := string(s.Outcome)
+	if s.Reason != "" {
+		detail += ": " + s.Reason
+	}
+	e.note(r.Ticket, "end", "%s after %s", detail, time.Since(r.Arrived).Round(time.Millisecond))
 }
 
 // release gives a lease back to the present owner of its pool. A release that
--- a/internal/peer/srinstance/code.go
+++ b/internal/peer/srinstance/code.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -58,5 +59,9 @@
 	if !ok {
 		return errors.New(f.Text)
 	}
-	return errors.WithMessage(sentinel, f.Text)
+	text := strings.TrimSuffix(f.Text, sentinel.Error())
+	if text = strings.TrimSuffix(text, ": "); text == "" {
+		return sentinel
+	}
+	return errors.WithMessage(sentinel, text)
 }
--- a/internal/peer/srinstance/peer_test.go
+++ b/internal/peer/srinstance/peer_test.go
@@ -65,6 +65,7 @@
 		_, err := dialTo(serve(t, handler{err: want})).Acquire(t.Context(), sr.Ask{})
 		assert.Assert(t, errors.Is(err, want), "want %v, got %v", want, err)
 		assert.Assert(t, !errors.Is(err, sr.ErrUnreachable))
+		assert.Equal(t, err.Error(), want.Error())
 	}
 }
 
