Let connections to instances that are gone go

Cause: nothing called Keep, so the clients of every address ever met stayed. Change: each round tells the connections which addresses are still sent heartbeats. Connections with calls under way or used within the last minute stay, so a relayed request is not cut. TestKeepClosesOnlyWhatIsIdle; the fleet's test checks what it tells.

--- a/internal/app/srfleet/fleet.go
+++ b/internal/app/srfleet/fleet.go
@@ -52,6 +52,8 @@
 	Held func([]sr.PoolNews) []sr.HeldPool
 	// Behind tells that a peer at address has a newer manifest.
 	Behind func(address string, v sr.Version)
+	// Keep tells which addresses are still sent heartbeats; nil needs none.
+	Keep func(addresses []string)
 	// Heartbeat is the interval of exchanges, Lapse the time after which a
 	// silent instance counts as dead.
 	Heartbeat time.Duration
--- a/internal/app/srfleet/fresh_test.go
+++ b/internal/app/srfleet/fresh_test.go
@@ -52,6 +52,7 @@
 		}))
 		assert.NilError(t, err)
 		self := sr.InstanceID{Address: "10.0.0.1:7300", Incarnation: 1}
+		var kept []string
 		f := New(Deps{
 			Self:      self,
 			Members:   srmember.New(self, "brno-a", srmember.Options{Seeds: []string{"10.0.0.2:7300"}}),
@@ -60,6 +61,7 @@
 			Owners:    noPools{},
 			Peers:     silent{},
 			Platform:  oneInstance{},
+			Keep:      func(addresses []string) { kept = addresses },
 			Heartbeat: testHeartbeat,
 			Lapse:     testLapse,
 			Log:       logr.Discard(),
@@ -76,5 +78,6 @@
 		assert.Check(t, time.Since(start) >= testLapse/4, "fresh after %v", time.Since(start))
 		cancel()
 		<-done
+		assert.DeepEqual(t, kept, []string{"10.0.0.2:7300"})
 	})
 }
--- a/internal/app/srfleet/round.go
+++ b/internal/app/srfleet/round.go
@@ -70,18 +70,21 @@
 // sendAll sends a heartbeat to each target that has none on its way.
 func (f *Fleet) sendAll(ctx context.Context, now time.Time, wg *sync.WaitGroup) {
 	hb := f.compose(now)
-	for _, address := range f.takeTargets(now) {
+	targets, all := f.takeTargets(now)
+	if f.deps.Keep != nil {
+		f.deps.Keep(all)
+	}
+	for _, address := range targets {
 		wg.Go(func() { f.exchange(ctx, address, hb, now) })
 	}
 }
 
-// takeTargets returns the targets without a heartbeat on its way and marks
-// them. Exchanges with what is no target any longer are forgotten.
-func (f *Fleet) takeTargets(now time.Time) []string {
+// takeTargets returns the targets without a heartbeat on its way, which it
+// marks, and all targets. Exchanges with what is no target any longer are forgotten.
+func (f *Fleet) takeTargets(now time.Time) (targets, all []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var targets []string
-	all := f.members.Targets(now)
+	all = f.members.Targets(now)
 	maps.DeleteFunc(f.ended, func(address string, _ time.Time) bool { return !slices.Contains(all, address) })
 	for _, address := range all {
 		if f.busy[address] {
@@ -90,7 +93,7 @@
 		f.busy[address] = true
 		targets = append(targets, address)
 	}
-	return targets
+	return targets, all
 }
 
 // exchange sends one heartbeat, composed at sent, and takes its answer.
--- a/internal/app/srserve/instance.go
+++ b/internal/app/srserve/instance.go
@@ -74,6 +74,8 @@
 	owners *srowner.Owners
 	fleet  *srfleet.Fleet
 	record *srrecord.Log
+	// remote reaches the other instances, without this one.
+	remote sr.Peers
 
 	behind  chan newerManifest
 	leaving atomic.Bool
@@ -100,6 +102,7 @@
 		behind:  make(chan newerManifest, 1),
 		started: time.Now(),
 	}
+	i.remote = deps.Peers
 	i.deps.Peers = localPeers{self: deps.Self.Address, local: i, remote: deps.Peers}
 	i.reader = srmanifest.NewReader(deps.Platform, i.store, srmanifest.ReaderOptions{
 		Root:    deps.Settings.Root,
@@ -249,6 +252,7 @@
 		Platform:  i.deps.Platform,
 		Held:      func(pools []sr.PoolNews) []sr.HeldPool { return i.entry.Held(pools) },
 		Behind:    i.noteBehind,
+		Keep:      i.keepPeers,
 		Heartbeat: s.Heartbeat,
 		Lapse:     s.Lapse,
 		Log:       i.deps.Log,
@@ -281,6 +285,13 @@
 	})
 }
 
+// keepPeers lets the connections go to instances that are gone.
+func (i *Instance) keepPeers(addresses []string) {
+	if k, ok := i.remote.(interface{ Keep(addresses []string) }); ok {
+		k.Keep(addresses)
+	}
+}
+
 // noteBehind asks for a newer manifest; one that is already asked for is enough.
 func (i *Instance) noteBehind(address string, v sr.Version) {
 	select {
--- a/internal/peer/srinstance/client.go
+++ b/internal/peer/srinstance/client.go
@@ -34,6 +34,9 @@
 // defaultWait bounds calls whose context has no deadline.
 const defaultWait = 2 * time.Second
 
+// keepUsed is how long a connection is kept after its last call.
+const keepUsed = time.Minute
+
 // heartbeatMethod is answered at once, so a heartbeat without an answer means
 // that its connection is dead.
 const heartbeatMethod = "Heartbeat"
@@ -65,10 +68,12 @@
 		c = &client{address: address, dial: p.dial, connect: p.connect, closed: p.closed}
 		p.clients[address] = c
 	}
+	c.use(0)
 	return c
 }
 
-// Keep closes and forgets the connections to all addresses but those given.
+// Keep closes and forgets the connections to all addresses but those given
+// and those in use within the last minute.
 func (p *Peers) Keep(addresses []string) {
 	keep := make(map[string]struct{}, len(addresses))
 	for _, a := range addresses {
@@ -77,7 +82,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a, c := range p.clients {
-		if _, ok := keep[a]; !ok {
+		if _, ok := keep[a]; !ok && c.idle(time.Now()) {
 			c.close()
 			delete(p.clients, a)
 		}
@@ -103,6 +108,9 @@
 	conn    *rpc.Client
 	opening *opening
 	closed  bool
+	// calls counts the calls under way, used is when the last one was asked for.
+	calls int
+	used  time.Time
 }
 
 // opening is a connection that is being opened. Its results are set before
@@ -203,6 +211,21 @@
 	}
 }
 
+// use notes that a call begins, 1, ends, -1, or is about to come, 0.
+func (c *client) use(calls int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls += calls
+	c.used = time.Now()
+}
+
+// idle reports whether the connection was out of use for keepUsed.
+func (c *client) idle(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls == 0 && now.Sub(c.used) >= keepUsed
+}
+
 // drop forgets a connection that failed.
 func (c *client) drop(conn *rpc.Client) {
 	c.mu.Lock()
@@ -225,6 +248,8 @@
 
 func call[A, R any](ctx context.Context, c *client, method string, value A) (R, error) {
 	var zero R
+	c.use(1)
+	defer c.use(-1)
 	ctx, cancel := withWait(ctx)
 	defer cancel()
 	conn, err := c.connection(ctx)
--- a/internal/peer/srinstance/dial_test.go
+++ b/internal/peer/srinstance/dial_test.go
@@ -60,3 +60,21 @@
 		assert.Check(t, err != nil, "the connection is open")
 	})
 }
+
+func TestKeepClosesOnlyWhatIsIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := New(func(context.Context, string, string) (net.Conn, error) {
+			return nil, errors.New("refused")
+		}, testConnect)
+		for _, address := range []string{"10.0.0.2:7300", "10.0.0.3:7300"} {
+			_, err := peers.Peer(address).Heartbeat(t.Context(), sr.Heartbeat{})
+			assert.Assert(t, errors.Is(err, sr.ErrUnreachable))
+		}
+		peers.Keep([]string{"10.0.0.2:7300"})
+		assert.Equal(t, len(peers.clients), 2)
+		time.Sleep(keepUsed)
+		peers.Keep([]string{"10.0.0.2:7300"})
+		assert.Equal(t, len(peers.clients), 1)
+		assert.Check(t, peers.clients["10.0.0.2:7300"] != nil)
+	})
+}
