Show why a manifest was kept out

Cause: the reason was kept in the store and shown nowhere. Change: the dump shows it and the state of the reader, a line is logged when it changes, and manifests.invalid and manifests.conflicting count offers.

--- a/internal/app/srserve/dump.go
+++ b/internal/app/srserve/dump.go
@@ -43,7 +43,12 @@
 type ManifestDump struct {
 	Version sr.Version
 	Counts  srmanifest.Counts
-	Out     []string
+	// Problem is why the last complete manifest was kept out, "" when none was
+	// since the one in force.
+	Problem string
+	// Reader is the state of the reader of the configuration service.
+	Reader srmanifest.ReaderState
+	Out    []string
 }
 
 // RecordDump says how many decisions are kept for explain.
@@ -111,7 +116,10 @@
 
 func (i *Instance) dumpManifest() ManifestDump {
 	m, _ := i.store.Current()
-	d := ManifestDump{Version: m.Version, Counts: i.store.Counts()}
+	d := ManifestDump{Version: m.Version, Counts: i.store.Counts(), Reader: i.reader.State()}
+	if err := i.store.Problem(); err != nil {
+		d.Problem = err.Error()
+	}
 	for name, domain := range m.Domains {
 		if domain.Out {
 			d.Out = append(d.Out, name)
--- a/internal/app/srserve/instance.go
+++ b/internal/app/srserve/instance.go
@@ -37,6 +37,8 @@
 )
 
 const (
+	// rejectedInterval is the interval at which rejected manifests are looked for.
+	rejectedInterval = time.Second
 	// sweepInterval is the interval at which old records are dropped.
 	sweepInterval = time.Second
 	// linger is how long a leaving instance still accepts requests, since the
@@ -127,6 +129,7 @@
 	wg.Go(func() { i.followManifest(ctx) })
 	wg.Go(func() { i.fetchNewer(ctx) })
 	wg.Go(func() { i.sweep(ctx) })
+	wg.Go(func() { i.watchRejected(ctx) })
 	wg.Go(func() { i.fleet.Run(ctx) })
 	wg.Wait()
 	i.owners.Close()
@@ -220,6 +223,22 @@
 	}
 }
 
+// watchRejected counts and logs the manifests that are kept out.
+func (i *Instance) watchRejected(ctx context.Context) {
+	var seen srmanifest.Counts
+	problem := ""
+	for pause(ctx, rejectedInterval) == nil {
+		c := i.store.Counts()
+		metrics.GetOrRegisterCounter("manifests.invalid", i.deps.Metrics).Inc(c.Invalid - seen.Invalid)
+		metrics.GetOrRegisterCounter("manifests.conflicting", i.deps.Metrics).Inc(c.Conflicts - seen.Conflicts)
+		seen = c
+		if text := i.dumpManifest().Problem; text != problem {
+			problem = text
+			i.deps.Log.Info("manifest kept out", "problem", problem)
+		}
+	}
+}
+
 func (i *Instance) newOwners() *srowner.Owners {
 	return srowner.New(srowner.Deps{
 		Self:     i.deps.Self,
