Show in the dump how many slots may be in use now, and why

Cause: Limit ignored the majority and the refusals of an endpoint. Ruled out: another meaning of Limit, by which the model of the pool's tests judges what an endpoint bears. Change: Allowed is the limit in force, and State names what sets it: out, no majority, refusing, unknown, cold or warm. TestDumpNamesWhatSetsTheLimit.

--- a/internal/policy/srslot/news.go
+++ b/internal/policy/srslot/news.go
@@ -47,28 +47,36 @@
 		})
 	}
 	for _, e := range p.order {
-		d.Endpoints = append(d.Endpoints, e.dump(now))
+		d.Endpoints = append(d.Endpoints, p.dumpEndpoint(now, e))
 	}
 	return d
 }
 
-func (e *endpoint) dump(now time.Time) sr.EndpointDump {
+func (p *Pool) dumpEndpoint(now time.Time, e *endpoint) sr.EndpointDump {
 	return sr.EndpointDump{
 		Name:    e.spec.Name,
 		Usable:  e.usable(),
-		State:   e.state(),
+		State:   p.endpointState(now, e),
 		Limit:   e.limit(),
+		Allowed: p.limitAt(now, e),
 		Leases:  len(e.leases) - e.orphans,
 		Orphans: e.orphans + e.nameless + e.surplus,
 		Report:  e.reportState(now),
 	}
 }
 
-func (e *endpoint) state() string {
-	if e.blind {
+// endpointState names what sets the limit of an endpoint.
+func (p *Pool) endpointState(now time.Time, e *endpoint) string {
+	switch {
+	case !e.usable():
+		return "out"
+	case e.ramp.Cold() && !p.mode.Majority:
+		return "no majority"
+	case e.breaker.limit(now, 1) == 0:
+		return "refusing"
+	case e.blind:
 		return "unknown"
-	}
-	if e.ramp.Cold() {
+	case e.ramp.Cold():
 		return "cold"
 	}
 	return "warm"
--- a/internal/policy/srslot/pool_test.go
+++ b/internal/policy/srslot/pool_test.go
@@ -587,3 +587,19 @@
 		assert.Equal(t, len(r.floors), 0)
 	}
 }
+
+func TestDumpNamesWhatSetsTheLimit(t *testing.T) {
+	r := newRig(t, srslot.Options{}, "e1")
+	r.ask(1, "a", 1)
+	r.tick(0)
+	r.release("a0", sr.ReleaseRefused)
+	d := r.Dump(r.now).Endpoints[0]
+	assert.Equal(t, d.State, "refusing")
+	assert.Equal(t, d.Allowed, 0)
+	r.tick(time.Second)
+	r.report("e1", "s2", 0)
+	r.SetMode(r.now, sr.PoolMode{Own: true})
+	d = r.Dump(r.now).Endpoints[0]
+	assert.Equal(t, d.State, "no majority")
+	assert.Equal(t, d.Allowed, 0)
+}
--- a/slots.go
+++ b/slots.go
@@ -128,7 +128,10 @@
 	Name    string
 	Usable  bool
 	State   string
+	// Limit is how many slots the endpoint bears, Allowed how many of them may
+	// be in use now.
 	Limit   int
+	Allowed int
 	Leases  int
 	Orphans int
 	Report  string
