--- a/slots.go
+++ b/slots.go
@@ -125,9 +125,9 @@
 
 // EndpointDump is an endpoint of a pool for people.
 type EndpointDump struct {
-	Name    string
-	Usable  bool
-	State   string
+	Name   string
+	Usable bool
+	State  string
 	// Limit is how many slots the endpoint bears, Allowed how many of them may
 	// be in use now.
 	Limit   int
