--- a/internal/app/srcli/cli_test.go
+++ b/internal/app/srcli/cli_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -9,6 +10,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srsettings"
 )
 
 // fakeInstance gives tickets, and one answer to each call.
@@ -55,3 +58,12 @@
 		assert.Check(t, got == ExitInvalid, "%s: exit code %d, %s", ticket, got, errs.String())
 	}
 }
+
+func TestLevelErrorWritesOnlyErrors(t *testing.T) {
+	var out bytes.Buffer
+	l := newLog(&output{err: &out}, srsettings.Settings{Level: srsettings.LevelError})
+	l.Info("a change")
+	assert.Equal(t, out.String(), "")
+	l.Error(errors.New("reason"), "a fault")
+	assert.Check(t, strings.Contains(out.String(), "a fault"), out.String())
+}
--- a/internal/app/srcli/serve.go
+++ b/internal/app/srcli/serve.go
@@ -49,5 +49,24 @@
 		stdr.SetVerbosity(1)
 	}
 	l := stdr.New(log.New(o.err, "", log.LstdFlags|log.Lmicroseconds|log.LUTC))
+	if cfg.Level == srsettings.LevelError {
+		l = logr.New(onlyErrors{l.GetSink()})
+	}
 	return l.WithValues("instance", cfg.Peer)
 }
+
+// onlyErrors is a sink without informational lines.
+type onlyErrors struct{ logr.LogSink }
+
+// Enabled reports that no level of informational lines is written.
+func (onlyErrors) Enabled(int) bool { return false }
+
+// WithValues returns a sink with further values.
+func (s onlyErrors) WithValues(values ...any) logr.LogSink {
+	return onlyErrors{s.LogSink.WithValues(values...)}
+}
+
+// WithName returns a sink with a further name.
+func (s onlyErrors) WithName(name string) logr.LogSink {
+	return onlyErrors{s.LogSink.WithName(name)}
+}
