Remove the settings waiting and streams, which had no effect

Cause: [limits] waiting and streams were checked and read by nothing. Ruled out: giving them a meaning. Waiting requests are bounded by tickets, by each workspace's queue and by the queues of pools; answers being read have no place that counts them for a refusal.

--- a/internal/state/srsettings/settings.go
+++ b/internal/state/srsettings/settings.go
@@ -38,11 +38,9 @@
 	// Body is in bytes, the other limits are counts.
 	Body    int
 	Tickets int
-	Waiting int
 	Records int
 	Batch   int
 	Events  int
-	Streams int
 
 	Heartbeat time.Duration
 	Lapse     time.Duration
--- a/internal/state/srsettings/table.go
+++ b/internal/state/srsettings/table.go
@@ -30,11 +30,9 @@
 
 		{Section: "limits", Name: "body", Value: srini.Int(&s.Body, "bytes", 1<<10, 64<<20), Default: "1048576", About: "largest request body"},
 		{Section: "limits", Name: "tickets", Value: srini.Int(&s.Tickets, "tickets", 1, 1_000_000), Default: "20000", About: "most tickets in use"},
-		{Section: "limits", Name: "waiting", Value: srini.Int(&s.Waiting, "requests", 1, 1_000_000), Default: "2000", About: "most requests that wait at this instance"},
 		{Section: "limits", Name: "records", Value: srini.Int(&s.Records, "steps", 100, 10_000_000), Default: "20000", About: "steps kept for explanations"},
 		{Section: "limits", Name: "batch", Value: srini.Int(&s.Batch, "tickets", 1, 10_000), Default: "100", About: "most tickets in one call"},
 		{Section: "limits", Name: "events", Value: srini.Int(&s.Events, "events", 16, 1_000_000), Default: "8192", About: "most events kept of one answer"},
-		{Section: "limits", Name: "streams", Value: srini.Int(&s.Streams, "streams", 1, 1_000_000), Default: "2000", About: "most answers read by callers at once"},
 
 		{Section: "times", Name: "heartbeat", Value: srini.Duration(&s.Heartbeat, 10*time.Millisecond, 10*time.Second), Default: "250ms", About: "time between heartbeats"},
 		{Section: "times", Name: "lapse", Value: srini.Duration(&s.Lapse, 30*time.Millisecond, time.Minute), Default: "2s", About: "time after which an instance that was not heard counts as gone"},
@@ -107,12 +105,6 @@
 			s.Batch <= s.Tickets,
 			fmt.Sprintf("at most the limit of %d tickets, found %d", s.Tickets, s.Batch),
 		},
-		{
-			"limits", "waiting",
-			[]string{"tickets"},
-			s.Waiting <= s.Tickets,
-			fmt.Sprintf("at most the limit of %d tickets, found %d", s.Tickets, s.Waiting),
-		},
 		{
 			"instance", "operate",
 			[]string{"listen"},
