Wait in one place

Cause: five packages had the same timer of their own. Change: srtimer.Wait is used by the fleet, the entry, the instance, the client and the manifest reader. The load generator keeps its own for now.

--- a/internal/app/srentry/entry.go
+++ b/internal/app/srentry/entry.go
@@ -29,6 +29,7 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srticket"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srrecord"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srrequest"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
 )
 
 // Fleet is what an entry needs to know of the other instances.
@@ -158,13 +159,4 @@
 	return d/2 + rand.N(d/2+1)
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func sleep(ctx context.Context, d time.Duration) error { return srtimer.Wait(ctx, d) }
--- a/internal/app/srfleet/round.go
+++ b/internal/app/srfleet/round.go
@@ -9,6 +9,7 @@
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srmember"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
 )
 
 const (
@@ -32,7 +33,7 @@
 		select {
 		case <-ticker.C:
 		case <-f.kick:
-			wait(ctx, kickPause)
+			_ = srtimer.Wait(ctx, kickPause)
 		case <-ctx.Done():
 		}
 	}
@@ -220,7 +221,7 @@
 			f.members.Listed(time.Now(), instances)
 			f.mu.Unlock()
 		}
-		wait(ctx, listInterval)
+		_ = srtimer.Wait(ctx, listInterval)
 	}
 }
 
@@ -231,12 +232,3 @@
 	}
 	return ids
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/app/srserve/instance.go
+++ b/internal/app/srserve/instance.go
@@ -34,6 +34,7 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srmember"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srrecord"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srsettings"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
 )
 
 const (
@@ -158,7 +159,7 @@
 	i.leaving.Store(true)
 	i.deps.Log.Info("shutting down")
 	i.fleet.Leave()
-	if err := pause(ctx, linger); err != nil {
+	if err := srtimer.Wait(ctx, linger); err != nil {
 		return err
 	}
 	i.entry.Drain()
@@ -179,7 +180,7 @@
 func (i *Instance) waitForHandover(ctx context.Context) error {
 	limit := time.Now().Add(2 * i.deps.Settings.Lapse)
 	for i.entry.Callers() > 0 || i.entry.Count().Readers > 0 || len(i.owners.Owned()) > 0 && time.Now().Before(limit) {
-		if err := pause(ctx, drainPoll); err != nil {
+		if err := srtimer.Wait(ctx, drainPoll); err != nil {
 			return err
 		}
 	}
@@ -218,7 +219,7 @@
 }
 
 func (i *Instance) sweep(ctx context.Context) {
-	for pause(ctx, sweepInterval) == nil {
+	for srtimer.Wait(ctx, sweepInterval) == nil {
 		i.entry.Sweep(time.Now())
 	}
 }
@@ -227,7 +228,7 @@
 func (i *Instance) watchRejected(ctx context.Context) {
 	var seen srmanifest.Counts
 	problem := ""
-	for pause(ctx, rejectedInterval) == nil {
+	for srtimer.Wait(ctx, rejectedInterval) == nil {
 		c := i.store.Counts()
 		metrics.GetOrRegisterCounter("manifests.invalid", i.deps.Metrics).Inc(c.Invalid - seen.Invalid)
 		metrics.GetOrRegisterCounter("manifests.conflicting", i.deps.Metrics).Inc(c.Conflicts - seen.Conflicts)
@@ -324,14 +325,3 @@
 func (i *Instance) count(name string) {
 	metrics.GetOrRegisterCounter(name, i.deps.Metrics).Inc(1)
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/peer/srclient/client.go
+++ b/internal/peer/srclient/client.go
@@ -25,6 +25,7 @@
 	"github.com/pkg/errors"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
 )
 
 const (
@@ -252,7 +253,7 @@
 		default:
 			mayHaveArrived = true
 		}
-		if sleep(ctx, pause) != nil {
+		if srtimer.Wait(ctx, pause) != nil {
 			return errors.Wrap(ctx.Err(), "srclient")
 		}
 	}
@@ -310,14 +311,3 @@
 	}
 	return refusal
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/state/srmanifest/reader.go
+++ b/internal/state/srmanifest/reader.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
 )
 
 // Default options of a Reader.
@@ -86,7 +87,7 @@
 // Run follows the service until ctx ends.
 func (r *Reader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, r.step(ctx))
+		_ = srtimer.Wait(ctx, r.step(ctx))
 	}
 }
 
@@ -244,15 +245,3 @@
 	}
 	return d
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
