Remove what nothing used, and name refusals in one place

StateWithdrawn, and the loggers of the entry and of the owners, were read by nothing. The names of refusals stood in srslot and in the root package; srslot uses those of the root package now, but for "withdrawn", which only it has.

--- a/internal/app/srentry/entry.go
+++ b/internal/app/srentry/entry.go
@@ -22,7 +22,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
@@ -79,7 +78,6 @@
 	Stream  func() string
 	Record  *srrecord.Log
 	Limits  Limits
-	Log     logr.Logger
 	Metrics metrics.Registry
 }
 
--- a/internal/app/srowner/owners.go
+++ b/internal/app/srowner/owners.go
@@ -18,7 +18,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
@@ -39,7 +38,6 @@
 	Announce func(target string, t sr.Tier)
 	// Poll is the interval of load reports.
 	Poll    time.Duration
-	Log     logr.Logger
 	Metrics metrics.Registry
 }
 
--- a/internal/app/srserve/instance.go
+++ b/internal/app/srserve/instance.go
@@ -250,7 +250,6 @@
 		Mode:     func(pool sr.PoolID) sr.PoolMode { return i.fleet.Mode(pool) },
 		Announce: func(target string, t sr.Tier) { i.fleet.Announce(target, t) },
 		Poll:     i.deps.Settings.Poll,
-		Log:      i.deps.Log,
 		Metrics:  i.deps.Metrics,
 	})
 }
@@ -300,7 +299,6 @@
 			Batch:    s.Batch,
 			Retain:   s.Retain,
 		},
-		Log:     i.deps.Log,
 		Metrics: i.deps.Metrics,
 	})
 }
--- a/internal/policy/srslot/refusal.go
+++ b/internal/policy/srslot/refusal.go
@@ -6,22 +6,15 @@
 	sr "github.com/sassafrasrail/sassafrasrail"
 )
 
-// Names of refusals.
-const (
-	nameOverloaded = "overloaded"
-	nameLate       = "late"
-	nameFloor      = "floor"
-	nameEmpty      = "empty"
-	nameNotOwner   = "not-owner"
-	nameWithdrawn  = "withdrawn"
-)
+// nameWithdrawn is the name of the refusal of an ask that was taken back.
+const nameWithdrawn = "withdrawn"
 
 func notOwner() sr.Refusal {
-	return sr.Refusal{Name: nameNotOwner, Reason: "the instance does not own the pool"}
+	return sr.Refusal{Name: sr.RefusalNotOwner, Reason: "the instance does not own the pool"}
 }
 
 func empty() sr.Refusal {
-	return sr.Refusal{Name: nameEmpty, Reason: "the pool has no usable endpoint left for this ask"}
+	return sr.Refusal{Name: sr.RefusalEmpty, Reason: "the pool has no usable endpoint left for this ask"}
 }
 
 func withdrawn(reason string) sr.Refusal {
--- a/internal/policy/srslot/shed.go
+++ b/internal/policy/srslot/shed.go
@@ -58,7 +58,7 @@
 
 // answerDue refuses an ask if its tier may be shed now.
 func (p *Pool) answerDue(now time.Time, w *waiter, r sr.Refusal) bool {
-	if r.Name == nameEmpty {
+	if r.Name == sr.RefusalEmpty {
 		p.refuse(w, r)
 		return true
 	}
@@ -92,18 +92,18 @@
 }
 
 func (p *Pool) late(now time.Time, w *waiter, wait, left time.Duration) sr.Refusal {
-	r := sr.Refusal{Name: nameLate, Retry: p.retry(wait)}
+	r := sr.Refusal{Name: sr.RefusalLate, Retry: p.retry(wait)}
 	r.Reason = fmt.Sprintf("expected wait %v and service %v exceed the %v left",
 		wait.Round(time.Millisecond), w.service.Round(time.Millisecond), left.Round(time.Millisecond))
 	if !p.mayGrant(now, w.ask.Tier) {
-		r.Name = nameFloor
+		r.Name = sr.RefusalFloor
 		r.Reason = fmt.Sprintf("tier %d is held back for higher tiers; %s", w.ask.Tier, r.Reason)
 	}
 	return r
 }
 
 func (p *Pool) overloaded(wait time.Duration, format string, args ...any) sr.Refusal {
-	return sr.Refusal{Name: nameOverloaded, Reason: fmt.Sprintf(format, args...), Retry: p.retry(wait)}
+	return sr.Refusal{Name: sr.RefusalOverloaded, Reason: fmt.Sprintf(format, args...), Retry: p.retry(wait)}
 }
 
 // mayCutForFirst reports whether an ask's first token would come too late and
--- a/request.go
+++ b/request.go
@@ -83,12 +83,11 @@
 
 // States, in order.
 const (
-	StateIssued    State = "issued"
-	StateWaiting   State = "waiting"
-	StateSent      State = "sent"
-	StateEnded     State = "ended"
-	StateWithdrawn State = "withdrawn"
-	StateUnknown   State = "unknown"
+	StateIssued  State = "issued"
+	StateWaiting State = "waiting"
+	StateSent    State = "sent"
+	StateEnded   State = "ended"
+	StateUnknown State = "unknown"
 )
 
 // EventType is the kind of an event of an answer.
