--- a/internal/app/srfleet/round.go
+++ b/internal/app/srfleet/round.go
@@ -9,11 +9,14 @@
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srmember"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
 )
 
 const (
 	// kickPause is the shortest time between two rounds.
 	kickPause = 20 * time.Millisecond
+	// newsLapses is the number of lapses for which a pool's summary is kept.
+	newsLapses = 3
 	// listInterval is the interval at which the instance list is read.
 	listInterval = time.Second
 )
@@ -30,7 +33,7 @@
 		select {
 		case <-ticker.C:
 		case <-f.kick:
-			wait(ctx, kickPause)
+			_ = srtimer.Wait(ctx, kickPause)
 		case <-ctx.Done():
 		}
 	}
@@ -68,18 +71,21 @@
 // sendAll sends a heartbeat to each target that has none on its way.
 func (f *Fleet) sendAll(ctx context.Context, now time.Time, wg *sync.WaitGroup) {
 	hb := f.compose(now)
-	for _, address := range f.takeTargets(now) {
+	targets, all := f.takeTargets(now)
+	if f.deps.Keep != nil {
+		f.deps.Keep(all)
+	}
+	for _, address := range targets {
 		wg.Go(func() { f.exchange(ctx, address, hb, now) })
 	}
 }
 
-// takeTargets returns the targets without a heartbeat on its way and marks
-// them. Exchanges with what is no target any longer are forgotten.
-func (f *Fleet) takeTargets(now time.Time) []string {
+// takeTargets returns the targets without a heartbeat on its way, which it
+// marks, and all targets. Exchanges with what is no target any longer are forgotten.
+func (f *Fleet) takeTargets(now time.Time) (targets, all []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var targets []string
-	all := f.members.Targets(now)
+	all = f.members.Targets(now)
 	maps.DeleteFunc(f.ended, func(address string, _ time.Time) bool { return !slices.Contains(all, address) })
 	for _, address := range all {
 		if f.busy[address] {
@@ -88,7 +94,7 @@
 		f.busy[address] = true
 		targets = append(targets, address)
 	}
-	return targets
+	return targets, all
 }
 
 // exchange sends one heartbeat, composed at sent, and takes its answer.
@@ -131,7 +137,7 @@
 	f.mu.Lock()
 	f.floors.Hear(now, hb.From, hb.Floors)
 	for _, n := range hb.Claims {
-		f.news[n.Pool] = heardNews{news: n, at: now}
+		f.hearNews(now, n)
 	}
 	f.mu.Unlock()
 	if v, _ := f.deps.Store.Version(); hb.Version.Number > v.Number {
@@ -142,6 +148,20 @@
 	}
 }
 
+// hearNews keeps a pool's summary unless it comes from another than the
+// pool's holder and the holder's own is still of use.
+func (f *Fleet) hearNews(now time.Time, n sr.PoolNews) {
+	old, ok := f.news[n.Pool]
+	holder, known := f.members.Holder(now, n.Pool)
+	if ok && known && old.news.Owner == holder && n.Owner != holder && now.Sub(old.at) < f.keepNews() {
+		return
+	}
+	f.news[n.Pool] = heardNews{news: n, at: now}
+}
+
+// keepNews is how long a summary is of use.
+func (f *Fleet) keepNews() time.Duration { return newsLapses * f.deps.Lapse }
+
 // compose returns a heartbeat of this instance.
 func (f *Fleet) compose(now time.Time) sr.Heartbeat {
 	news := f.deps.Owners.News()
@@ -175,6 +195,7 @@
 			delete(f.handovers, pool)
 		}
 	}
+	maps.DeleteFunc(f.news, func(_ sr.PoolID, h heardNews) bool { return now.Sub(h.at) >= f.keepNews() })
 	return turns, f.members.Lost(now)
 }
 
@@ -200,7 +221,7 @@
 			f.members.Listed(time.Now(), instances)
 			f.mu.Unlock()
 		}
-		wait(ctx, listInterval)
+		_ = srtimer.Wait(ctx, listInterval)
 	}
 }
 
@@ -211,12 +232,3 @@
 	}
 	return ids
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/app/srserve/instance.go
+++ b/internal/app/srserve/instance.go
@@ -34,9 +34,12 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srmember"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srrecord"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srsettings"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
 )
 
 const (
+	// rejectedInterval is the interval at which rejected manifests are looked for.
+	rejectedInterval = time.Second
 	// sweepInterval is the interval at which old records are dropped.
 	sweepInterval = time.Second
 	// linger is how long a leaving instance still accepts requests, since the
@@ -74,6 +77,8 @@
 	owners *srowner.Owners
 	fleet  *srfleet.Fleet
 	record *srrecord.Log
+	// remote reaches the other instances, without this one.
+	remote sr.Peers
 
 	behind  chan newerManifest
 	leaving atomic.Bool
@@ -100,6 +105,7 @@
 		behind:  make(chan newerManifest, 1),
 		started: time.Now(),
 	}
+	i.remote = deps.Peers
 	i.deps.Peers = localPeers{self: deps.Self.Address, local: i, remote: deps.Peers}
 	i.reader = srmanifest.NewReader(deps.Platform, i.store, srmanifest.ReaderOptions{
 		Root:    deps.Settings.Root,
@@ -124,6 +130,7 @@
 	wg.Go(func() { i.followManifest(ctx) })
 	wg.Go(func() { i.fetchNewer(ctx) })
 	wg.Go(func() { i.sweep(ctx) })
+	wg.Go(func() { i.watchRejected(ctx) })
 	wg.Go(func() { i.fleet.Run(ctx) })
 	wg.Wait()
 	i.owners.Close()
@@ -155,7 +162,7 @@
 	i.leaving.Store(true)
 	i.deps.Log.Info("shutting down")
 	i.fleet.Leave()
-	if err := pause(ctx, linger); err != nil {
+	if err := srtimer.Wait(ctx, linger); err != nil {
 		return err
 	}
 	i.entry.Drain()
@@ -176,7 +183,7 @@
 func (i *Instance) waitForHandover(ctx context.Context) error {
 	limit := time.Now().Add(2 * i.deps.Settings.Lapse)
 	for i.entry.Callers() > 0 || i.entry.Count().Readers > 0 || len(i.owners.Owned()) > 0 && time.Now().Before(limit) {
-		if err := pause(ctx, drainPoll); err != nil {
+		if err := srtimer.Wait(ctx, drainPoll); err != nil {
 			return err
 		}
 	}
@@ -215,11 +222,27 @@
 }
 
 func (i *Instance) sweep(ctx context.Context) {
-	for pause(ctx, sweepInterval) == nil {
+	for srtimer.Wait(ctx, sweepInterval) == nil {
 		i.entry.Sweep(time.Now())
 	}
 }
 
+// watchRejected counts and logs the manifests that are kept out.
+func (i *Instance) watchRejected(ctx context.Context) {
+	var seen srmanifest.Counts
+	problem := ""
+	for srtimer.Wait(ctx, rejectedInterval) == nil {
+		c := i.store.Counts()
+		metrics.GetOrRegisterCounter("manifests.invalid", i.deps.Metrics).Inc(c.Invalid - seen.Invalid)
+		metrics.GetOrRegisterCounter("manifests.conflicting", i.deps.Metrics).Inc(c.Conflicts - seen.Conflicts)
+		seen = c
+		if text := i.dumpManifest().Problem; text != problem {
+			problem = text
+			i.deps.Log.Info("manifest kept out", "problem", problem)
+		}
+	}
+}
+
 func (i *Instance) newOwners() *srowner.Owners {
 	return srowner.New(srowner.Deps{
 		Self:     i.deps.Self,
@@ -230,7 +253,6 @@
 		Mode:     func(pool sr.PoolID) sr.PoolMode { return i.fleet.Mode(pool) },
 		Announce: func(target string, t sr.Tier) { i.fleet.Announce(target, t) },
 		Poll:     i.deps.Settings.Poll,
-		Log:      i.deps.Log,
 		Metrics:  i.deps.Metrics,
 	})
 }
@@ -252,6 +274,7 @@
 		Platform:  i.deps.Platform,
 		Held:      func(pools []sr.PoolNews) []sr.HeldPool { return i.entry.Held(pools) },
 		Behind:    i.noteBehind,
+		Keep:      i.keepPeers,
 		Heartbeat: s.Heartbeat,
 		Lapse:     s.Lapse,
 		Log:       i.deps.Log,
@@ -279,11 +302,17 @@
 			Batch:    s.Batch,
 			Retain:   s.Retain,
 		},
-		Log:     i.deps.Log,
 		Metrics: i.deps.Metrics,
 	})
 }
 
+// keepPeers lets the connections go to instances that are gone.
+func (i *Instance) keepPeers(addresses []string) {
+	if k, ok := i.remote.(interface{ Keep(addresses []string) }); ok {
+		k.Keep(addresses)
+	}
+}
+
 // noteBehind asks for a newer manifest; one that is already asked for is enough.
 func (i *Instance) noteBehind(address string, v sr.Version) {
 	select {
@@ -297,14 +326,3 @@
 func (i *Instance) count(name string) {
 	metrics.GetOrRegisterCounter(name, i.deps.Metrics).Inc(1)
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/peer/srinstance/client.go
+++ b/internal/peer/srinstance/client.go
@@ -34,6 +34,9 @@
 // defaultWait bounds calls whose context has no deadline.
 const defaultWait = 2 * time.Second
 
+// keepUsed is how long a connection is kept after its last call.
+const keepUsed = time.Minute
+
 // heartbeatMethod is answered at once, so a heartbeat without an answer means
 // that its connection is dead.
 const heartbeatMethod = "Heartbeat"
@@ -65,10 +68,12 @@
 		c = &client{address: address, dial: p.dial, connect: p.connect, closed: p.closed}
 		p.clients[address] = c
 	}
+	c.use(0)
 	return c
 }
 
-// Keep closes and forgets the connections to all addresses but those given.
+// Keep closes and forgets the connections to all addresses but those given
+// and those in use within the last minute.
 func (p *Peers) Keep(addresses []string) {
 	keep := make(map[string]struct{}, len(addresses))
 	for _, a := range addresses {
@@ -77,7 +82,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a, c := range p.clients {
-		if _, ok := keep[a]; !ok {
+		if _, ok := keep[a]; !ok && c.idle(time.Now()) {
 			c.close()
 			delete(p.clients, a)
 		}
@@ -99,9 +104,21 @@
 	dial    Dial
 	connect time.Duration
 
-	mu     sync.Mutex
-	conn   *rpc.Client
-	closed bool
+	mu      sync.Mutex
+	conn    *rpc.Client
+	opening *opening
+	closed  bool
+	// calls counts the calls under way, used is when the last one was asked for.
+	calls int
+	used  time.Time
+}
+
+// opening is a connection that is being opened. Its results are set before
+// done is closed.
+type opening struct {
+	done chan struct{}
+	conn *rpc.Client
+	err  error
 }
 
 func (c *client) Heartbeat(ctx context.Context, h sr.Heartbeat) (sr.Heartbeat, error) {
@@ -147,24 +164,66 @@
 	return call[sr.Version, sr.ManifestText](ctx, c, "Manifest", v)
 }
 
-// connection returns the open connection or opens one.
+// connection returns the open connection, or waits for the one that is being
+// opened, until ctx ends at the latest.
 func (c *client) connection(ctx context.Context) (*rpc.Client, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.closed {
-		return nil, errors.Wrap(sr.ErrUnreachable, "srinstance: client is closed")
+		c.mu.Unlock()
+		return nil, errors.WithMessage(errNotConnected, "srinstance: client is closed")
 	}
 	if c.conn != nil {
+		defer c.mu.Unlock()
 		return c.conn, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.connect)
+	if c.opening == nil {
+		c.opening = &opening{done: make(chan struct{})}
+		go c.open(c.opening)
+	}
+	o := c.opening
+	c.mu.Unlock()
+	select {
+	case <-o.done:
+		return o.conn, o.err
+	case <-ctx.Done():
+		return nil, errors.WithMessagef(errNotConnected, "srinstance: connect to %s: %v", c.address, ctx.Err())
+	}
+}
+
+// open opens a connection for all who wait for it.
+func (c *client) open(o *opening) {
+	defer close(o.done)
+	ctx, cancel := context.WithTimeout(context.Background(), c.connect)
 	defer cancel()
 	conn, err := c.dial(ctx, "tcp", c.address)
-	if err != nil {
-		return nil, errors.WithMessagef(errNotConnected, "srinstance: connect to %s: %v", c.address, err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.opening = nil
+	switch {
+	case err != nil:
+		o.err = errors.WithMessagef(errNotConnected, "srinstance: connect to %s: %v", c.address, err)
+	case c.closed:
+		conn.Close()
+		o.err = errors.WithMessage(errNotConnected, "srinstance: client is closed")
+	default:
+		c.conn = rpc.NewClient(conn)
+		o.conn = c.conn
 	}
-	c.conn = rpc.NewClient(conn)
-	return c.conn, nil
+}
+
+// use notes that a call begins, 1, ends, -1, or is about to come, 0.
+func (c *client) use(calls int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls += calls
+	c.used = time.Now()
+}
+
+// idle reports whether the connection was out of use for keepUsed.
+func (c *client) idle(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls == 0 && now.Sub(c.used) >= keepUsed
 }
 
 // drop forgets a connection that failed.
@@ -189,6 +248,8 @@
 
 func call[A, R any](ctx context.Context, c *client, method string, value A) (R, error) {
 	var zero R
+	c.use(1)
+	defer c.use(-1)
 	ctx, cancel := withWait(ctx)
 	defer cancel()
 	conn, err := c.connection(ctx)
--- a/slots.go
+++ b/slots.go
@@ -126,10 +126,13 @@
 
 // EndpointDump is an endpoint of a pool for people.
 type EndpointDump struct {
-	Name    string
-	Usable  bool
-	State   string
+	Name   string
+	Usable bool
+	State  string
+	// Limit is how many slots the endpoint bears, Allowed how many of them may
+	// be in use now.
 	Limit   int
+	Allowed int
 	Leases  int
 	Orphans int
 	Report  string
