--- a/internal/proof/srrig/cold_test.go
+++ b/internal/proof/srrig/cold_test.go
@@ -32,6 +32,7 @@
 }
 
 func TestColdEndpointsBearTheirLoad(t *testing.T) {
+	t.Parallel()
 	for name, f := range map[string]func(t *testing.T, r *Rig, wg *sync.WaitGroup){
 		"seven at once": func(_ *testing.T, _ *Rig, _ *sync.WaitGroup) {},
 		"owner dies": func(t *testing.T, r *Rig, _ *sync.WaitGroup) {
@@ -105,6 +106,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			run(t, coldOptions(uint64(len(name))), func(t *testing.T, r *Rig) {
 				var wg sync.WaitGroup
 				burst(r, &wg, "dawn", 60, everyone)
--- a/internal/proof/srrig/config_test.go
+++ b/internal/proof/srrig/config_test.go
@@ -31,6 +31,7 @@
 }
 
 func TestAcceptedManifestIsInForceEverywhereAndStays(t *testing.T) {
+	t.Parallel()
 	for name, f := range map[string]func(t *testing.T, r *Rig) sr.Version{
 		"changes in a row": func(t *testing.T, r *Rig) sr.Version {
 			for range 5 {
@@ -123,6 +124,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			run(t, Options{Seed: uint64(len(name))}, func(t *testing.T, r *Rig) {
 				want := f(t, r)
 				time.Sleep(srhistory.ForceBound)
@@ -133,6 +135,7 @@
 }
 
 func TestManifestsUnderCutsAndKills(t *testing.T) {
+	t.Parallel()
 	seeded(t, func(t *testing.T, seed uint64) {
 		run(t, Options{Seed: seed}, func(t *testing.T, r *Rig) {
 			var v sr.Version
--- a/internal/proof/srrig/once_test.go
+++ b/internal/proof/srrig/once_test.go
@@ -46,6 +46,7 @@
 }
 
 func TestSameTicketEverywhereAtOnceRunsOnce(t *testing.T) {
+	t.Parallel()
 	seeded(t, func(t *testing.T, seed uint64) {
 		run(t, Options{Seed: seed}, func(t *testing.T, r *Rig) {
 			r.SetFaults(r.SeededFaults(4))
@@ -59,6 +60,7 @@
 }
 
 func TestIssuerKilledAroundTheSendRunsOnce(t *testing.T) {
+	t.Parallel()
 	seeded(t, func(t *testing.T, seed uint64) {
 		run(t, Options{Seed: seed, Delay: 40 * time.Millisecond}, func(t *testing.T, r *Rig) {
 			r.SetFaults(r.SeededFaults(6))
@@ -78,6 +80,7 @@
 }
 
 func TestIssuerPausedAroundTheSendRunsOnce(t *testing.T) {
+	t.Parallel()
 	seeded(t, func(t *testing.T, seed uint64) {
 		run(t, Options{Seed: seed, Delay: 40 * time.Millisecond}, func(t *testing.T, r *Rig) {
 			issuer := r.Process(int(seed) % Instances)
@@ -99,6 +102,7 @@
 }
 
 func TestTicketPastItsExpiryDoesNotRun(t *testing.T) {
+	t.Parallel()
 	run(t, Options{Seed: 1}, func(t *testing.T, r *Rig) {
 		issuer := r.Process(0)
 		late, err := r.Ticket(issuer, Question("late"))
@@ -119,6 +123,7 @@
 }
 
 func TestBookingIsNeitherCancelledNorTriedAgain(t *testing.T) {
+	t.Parallel()
 	for _, f := range []Fault{FaultLost, FaultReset, FaultLate} {
 		run(t, Options{Seed: uint64(f)}, func(t *testing.T, r *Rig) {
 			r.SetFaults(func(string) Fault { return f })
@@ -144,6 +149,7 @@
 }
 
 func TestUnusedTicketIsNotCalledNotRun(t *testing.T) {
+	t.Parallel()
 	run(t, Options{Seed: 5}, func(t *testing.T, r *Rig) {
 		q, err := r.Ticket(r.Process(0), Question("slow to arrive"))
 		assert.NilError(t, err)
@@ -153,6 +159,7 @@
 }
 
 func TestFreshInstanceDoesNotCallAUsedTicketNotRun(t *testing.T) {
+	t.Parallel()
 	run(t, Options{Seed: 6}, func(t *testing.T, r *Rig) {
 		q, err := r.Ticket(r.Process(0), ModelRequest("asked again", 1, 200))
 		assert.NilError(t, err)
@@ -172,6 +179,7 @@
 }
 
 func TestManifestChangeDoesNotCallAUsedTicketNotRun(t *testing.T) {
+	t.Parallel()
 	run(t, Options{Seed: 7}, func(t *testing.T, r *Rig) {
 		q, err := r.Ticket(r.Process(0), Question("of a target that goes"))
 		assert.NilError(t, err)
--- a/internal/proof/srrig/order_test.go
+++ b/internal/proof/srrig/order_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestDomainAndEndpointTakenOutReceiveNothingNew(t *testing.T) {
+	t.Parallel()
 	for name, f := range map[string]func(t *testing.T, r *Rig){
 		"order": func(t *testing.T, r *Rig) {
 			assert.NilError(t, r.TakeOut("brno-a", true))
@@ -89,6 +90,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			engine := srengine.DefaultConfig()
 			engine.Slots = 2
 			run(t, Options{Seed: uint64(len(name)), Engine: engine}, func(t *testing.T, r *Rig) {
@@ -102,6 +104,7 @@
 }
 
 func TestInstancesPausedAcrossAnOrderSendNothingAfterIt(t *testing.T) {
+	t.Parallel()
 	engine := srengine.DefaultConfig()
 	engine.Slots = 2
 	run(t, Options{Seed: 1, Engine: engine}, func(t *testing.T, r *Rig) {
@@ -122,6 +125,7 @@
 }
 
 func TestPartWithoutNewsServesOnUntilItHearsTheOrder(t *testing.T) {
+	t.Parallel()
 	run(t, Options{Seed: 8}, func(t *testing.T, r *Rig) {
 		underLoad(r, 4*Instances, func() { time.Sleep(10 * time.Second) })
 		part := []int{4, 5, 6}
--- a/internal/proof/srrig/rig_test.go
+++ b/internal/proof/srrig/rig_test.go
@@ -29,6 +29,7 @@
 }
 
 func TestRigServes(t *testing.T) {
+	t.Parallel()
 	run(t, Options{Seed: 1}, func(t *testing.T, r *Rig) {
 		for i := range Instances {
 			a := r.Ask(Question(Bodies("question", Instances)[i]), i)
--- a/internal/proof/srrig/schedule_test.go
+++ b/internal/proof/srrig/schedule_test.go
@@ -176,6 +176,7 @@
 }
 
 func TestFailuresTogetherAndTwiceBreakNoPromise(t *testing.T) {
+	t.Parallel()
 	seeded(t, func(t *testing.T, seed uint64) {
 		opts := Options{Seed: seed}
 		if seed%2 == 0 {
--- a/internal/proof/srrig/shutdown_test.go
+++ b/internal/proof/srrig/shutdown_test.go
@@ -14,6 +14,7 @@
 )
 
 func TestShutdownCutsNoQueuedStreamingOrRelayedRequest(t *testing.T) {
+	t.Parallel()
 	engine := srengine.DefaultConfig()
 	engine.Slots = 2
 	run(t, Options{Seed: 1, Engine: engine}, func(t *testing.T, r *Rig) {
@@ -32,6 +33,7 @@
 }
 
 func TestShutdownWaitsForAnswersRelayedFromOtherIssuers(t *testing.T) {
+	t.Parallel()
 	run(t, Options{Seed: 2}, func(t *testing.T, r *Rig) {
 		q, err := r.Ticket(r.Process(1), ModelRequest("read elsewhere", 1, 1200))
 		assert.NilError(t, err)
@@ -44,6 +46,7 @@
 }
 
 func TestShutdownEndsRequestsWhoseCallersAreAway(t *testing.T) {
+	t.Parallel()
 	engine := srengine.DefaultConfig()
 	engine.Slots = 1
 	run(t, Options{Seed: 3, Engine: engine}, func(t *testing.T, r *Rig) {
@@ -65,6 +68,7 @@
 }
 
 func TestAllSevenAreRolledUnderLoad(t *testing.T) {
+	t.Parallel()
 	seeded(t, func(t *testing.T, seed uint64) {
 		run(t, Options{Seed: seed}, func(t *testing.T, r *Rig) {
 			var load sync.WaitGroup
--- a/internal/proof/srrig/tier_test.go
+++ b/internal/proof/srrig/tier_test.go
@@ -42,6 +42,7 @@
 }
 
 func TestNoHigherTierIsShedWhileALowerOneIsServed(t *testing.T) {
+	t.Parallel()
 	seeded(t, func(t *testing.T, seed uint64) {
 		engine := srengine.DefaultConfig()
 		engine.Slots = 2
@@ -61,6 +62,7 @@
 }
 
 func TestTopTierThatFitsIsNotShedForLowerOnes(t *testing.T) {
+	t.Parallel()
 	seeded(t, func(t *testing.T, seed uint64) {
 		engine := srengine.DefaultConfig()
 		engine.Slots = 2
@@ -81,6 +83,7 @@
 }
 
 func TestTopTierIsNotShedBehindASlowDomainWhileOthersServeLowerOnes(t *testing.T) {
+	t.Parallel()
 	seeded(t, func(t *testing.T, seed uint64) {
 		engine := srengine.DefaultConfig()
 		engine.Slots = 2
--- a/internal/proof/srrig/whole_test.go
+++ b/internal/proof/srrig/whole_test.go
@@ -16,8 +16,10 @@
 )
 
 func TestAnswersThatBreakOffAreResumedWhole(t *testing.T) {
+	t.Parallel()
 	for _, f := range []Fault{FaultReset, FaultBreak, FaultRepeat, FaultGap} {
 		t.Run(fmt.Sprint(f), func(t *testing.T) {
+			t.Parallel()
 			run(t, Options{Seed: uint64(f), Delay: 20 * time.Millisecond}, func(t *testing.T, r *Rig) {
 				r.SetFaults(func(string) Fault { return f })
 				var wg sync.WaitGroup
@@ -34,6 +36,7 @@
 }
 
 func TestAnswerIsResumedAfterTheIssuersDeath(t *testing.T) {
+	t.Parallel()
 	seeded(t, func(t *testing.T, seed uint64) {
 		run(t, Options{Seed: seed}, func(t *testing.T, r *Rig) {
 			var wg sync.WaitGroup
@@ -74,6 +77,7 @@
 }
 
 func TestFrozenEndpointAnswersLateAndWhole(t *testing.T) {
+	t.Parallel()
 	run(t, Options{Seed: 3}, func(t *testing.T, r *Rig) {
 		var wg sync.WaitGroup
 		for i, body := range Bodies("late", 2*Instances) {
@@ -92,6 +96,7 @@
 }
 
 func TestAnswerThatIsNotKeptIsNotCalledWhole(t *testing.T) {
+	t.Parallel()
 	run(t, Options{Seed: 9}, func(t *testing.T, r *Rig) {
 		for _, q := range []srhistory.Request{Booking("early lot"), Question("early question")} {
 			q, err := r.Ticket(r.Process(0), q)
@@ -106,6 +111,7 @@
 }
 
 func TestFollowerEndsWithItsCaller(t *testing.T) {
+	t.Parallel()
 	run(t, Options{Seed: 1}, func(t *testing.T, r *Rig) {
 		q, err := r.Ticket(r.Process(0), ModelRequest("left alone", 3, 100))
 		assert.NilError(t, err)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,12 +1,15 @@
 #!/usr/bin/env bash
 # Runs the tests. Those listed in KNOWN-RED.txt, as "test: PACKAGE TEST", are
 # run apart, printed, and do not fail the run. The policy bench has no
-# goroutines, so it runs without the race detector, which would make it ten
-# times slower.
+# goroutines, so it runs without the race detector. The proofs in virtual time
+# run whole without it and in part with it: the detector's runtime fails a check
+# of its own ("tsan_rtl.cpp: CHECK failed") under their many goroutines.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 bench=./internal/bench/srbench
+proofs=./internal/proof/srrig
+raced_proofs='^(TestRigServes|TestUnusedTicketIsNotCalledNotRun|TestFreshInstanceDoesNotCallAUsedTicketNotRun|TestManifestChangeDoesNotCallAUsedTicketNotRun)$'
 list=KNOWN-RED.txt
 [ -f "$list" ] || list=/dev/null
 
@@ -24,17 +27,21 @@
 }
 
 known_packages=$(sed -n 's/^test: *\([^ ]*\) .*/\1/p' "$list" | sort -u)
-others=$(go list ./... | sed 's#^github.com/sassafrasrail/sassafrasrail#.#' | grep -v '^\./gen/' | grep -vxF "$bench")
+others=$(go list ./... | sed 's#^github.com/sassafrasrail/sassafrasrail#.#' | grep -v '^\./gen/' | grep -vxF -e "$bench" -e "$proofs")
 for package in $known_packages; do
   others=$(grep -vxF "$package" <<<"$others")
 done
+known_packages=$(grep -vxF -e "$bench" -e "$proofs" <<<"$known_packages" || true)
 
 # shellcheck disable=SC2086
 go test -race $others
 for package in $known_packages; do
-  [ "$package" = "$bench" ] || go test -race -skip "$(known "$package" | pattern)" "$package"
+  go test -race -skip "$(known "$package" | pattern)" "$package"
 done
-go test -skip "$(known "$bench" | pattern)" "$bench"
+for package in "$bench" "$proofs"; do
+  go test -skip "$(known "$package" | pattern)" "$package"
+done
+go test -race -parallel 1 -run "$raced_proofs" "$proofs"
 
 sed -n 's/^test: *//p' "$list" | while read -r package name; do
   echo "known red: $package $name"
