--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 GO_DIRS = . ./cmd/... ./design/... ./internal/...
 
-.PHONY: build generate format lint test race demo bench fuzz seeds check
+.PHONY: build generate format lint test race demo bench fuzz seeds race-proofs check
 
 build: ## compile every program
 	$(GO) build -o bin/ ./cmd/...
@@ -29,6 +29,9 @@
 
 check: lint race demo ## what CI runs
 
+race-proofs: ## run the proofs in virtual time with the race detector, one by one
+	$(GO) test -race -parallel 1 -timeout 30m ./internal/proof/srrig
+
 seeds: ## run the proofs under failure with many seeds
 	SEEDS=$${SEEDS:-50} $(GO) test -timeout 60m ./internal/proof/srrig
 
