--- a/internal/app/srentry/acquire.go
+++ b/internal/app/srentry/acquire.go
@@ -133,12 +133,7 @@
 	for {
 		sent := time.Now()
 		ask.Budget = r.Deadline().Sub(sent)
-		callCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
-		grant, err := e.deps.Peers.Peer(owner.Address).Acquire(callCtx, ask)
-		cancel()
-		if errors.Is(err, sr.ErrUnreachable) || ctx.Err() != nil {
-			go e.withdraw(owner, ask)
-		}
+		grant, err := e.askOwner(ctx, owner, ask)
 		if err != nil {
 			return granted{}, refusalOf(err), false
 		}
@@ -156,6 +151,18 @@
 	}
 }
 
+// askOwner sends an ask once. One whose answer was lost or comes too late is
+// withdrawn.
+func (e *Entry) askOwner(ctx context.Context, owner sr.InstanceID, ask sr.Ask) (sr.Grant, error) {
+	callCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	grant, err := e.deps.Peers.Peer(owner.Address).Acquire(callCtx, ask)
+	if errors.Is(err, sr.ErrUnreachable) || ctx.Err() != nil {
+		go e.withdraw(owner, ask)
+	}
+	return grant, err
+}
+
 // leavePool returns why an ask that waits should be sent elsewhere, "" when it
 // should go on waiting.
 func (e *Entry) leavePool(owner sr.InstanceID, ask sr.Ask) string {
--- a/internal/app/srentry/model.go
+++ b/internal/app/srentry/model.go
@@ -94,19 +94,15 @@
 
 // receive follows a stream, resuming it when its connection breaks.
 func (e *Entry) receive(ctx context.Context, a *answer, stream sr.Stream, err error) {
-	if err == nil {
-		err = e.appendReceipt(a)
-	}
 	failures := 0
 	for {
 		before := a.tokens
+		ended := false
 		if err == nil {
-			var ended bool
-			ended, err = e.copyTokens(ctx, a, stream)
-			stream.Close()
-			if ended {
-				return
-			}
+			ended, err = e.follow(ctx, a, stream)
+		}
+		if ended {
+			return
 		}
 		if ctx.Err() != nil {
 			e.cutShort(a, stopReason(ctx))
@@ -117,7 +113,7 @@
 			failures = 0
 		}
 		failures++
-		if errors.Is(err, sr.ErrNoStream) || errors.Is(err, sr.ErrInvalid) || failures > resumeTries {
+		if failures > resumeTries || cannotResume(err) {
 			a.lost = true
 			e.cutShort(a, fmt.Sprintf("the answer broke off and could not be resumed: %v", err))
 			return
@@ -125,12 +121,23 @@
 		e.count("resumes")
 		_ = sleep(ctx, jitter(resumePause))
 		stream, err = e.deps.Engine.Resume(ctx, a.lease.Address, a.stream, a.tokens)
-		if err == nil {
-			err = e.appendReceipt(a)
-		}
 	}
 }
 
+// follow takes one connection's part of an answer.
+func (e *Entry) follow(ctx context.Context, a *answer, stream sr.Stream) (ended bool, err error) {
+	defer stream.Close()
+	if err := e.appendReceipt(a); err != nil {
+		return false, err
+	}
+	return e.copyTokens(ctx, a, stream)
+}
+
+// cannotResume reports whether another try to resume is of no use.
+func cannotResume(err error) bool {
+	return errors.Is(err, sr.ErrNoStream) || errors.Is(err, sr.ErrInvalid)
+}
+
 // copyTokens appends a stream's tokens to the record until the stream ends.
 func (e *Entry) copyTokens(ctx context.Context, a *answer, stream sr.Stream) (ended bool, err error) {
 	for {
--- a/internal/peer/srcaller/deliver.go
+++ b/internal/peer/srcaller/deliver.go
@@ -32,21 +32,33 @@
 				return nil
 			}
 		}
-		switch {
-		case status.State == sr.StateUnknown && sent == 0:
-			return problemOfStatus(status)
-		case status.State == sr.StateUnknown:
+		if !over(status) {
+			continue
+		}
+		if sent > 0 && status.State == sr.StateUnknown {
 			return send(ctx, unknownEnd(sent, status.Reason))
-		case status.State == sr.StateIssued:
-			return newProblem("missing", "the ticket was not used yet; its request may still arrive", sr.OutcomeUnknown)
-		case status.State == sr.StateEnded && sent == 0 && status.Outcome == sr.OutcomeComplete:
-			return notKept()
-		case status.State == sr.StateEnded && sent == 0:
-			return problemOfStatus(status)
-		case status.State == sr.StateEnded:
+		}
+		if sent > 0 {
 			return nil
 		}
+		return problemWithoutEvents(status)
+	}
+}
+
+// over reports whether no more events will come.
+func over(s sr.Status) bool {
+	return s.State == sr.StateUnknown || s.State == sr.StateIssued || s.State == sr.StateEnded
+}
+
+// problemWithoutEvents is the refusal for a request of which nothing was sent.
+func problemWithoutEvents(s sr.Status) error {
+	switch {
+	case s.State == sr.StateIssued:
+		return newProblem("missing", "the ticket was not used yet; its request may still arrive", sr.OutcomeUnknown)
+	case s.State == sr.StateEnded && s.Outcome == sr.OutcomeComplete:
+		return notKept()
 	}
+	return problemOfStatus(s)
 }
 
 // await returns the answer of a plain service once its request has ended.
