--- a/internal/bench/srcapacity/cost.go
+++ b/internal/bench/srcapacity/cost.go
@@ -175,23 +175,36 @@
 
 // requestMemory is the memory of n ended requests with 200 events each.
 func requestMemory(requests int) float64 {
+	return heapBytes(func() *srrequest.Table { return endedRequests(requests) })
+}
+
+// trimmedMemory is the memory of n ended requests whose answers are no longer
+// kept.
+func trimmedMemory(requests int) float64 {
 	return heapBytes(func() *srrequest.Table {
-		table := srrequest.New(requests, 1<<10)
-		now := time.Unix(0, 0)
-		for i := range requests {
-			ticket := fmt.Sprintf("ticket-%079d", i)
-			r, _, err := table.Begin(now, ticket, now, sr.Request{Kind: sr.KindModel, Workspace: "w", Body: strings.Repeat("x", 2000), Tokens: 200})
-			if err != nil {
-				panic(err)
-			}
-			for seq := range 200 {
-				_ = r.Append(sr.Event{Seq: seq + 1, Type: sr.EventText, Ticket: ticket, Text: "token "})
-			}
-		}
+		table := endedRequests(requests)
+		table.Sweep(time.Unix(0, 0).Add(time.Minute), time.Second)
 		return table
 	})
 }
 
+func endedRequests(requests int) *srrequest.Table {
+	table := srrequest.New(requests, 1<<10)
+	now := time.Unix(0, 0)
+	for i := range requests {
+		ticket := fmt.Sprintf("ticket-%079d", i)
+		r, _, err := table.Begin(now, ticket, now.Add(time.Hour), sr.Request{Kind: sr.KindModel, Workspace: "w", Body: strings.Repeat("x", 2000), Tokens: 200})
+		if err != nil {
+			panic(err)
+		}
+		for seq := range 200 {
+			_ = r.Append(sr.Event{Seq: seq + 1, Type: sr.EventText, Ticket: ticket, Text: "token "})
+		}
+		r.End(now, sr.Status{Outcome: sr.OutcomeComplete})
+	}
+	return table
+}
+
 // recordMemory is the memory of n recorded decisions.
 func recordMemory(steps int) float64 {
 	return heapBytes(func() *srrecord.Log {
--- a/internal/bench/srcapacity/slope.go
+++ b/internal/bench/srcapacity/slope.go
@@ -3,8 +3,8 @@
 //
 // # Usage
 //
-//	for _, m := range srcapacity.All() {
-//		fmt.Println(m.Slope())
+//	for _, c := range srcapacity.All() {
+//		fmt.Println(c.Measure().Row())
 //	}
 //
 // Sizes of messages are exact and repeatable. Times and memory depend on the
