Never take a cached result of the proofs with real processes

Cause: that test builds the programs itself, so go test does not see when their code changes and showed a cached pass. Change: it runs with -count=1.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,6 +9,7 @@
 
 bench=./internal/bench/srbench
 proofs=./internal/proof/srrig
+processes=./internal/proof/srprocess
 raced_proofs='^(TestRigServes|TestUnusedTicketIsNotCalledNotRun|TestFreshInstanceDoesNotCallAUsedTicketNotRun|TestManifestChangeDoesNotCallAUsedTicketNotRun)$'
 list=KNOWN-RED.txt
 [ -f "$list" ] || list=/dev/null
@@ -27,11 +28,11 @@
 }
 
 known_packages=$(sed -n 's/^test: *\([^ ]*\) .*/\1/p' "$list" | sort -u)
-others=$(go list ./... | sed 's#^github.com/sassafrasrail/sassafrasrail#.#' | grep -v '^\./gen/' | grep -vxF -e "$bench" -e "$proofs")
+others=$(go list ./... | sed 's#^github.com/sassafrasrail/sassafrasrail#.#' | grep -v '^\./gen/' | grep -vxF -e "$bench" -e "$proofs" -e "$processes")
 for package in $known_packages; do
   others=$(grep -vxF "$package" <<<"$others")
 done
-known_packages=$(grep -vxF -e "$bench" -e "$proofs" <<<"$known_packages" || true)
+known_packages=$(grep -vxF -e "$bench" -e "$proofs" -e "$processes" <<<"$known_packages" || true)
 
 # shellcheck disable=SC2086
 go test -race $others
@@ -42,6 +43,8 @@
   go test -skip "$(known "$package" | pattern)" "$package"
 done
 go test -race -parallel 1 -run "$raced_proofs" "$proofs"
+# The programs under test are built by the test, so its result is never cached.
+go test -count=1 -skip "$(known "$processes" | pattern)" "$processes"
 
 sed -n 's/^test: *//p' "$list" | while read -r package name; do
   echo "known red: $package $name"
