--- a/internal/state/srsettings/table.go
+++ b/internal/state/srsettings/table.go
@@ -30,7 +30,7 @@
 
 		{Section: "limits", Name: "body", Value: srini.Int(&s.Body, "bytes", 1<<10, 64<<20), Default: "1048576", About: "largest request body"},
 		{Section: "limits", Name: "tickets", Value: srini.Int(&s.Tickets, "tickets", 1, 1_000_000), Default: "20000", About: "most tickets in use"},
-		{Section: "limits", Name: "records", Value: srini.Int(&s.Records, "steps", 100, 10_000_000), Default: "20000", About: "steps kept for explanations"},
+		{Section: "limits", Name: "records", Value: srini.Int(&s.Records, "steps", 100, 10_000_000), Default: "150000", About: "steps kept for explanations, about 0.3 KB each; a request takes 5 or 6"},
 		{Section: "limits", Name: "batch", Value: srini.Int(&s.Batch, "tickets", 1, 10_000), Default: "100", About: "most tickets in one call"},
 		{Section: "limits", Name: "events", Value: srini.Int(&s.Events, "events", 16, 1_000_000), Default: "8192", About: "most events kept of one answer"},
 
