Build the connections of both endpoint clients in one place

Cause: the clients of engines and of plain services held the same two transports, built and closed them alike. Change: srconn.Client holds them; both clients embed it. Behaviour is the same. Conclusion: lint and the race tests of peer and app packages pass.

--- a/internal/peer/srendpoint/client.go
+++ b/internal/peer/srendpoint/client.go
@@ -57,23 +57,18 @@
 
 // Client talks to model engines. It is safe for concurrent use.
 type Client struct {
+	srconn.Client
 	limits Limits
-	once   *srconn.Once
-	repeat *http.Transport
 }
 
 // New returns a Client. Limits that are not set have their defaults.
 func New(o Options) *Client {
 	return &Client{
+		Client: srconn.NewClient(o.Conn),
 		limits: o.Limits.withDefaults(),
-		once:   srconn.NewOnce(o.Conn),
-		repeat: srconn.NewTransport(o.Conn),
 	}
 }
 
-// Close closes the idle connections.
-func (c *Client) Close() { c.repeat.CloseIdleConnections() }
-
 // Dispatch implements sr.Engine.
 func (c *Client) Dispatch(ctx context.Context, address string, d sr.Dispatch) (sr.Stream, error) {
 	req, err := newDispatch(address, d)
@@ -81,7 +76,7 @@
 		return nil, errors.Wrapf(sr.ErrNotSent, "srendpoint: %v", err)
 	}
 	resp, cancel, err := send(ctx, req, func(req *http.Request) (*http.Response, error) {
-		return c.once.Send(req, d.StartBy)
+		return c.Once.Send(req, d.StartBy)
 	})
 	if err != nil {
 		return nil, errors.Wrapf(err, "srendpoint: dispatch to %s", address)
@@ -100,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, cancel, err := send(ctx, req, c.repeat.RoundTrip)
+	resp, cancel, err := send(ctx, req, c.Repeat.RoundTrip)
 	if err != nil {
 		return nil, errors.Wrapf(sr.ErrUnreachable, "srendpoint: resume at %s: %v", address, err)
 	}
@@ -117,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := c.repeat.RoundTrip(req.WithContext(ctx))
+	resp, err := c.Repeat.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return errors.Wrapf(sr.ErrUnreachable, "srendpoint: cancel at %s: %v", address, err)
 	}
@@ -135,7 +130,7 @@
 	if err != nil {
 		return sr.Load{}, err
 	}
-	l, err := srconn.Load(c.repeat, req.WithContext(ctx), c.limits.Load)
+	l, err := srconn.Load(c.Repeat, req.WithContext(ctx), c.limits.Load)
 	return l, errors.Wrap(err, "srendpoint: load")
 }
 
--- a/internal/peer/srservice/client.go
+++ b/internal/peer/srservice/client.go
@@ -45,30 +45,25 @@
 
 // Client talks to plain services. It is safe for concurrent use.
 type Client struct {
+	srconn.Client
 	limits Limits
-	once   *srconn.Once
-	repeat *http.Transport
 }
 
 // New returns a Client. Limits that are not set have their defaults.
 func New(o Options) *Client {
 	return &Client{
+		Client: srconn.NewClient(o.Conn),
 		limits: o.Limits.withDefaults(),
-		once:   srconn.NewOnce(o.Conn),
-		repeat: srconn.NewTransport(o.Conn),
 	}
 }
 
-// Close closes the idle connections.
-func (c *Client) Close() { c.repeat.CloseIdleConnections() }
-
 // Call implements sr.Service.
 func (c *Client) Call(ctx context.Context, address string, call sr.Call) (sr.Answer, error) {
 	req, err := newCall(address, call)
 	if err != nil {
 		return sr.Answer{}, errors.Wrapf(sr.ErrNotSent, "srservice: %v", err)
 	}
-	resp, err := c.once.Send(req.WithContext(ctx), call.StartBy)
+	resp, err := c.Once.Send(req.WithContext(ctx), call.StartBy)
 	if err != nil {
 		return sr.Answer{}, errors.Wrapf(err, "srservice: call at %s", address)
 	}
@@ -93,7 +88,7 @@
 	if err != nil {
 		return sr.Load{}, errors.Wrap(err, "srservice")
 	}
-	l, err := srconn.Load(c.repeat, req, c.limits.Load)
+	l, err := srconn.Load(c.Repeat, req, c.limits.Load)
 	return l, errors.Wrap(err, "srservice: probe")
 }
 
