Name the refusal of a withdrawn ask once

Cause: the name stood in the pool's package and in the root package. Change: the pool uses the root name, whose comment says both of its reasons.

--- a/internal/policy/srslot/refusal.go
+++ b/internal/policy/srslot/refusal.go
@@ -6,9 +6,6 @@
 	sr "github.com/sassafrasrail/sassafrasrail"
 )
 
-// nameWithdrawn is the name of the refusal of an ask that was taken back.
-const nameWithdrawn = "withdrawn"
-
 func notOwner() sr.Refusal {
 	return sr.Refusal{Name: sr.RefusalNotOwner, Reason: "the instance does not own the pool"}
 }
@@ -18,7 +15,7 @@
 }
 
 func withdrawn(reason string) sr.Refusal {
-	return sr.Refusal{Name: nameWithdrawn, Reason: reason}
+	return sr.Refusal{Name: sr.RefusalWithdrawn, Reason: reason}
 }
 
 // refuse answers a waiting ask with a refusal.
--- a/pool.go
+++ b/pool.go
@@ -149,7 +149,7 @@
 	RefusalEmpty = "empty"
 	// RefusalNotOwner: the asked instance does not own the pool.
 	RefusalNotOwner = "not-owner"
-	// RefusalWithdrawn: the owner took the holder for dead; ask again.
+	// RefusalWithdrawn: the ask was taken back, or its holder was taken for dead.
 	RefusalWithdrawn = "withdrawn"
 	// RefusalWaiting: the ask keeps its place; ask again under the same ID.
 	RefusalWaiting = "waiting"
