--- a/endpoint.go
+++ b/endpoint.go
@@ -23,6 +23,9 @@
 	Model     string
 	Prompt    string
 	Tokens    int
+	// StartBy is when the request must have begun to leave, zero for no limit;
+	// later it is not sent.
+	StartBy time.Time
 }
 
 // Stream is an answer on its way. Next returns ErrBroken when the connection
@@ -77,6 +80,9 @@
 	ID        string
 	Workspace string
 	Body      string
+	// StartBy is when the call must have begun to leave, zero for no limit;
+	// later it is not sent.
+	StartBy time.Time
 }
 
 // Answer is the answer of a plain service.
--- a/internal/app/srentry/call.go
+++ b/internal/app/srentry/call.go
@@ -30,6 +30,7 @@
 		ID:        r.Ticket,
 		Workspace: r.Request.Workspace,
 		Body:      r.Request.Body,
+		StartBy:   g.expires,
 	})
 	if errors.Is(err, sr.ErrNotSent) || errors.Is(err, sr.ErrNotTaken) {
 		return e.notTaken(r, g, err)
--- a/internal/app/srentry/model.go
+++ b/internal/app/srentry/model.go
@@ -56,6 +56,7 @@
 		Model:     r.Request.Target,
 		Prompt:    r.Request.Body,
 		Tokens:    r.Request.Tokens,
+		StartBy:   g.expires,
 	})
 	if errors.Is(err, sr.ErrNotSent) || errors.Is(err, sr.ErrNotTaken) {
 		return e.notTaken(r, g, err)
--- a/internal/peer/srconn/conn.go
+++ b/internal/peer/srconn/conn.go
@@ -32,7 +32,10 @@
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // errSealed is what a write after Seal returns.
-var errSealed = errors.New("srconn: connection is sealed")
+var (
+	errSealed = errors.New("srconn: connection is sealed")
+	errLate   = errors.New("the time to start has passed")
+)
 
 // Timeouts limit each connection.
 type Timeouts struct {
@@ -57,6 +60,8 @@
 	mu     sync.Mutex
 	began  bool
 	sealed bool
+	// startBy is when the first write must have begun, zero for no limit.
+	startBy time.Time
 }
 
 // New returns c with timeouts.
@@ -81,6 +86,13 @@
 	return c.Conn.Write(p)
 }
 
+// StartBy refuses a first write after a time.
+func (c *Conn) StartBy(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startBy = t
+}
+
 // Seal refuses all writes that have not begun and reports whether one has.
 func (c *Conn) Seal() (began bool) {
 	c.mu.Lock()
@@ -95,6 +107,10 @@
 	if c.sealed {
 		return errSealed
 	}
+	if !c.began && !c.startBy.IsZero() && time.Now().After(c.startBy) {
+		c.sealed = true
+		return errLate
+	}
 	c.began = true
 	return nil
 }
--- a/internal/peer/srconn/once.go
+++ b/internal/peer/srconn/once.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -22,10 +23,11 @@
 	return &Once{transport: t}
 }
 
-// Send sends req at most once. When it fails, ErrNotSent means that no byte was
+// Send sends req at most once, and not when its first write would begin after
+// startBy, unless that is zero. When it fails, ErrNotSent means that no byte was
 // written and none will be, ErrBroken that the peer may have received it.
-func (o *Once) Send(req *http.Request) (*http.Response, error) {
-	var used conns
+func (o *Once) Send(req *http.Request, startBy time.Time) (*http.Response, error) {
+	used := conns{startBy: startBy}
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: used.add})
 	resp, err := o.transport.RoundTrip(req.WithContext(ctx))
 	if err == nil {
@@ -39,6 +41,8 @@
 
 // conns are the connections that net/http chose for one request.
 type conns struct {
+	startBy time.Time
+
 	mu   sync.Mutex
 	list []*Conn
 	// foreign is set by a connection of another type, which may carry anything.
@@ -53,6 +57,7 @@
 		c.foreign = true
 		return
 	}
+	conn.StartBy(c.startBy)
 	c.list = append(c.list, conn)
 }
 
--- a/internal/peer/srendpoint/client.go
+++ b/internal/peer/srendpoint/client.go
@@ -80,7 +80,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(sr.ErrNotSent, "srendpoint: %v", err)
 	}
-	resp, cancel, err := send(ctx, req, c.once.Send)
+	resp, cancel, err := send(ctx, req, func(req *http.Request) (*http.Response, error) {
+		return c.once.Send(req, d.StartBy)
+	})
 	if err != nil {
 		return nil, errors.Wrapf(err, "srendpoint: dispatch to %s", address)
 	}
@@ -155,7 +157,13 @@
 }
 
 func newDispatch(address string, d sr.Dispatch) (*http.Request, error) {
-	body, err := json.Marshal(srwire.Dispatch(d))
+	body, err := json.Marshal(srwire.Dispatch{
+		Stream:    d.Stream,
+		Workspace: d.Workspace,
+		Model:     d.Model,
+		Prompt:    d.Prompt,
+		Tokens:    d.Tokens,
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/srservice/client.go
+++ b/internal/peer/srservice/client.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return sr.Answer{}, errors.Wrapf(sr.ErrNotSent, "srservice: %v", err)
 	}
-	resp, err := c.once.Send(req.WithContext(ctx))
+	resp, err := c.once.Send(req.WithContext(ctx), call.StartBy)
 	if err != nil {
 		return sr.Answer{}, errors.Wrapf(err, "srservice: call at %s", address)
 	}
--- a/internal/policy/srroute/placer.go
+++ b/internal/policy/srroute/placer.go
@@ -465,7 +465,7 @@
 	if r.First > 0 && work >= learnTokens {
 		observed += r.First.Seconds()
 		predicted += work * e.rates.prefill.at(was.batch)
-		e.rates.prefill.learn(was.batch, r.First.Seconds()/work/slow)
+		e.rates.prefill.learn(was.batch, r.First.Seconds()/(work*slow))
 	}
 	if gaps >= 1 && r.Total > r.First {
 		rest := (r.Total - r.First).Seconds()
--- a/internal/standin/srengine/handler.go
+++ b/internal/standin/srengine/handler.go
@@ -36,7 +36,13 @@
 	if !srweb.Read(w, r, &body) {
 		return
 	}
-	s, err := h.e.Dispatch(r.Context(), sr.Dispatch(body))
+	s, err := h.e.Dispatch(r.Context(), sr.Dispatch{
+		Stream:    body.Stream,
+		Workspace: body.Workspace,
+		Model:     body.Model,
+		Prompt:    body.Prompt,
+		Tokens:    body.Tokens,
+	})
 	if err != nil {
 		srweb.Fail(w, err)
 		return
