Fill whole settings files in srini

Cause: a second program needs the strict reading of an INI file by a table of keys, which was private to srsettings. Change: the parser moved to srini.Table; srsettings uses it, its golden files are unchanged.

--- a/internal/state/srsettings/settings.go
+++ b/internal/state/srsettings/settings.go
@@ -78,10 +78,9 @@
 func Parse(name string, data []byte) (Settings, error) {
 	var s Settings
 	var ps srini.Problems
-	p := parser{file: name, table: keys(&s), problems: &ps}
 	sections := srini.Read(name, data, &ps)
 	if sections != nil || len(ps.List) == 0 {
-		p.fill(sections)
+		srini.NewTable(name, keys(&s), &ps).Fill(sections)
 		s.check(name, &ps)
 	}
 	if err := ps.Err("srsettings"); err != nil {
