--- a/errors.go
+++ b/errors.go
@@ -33,6 +33,8 @@
 	ErrLimited = errors.New("workspace is over its limit")
 	// ErrOverloaded means that there is no capacity in time.
 	ErrOverloaded = errors.New("no capacity in time")
+	// ErrHistoryLost means that the registry no longer has the changes asked for.
+	ErrHistoryLost = errors.New("history is no longer available")
 	// ErrDraining means that the instance shuts down and takes no new work.
 	ErrDraining = errors.New("instance is shutting down")
 )
--- a/internal/peer/srinstance/client.go
+++ b/internal/peer/srinstance/client.go
@@ -20,6 +20,7 @@
 	stderrors "errors"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,10 +38,12 @@
 // keepUsed is how long a connection is kept after its last call.
 const keepUsed = time.Minute
 
-// heartbeatMethod is answered at once, so a heartbeat without an answer means
-// that its connection is dead.
 const heartbeatMethod = "Heartbeat"
 
+// prompt lists the methods that are answered at once, so that a call without an
+// answer means that its connection is dead.
+var prompt = []string{heartbeatMethod, gossipMethod, pullMethod}
+
 // errNotConnected means that nothing of the call has reached the peer.
 var errNotConnected = stderrors.Join(sr.ErrUnreachable, sr.ErrNotSent)
 
@@ -60,7 +63,9 @@
 }
 
 // Peer returns the handler of the instance at address.
-func (p *Peers) Peer(address string) sr.Handler {
+func (p *Peers) Peer(address string) sr.Handler { return p.client(address) }
+
+func (p *Peers) client(address string) *client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, ok := p.clients[address]
@@ -268,7 +273,7 @@
 		}
 		return reply.Value, reply.Fault.Err()
 	case <-ctx.Done():
-		if method == heartbeatMethod {
+		if slices.Contains(prompt, method) {
 			c.drop(conn)
 		}
 		return zero, errors.WithMessagef(sr.ErrUnreachable, "srinstance: %s at %s: %v", method, c.address, ctx.Err())
--- a/internal/peer/srinstance/code.go
+++ b/internal/peer/srinstance/code.go
@@ -32,6 +32,7 @@
 	"limited":       sr.ErrLimited,
 	"overloaded":    sr.ErrOverloaded,
 	"draining":      sr.ErrDraining,
+	"history-lost":  sr.ErrHistoryLost,
 	codeUnreachable: sr.ErrUnreachable,
 }
 
--- /dev/null
+++ b/internal/peer/srinstance/fleet.go
@@ -0,0 +1,62 @@
+package srinstance
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+const (
+	gossipMethod = "Gossip"
+	pullMethod   = "Pull"
+)
+
+// PullArgs ask for registry facts.
+type PullArgs struct {
+	After uint64
+	Wait  time.Duration
+}
+
+// NewFleetServer returns a Server that passes the calls of forwarding instances
+// on to h.
+func NewFleetServer(ctx context.Context, h sr.FleetHandler) (*Server, error) {
+	s := &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
+	if err := s.rpc.RegisterName(serviceName, &fleetMethods{ctx: ctx, handler: h}); err != nil {
+		return nil, errors.Wrap(err, "srinstance: register")
+	}
+	return s, nil
+}
+
+// Fleet returns the forwarding instance at address.
+func (p *Peers) Fleet(address string) sr.FleetHandler { return p.client(address) }
+
+func (c *client) Gossip(ctx context.Context, g sr.Gossip) (sr.Gossip, error) {
+	return call[sr.Gossip, sr.Gossip](ctx, c, gossipMethod, g)
+}
+
+func (c *client) Pull(ctx context.Context, after uint64, wait time.Duration) (sr.Changes, error) {
+	return call[PullArgs, sr.Changes](ctx, c, pullMethod, PullArgs{After: after, Wait: wait})
+}
+
+// fleetMethods are the calls of forwarding instances as net/rpc wants them.
+type fleetMethods struct {
+	ctx     context.Context
+	handler sr.FleetHandler
+}
+
+// Gossip exchanges news.
+func (m *fleetMethods) Gossip(args Args[sr.Gossip], reply *Reply[sr.Gossip]) error {
+	return answer(m.ctx, args, reply, m.handler.Gossip)
+}
+
+// Pull returns registry facts.
+func (m *fleetMethods) Pull(args Args[PullArgs], reply *Reply[sr.Changes]) error {
+	return answer(m.ctx, args, reply, func(ctx context.Context, a PullArgs) (sr.Changes, error) {
+		return m.handler.Pull(ctx, a.After, a.Wait)
+	})
+}
--- /dev/null
+++ b/internal/policy/srdispatch/endpoint.go
@@ -0,0 +1,86 @@
+package srdispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// pacePart is the weight of a new measurement of an endpoint's pace.
+	pacePart = 0.2
+	// defaultSlots is used for endpoints that state none.
+	defaultSlots = 4
+)
+
+// endpoint is what is known of one endpoint.
+type endpoint struct {
+	Endpoint
+	usable bool
+	// mine and others are the requests in flight from here and elsewhere.
+	mine   int
+	others int
+	// pace and first are averages in seconds, 0 when unknown.
+	pace  float64
+	first float64
+	health
+	cold coldRate
+}
+
+// coldRate spaces requests to a cold endpoint.
+type coldRate struct {
+	next time.Time
+}
+
+func (e *endpoint) set(now time.Time, c Endpoint) {
+	if c.Slots <= 0 {
+		c.Slots = defaultSlots
+	}
+	if c.Cold > 0 && e.Cold == 0 {
+		e.cold.next = now
+	}
+	e.Endpoint = c
+}
+
+func (e *endpoint) take(now time.Time) {
+	e.mine++
+	if e.Cold > 0 {
+		e.cold.next = now.Add(time.Duration(float64(time.Second) / e.Cold))
+	}
+	e.probe(now)
+}
+
+func (e *endpoint) done(now time.Time, r Result) {
+	e.mine--
+	if r.Unsent {
+		return
+	}
+	e.observe(now, r)
+	if r.First > 0 {
+		e.first = mix(e.first, r.First.Seconds())
+	}
+	if r.Pace > 0 {
+		e.pace = mix(e.pace, r.Pace.Seconds())
+	}
+}
+
+func mix(old, now float64) float64 {
+	if old == 0 {
+		return now
+	}
+	return old + pacePart*(now-old)
+}
+
+// room returns how many more requests the endpoint may get from here: up to its
+// slots less what the others have, and at least an equal part of its slots.
+func (e *endpoint) room(fleet int) int {
+	part := int(math.Ceil(float64(e.Slots) / float64(fleet)))
+	return max(e.Slots-e.others, part) - e.mine
+}
+
+// open reports whether the endpoint may get a request now.
+func (e *endpoint) open(now time.Time, fleet int) bool {
+	if !e.usable || e.room(fleet) <= 0 {
+		return false
+	}
+	return e.Cold == 0 || !now.Before(e.cold.next)
+}
--- /dev/null
+++ b/internal/policy/srdispatch/order.go
@@ -0,0 +1,143 @@
+package srdispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// rankSpan is the time over which arrivals and grants of a rank are averaged.
+	rankSpan = 3 * time.Second
+	// leastShare is the part of the served share of all ranks below which a rank
+	// goes first. The users ask for a quarter; the rest is for its variation.
+	leastShare = 0.4
+	// leastArrivals is the weight of arrivals from which a rank's share counts.
+	leastArrivals = 5
+)
+
+// waiting is an ask in the queue.
+type waiting struct {
+	Ask
+	since time.Time
+}
+
+// rank counts the arrivals and grants of requests of equal rank.
+type rank struct {
+	key      int
+	arrivals float64
+	served   float64
+	at       time.Time
+}
+
+// rankKey orders ranks: the workspace first, then the route.
+func rankKey(a Ask) int {
+	const routes = 1 << 16
+	return a.Workspace*routes + a.Route
+}
+
+func (s *Service) rank(a Ask) *rank {
+	key := rankKey(a)
+	r, ok := s.ranks[key]
+	if !ok {
+		r = &rank{key: key}
+		s.ranks[key] = r
+	}
+	return r
+}
+
+func (r *rank) arrive(now time.Time) {
+	r.decay(now)
+	r.arrivals++
+}
+
+func (r *rank) serve(now time.Time) {
+	r.decay(now)
+	r.served++
+}
+
+func (r *rank) decay(now time.Time) {
+	past := now.Sub(r.at)
+	r.at = now
+	if past <= 0 {
+		return
+	}
+	f := math.Exp(-float64(past) / float64(rankSpan))
+	r.arrivals *= f
+	r.served *= f
+}
+
+func (r *rank) share() float64 {
+	if r.arrivals == 0 {
+		return 1
+	}
+	return r.served / r.arrivals
+}
+
+// insert keeps the queue in order.
+func (s *Service) insert(w *waiting) {
+	i := len(s.queue)
+	for i > 0 && w.before(s.queue[i-1]) {
+		i--
+	}
+	s.queue = append(s.queue, nil)
+	copy(s.queue[i+1:], s.queue[i:])
+	s.queue[i] = w
+}
+
+func (s *Service) remove(i int) {
+	s.queue = append(s.queue[:i], s.queue[i+1:]...)
+}
+
+func (s *Service) waits(id uint64) bool {
+	for _, w := range s.queue {
+		if w.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// before orders asks: streams that have begun, then the rank, then those that
+// were told to come back, then the earliest objective.
+func (w *waiting) before(o *waiting) bool {
+	if w.Resumed != o.Resumed {
+		return w.Resumed
+	}
+	if a, b := rankKey(w.Ask), rankKey(o.Ask); a != b {
+		return a < b
+	}
+	if w.Returned != o.Returned {
+		return w.Returned
+	}
+	return w.Target.Before(o.Target)
+}
+
+// head returns the index of the ask whose turn it is: the first in order, unless
+// a lower rank has been served far less than all.
+func (s *Service) head(now time.Time) int {
+	if s.queue[0].Resumed || len(s.ranks) < 2 {
+		return 0
+	}
+	var arrivals, served float64
+	for _, r := range s.ranks {
+		r.decay(now)
+		arrivals += r.arrivals
+		served += r.served
+	}
+	if arrivals < leastArrivals {
+		return 0
+	}
+	least := leastShare * served / arrivals
+	first := rankKey(s.queue[0].Ask)
+	for i, w := range s.queue {
+		key := rankKey(w.Ask)
+		if key == first {
+			continue
+		}
+		if r := s.ranks[key]; r.arrivals >= leastArrivals && r.share() < least {
+			return i
+		}
+		first = key
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/policy/srshare/bucket.go
@@ -0,0 +1,164 @@
+// Package srshare divides a limit among the instances of a fleet without an
+// owner. Each instance simulates the whole limit as a token bucket, takes what
+// it spends itself at once, and what the others have spent as soon as they tell.
+//
+// # Usage
+//
+//	b := srshare.New(self, limit, fleet, now)
+//	b.Hear(now, peer, theirTotal)
+//	if ok, after := b.Take(now, cost); !ok {
+//		refuse(after)
+//	}
+//	tell(b.Spent())
+//
+// Load pattern: callers of one workspace are spread unevenly over the instances
+// and ask for several times what the limit allows. Fixed parts would refuse
+// callers of a busy instance while others have room; here the whole limit is in
+// one place, and news that is a fraction of a second old exceeds it only by what
+// arrives in that time.
+//
+// A bucket starts empty, so a fleet that is killed and comes back stays within
+// the limit together with what it spent before. An instance that falls silent is
+// taken to spend its equal part until it is heard again, which keeps the sum
+// within the limit on both sides of a cut.
+package srshare
+
+import (
+	"time"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+// silentAfter is the time without news after which an instance is taken to
+// spend its part. News comes several times a second.
+const silentAfter = time.Second
+
+// Limit is a rate a second with a burst, both in units of cost.
+type Limit struct {
+	Rate  float64
+	Burst float64
+}
+
+// Bucket is one limit as one instance sees it. It is used by one goroutine.
+type Bucket struct {
+	limit Limit
+	level float64
+	at    time.Time
+	spent float64
+	peers map[string]*peer
+	fleet int
+}
+
+// peer is what is known of another instance, by address.
+type peer struct {
+	incarnation uint64
+	total       float64
+	heard       time.Time
+	// assumed is what it was taken to spend since it was heard.
+	assumed float64
+}
+
+// New returns an empty Bucket in a fleet of so many instances.
+func New(l Limit, fleet int, now time.Time) *Bucket {
+	return &Bucket{limit: l, at: now, peers: make(map[string]*peer), fleet: max(fleet, 1)}
+}
+
+// Spent returns what this instance has taken since it started.
+func (b *Bucket) Spent() float64 { return b.spent }
+
+// Level returns what may be taken now.
+func (b *Bucket) Level(now time.Time) float64 {
+	b.refill(now)
+	return b.level
+}
+
+// SetLimit changes the limit.
+func (b *Bucket) SetLimit(now time.Time, l Limit) {
+	b.refill(now)
+	b.limit = l
+	b.level = min(b.level, l.Burst)
+}
+
+// SetFleet says how many instances there are, this one included.
+func (b *Bucket) SetFleet(now time.Time, n int) {
+	b.refill(now)
+	b.fleet = max(n, 1)
+}
+
+// Take takes cost, or returns after how long it may be there.
+func (b *Bucket) Take(now time.Time, cost float64) (ok bool, after time.Duration) {
+	b.refill(now)
+	if b.level >= cost || b.level >= b.limit.Burst && b.level > 0 {
+		b.level -= cost
+		b.spent += cost
+		return true, 0
+	}
+	rate := b.rate(now)
+	if rate <= 0 {
+		return false, maxWait
+	}
+	return false, min(time.Duration((cost-b.level)/rate*float64(time.Second)), maxWait)
+}
+
+// maxWait bounds the time that a refused caller is told to wait.
+const maxWait = 5 * time.Second
+
+// Refund gives back what was taken for a request that did not run.
+func (b *Bucket) Refund(now time.Time, cost float64) {
+	b.refill(now)
+	b.level = min(b.level+cost, b.limit.Burst)
+	b.spent -= cost
+}
+
+// Hear takes another instance's total since its start.
+func (b *Bucket) Hear(now time.Time, from sr.InstanceID, total float64) {
+	b.refill(now)
+	p, ok := b.peers[from.Address]
+	switch {
+	case !ok:
+		b.peers[from.Address] = &peer{incarnation: from.Incarnation, total: total, heard: now}
+		return
+	case p.incarnation != from.Incarnation:
+		p.incarnation, p.total = from.Incarnation, 0
+	}
+	if delta := total - p.total; delta > p.assumed {
+		b.level -= delta - p.assumed
+	}
+	p.total, p.heard, p.assumed = total, now, 0
+}
+
+// Leave forgets an instance that has shut down.
+func (b *Bucket) Leave(now time.Time, address string) {
+	b.refill(now)
+	delete(b.peers, address)
+}
+
+// refill adds what has become free since the last call, less what silent
+// instances are taken to spend.
+func (b *Bucket) refill(now time.Time) {
+	past := now.Sub(b.at).Seconds()
+	if past <= 0 {
+		return
+	}
+	part := b.limit.Rate / float64(b.fleet) * past
+	rate := b.rate(now)
+	for _, p := range b.peers {
+		if now.Sub(p.heard) > silentAfter {
+			p.assumed += part
+		}
+	}
+	b.at = now
+	b.level = min(b.level+rate*past, b.limit.Burst)
+}
+
+// rate returns what may be spent a second while silent instances spend theirs.
+// An instance that has not been heard at all counts as silent.
+func (b *Bucket) rate(now time.Time) float64 {
+	heard := 1
+	for _, p := range b.peers {
+		if now.Sub(p.heard) <= silentAfter {
+			heard++
+		}
+	}
+	return b.limit.Rate * min(float64(heard)/float64(b.fleet), 1)
+}
