--- a/internal/app/srcli/cli.go
+++ b/internal/app/srcli/cli.go
@@ -3,6 +3,7 @@
 // # Usage
 //
 //	sassafrasrail serve --settings instance.ini
+//	sassafrasrail forward --settings forward.ini
 //	sassafrasrail check --settings instance.ini --manifest manifest/
 //	sassafrasrail bundle --manifest manifest/ --number 7
 //	sassafrasrail dump --operate 127.0.0.1:7200
@@ -40,6 +41,7 @@
 // commands is the grammar of the command line.
 type commands struct {
 	Serve   serveCommand   `cmd:"" help:"Run an entry instance."`
+	Forward forwardCommand `cmd:"" help:"Run a forwarding instance on the platform."`
 	Check   checkCommand   `cmd:"" help:"Check settings and a manifest without using them."`
 	Bundle  bundleCommand  `cmd:"" help:"Write the root value of a manifest for its parts."`
 	Dump    dumpCommand    `cmd:"" help:"Print the state of a running instance as JSON."`
--- /dev/null
+++ b/internal/app/srforward/gossip.go
@@ -0,0 +1,117 @@
+package srforward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
+)
+
+var _ sr.FleetHandler = (*Instance)(nil)
+
+// Gossip implements sr.FleetHandler.
+func (n *Instance) Gossip(_ context.Context, g sr.Gossip) (sr.Gossip, error) {
+	n.hear(g)
+	return n.news(), nil
+}
+
+// Pull implements sr.FleetHandler.
+func (n *Instance) Pull(_ context.Context, after uint64, _ time.Duration) (sr.Changes, error) {
+	return n.view.Since(after, n.Clock()), nil
+}
+
+// news is what this instance tells the others.
+func (n *Instance) news() sr.Gossip {
+	now := time.Now()
+	g := sr.Gossip{
+		From:    n.Self,
+		Domain:  n.Settings.Domain,
+		Leaving: n.draining.Load(),
+		Known:   n.members.known(now),
+		Usage: sr.Usage{
+			Spent:   n.limits.spent(),
+			Running: n.queues.running(),
+		},
+	}
+	g.AsOf, g.Age = n.view.AsOf(n.Clock())
+	return g
+}
+
+// hear takes another instance's news.
+func (n *Instance) hear(g sr.Gossip) {
+	now := time.Now()
+	if n.members.hear(now, g) {
+		n.Log.State("member", srlog.Peer, g.From.Address, srlog.Domain, g.Domain, srlog.State, "heard", srlog.Fleet, n.members.size(now))
+	}
+	if g.Leaving {
+		n.limits.leave(now, g.From.Address)
+		return
+	}
+	n.limits.hear(now, g)
+}
+
+// gossip exchanges news until ctx ends.
+func (n *Instance) gossip(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for srtimer.Wait(ctx, gossipEvery/2) == nil {
+		now := time.Now()
+		for _, address := range n.members.due(now) {
+			wg.Go(func() { n.exchange(ctx, address) })
+		}
+		n.limits.setFleet(now, n.members.size(now))
+		n.queues.peers(n.members.running(now))
+	}
+}
+
+// exchange tells one instance the news and takes its own. An answer proves the
+// view when the other instance knows nothing newer.
+func (n *Instance) exchange(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, gossipTime)
+	defer cancel()
+	asked := n.Clock()
+	g, err := n.Fleet.Fleet(address).Gossip(ctx, n.news())
+	if err != nil {
+		n.figures.count("fleet.failed")
+		return
+	}
+	n.hear(g)
+	if g.Leaving {
+		return
+	}
+	if g.AsOf > n.view.Revision() {
+		n.pull(ctx, address)
+		return
+	}
+	n.view.Prove(asked, g.AsOf, g.Age)
+}
+
+// pull takes the registry's facts from another instance.
+func (n *Instance) pull(ctx context.Context, address string) {
+	asked := n.Clock()
+	c, err := n.Fleet.Fleet(address).Pull(ctx, n.view.Revision(), 0)
+	if err != nil {
+		n.figures.count("fleet.failed")
+		return
+	}
+	n.learn(asked, c, address)
+}
+
+// leave tells the members that this instance shuts down.
+func (n *Instance) leave(ctx context.Context) {
+	var wg sync.WaitGroup
+	news := n.news()
+	for _, address := range n.members.alive(time.Now()) {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, gossipTime)
+			defer cancel()
+			if _, err := n.Fleet.Fleet(address).Gossip(ctx, news); err != nil {
+				n.figures.count("fleet.failed")
+			}
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/app/srforward/limits.go
@@ -0,0 +1,153 @@
+package srforward
+
+import (
+	"sync"
+	"time"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srbudget"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srshare"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srsite"
+)
+
+// limits holds the limits that all instances share.
+type limits struct {
+	retry srsite.RetryLimit
+	// window is the time in which an allowance is counted, 0 when not stated.
+	window time.Duration
+
+	mu sync.Mutex
+	// buckets are the allowances by workspace; a workspace without a limit has none.
+	buckets map[string]*srshare.Bucket
+	// budgets bound the retries by service.
+	budgets map[string]*srbudget.Budget
+	fleet   int
+}
+
+func newLimits(cfg srsite.Settings) *limits {
+	return &limits{
+		retry:   cfg.Retry,
+		window:  cfg.Allowance,
+		buckets: make(map[string]*srshare.Bucket),
+		budgets: make(map[string]*srbudget.Budget),
+		fleet:   1,
+	}
+}
+
+// configure applies the allowances of a configuration.
+func (l *limits) configure(now time.Time, c *sr.Routing, fleet int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet = fleet
+	for name, w := range c.Workspaces {
+		limit := l.limit(w.Allowance)
+		if limit.Rate <= 0 {
+			delete(l.buckets, name)
+			continue
+		}
+		if b, ok := l.buckets[name]; ok {
+			b.SetLimit(now, limit)
+			b.SetFleet(now, fleet)
+			continue
+		}
+		l.buckets[name] = srshare.New(limit, fleet, now)
+	}
+	for name := range l.buckets {
+		if _, ok := c.Workspaces[name]; !ok {
+			delete(l.buckets, name)
+		}
+	}
+}
+
+// limit spreads the burst over the window in which an allowance is counted, so
+// that a steady caller gets what the window allows.
+func (l *limits) limit(a sr.Allowance) srshare.Limit {
+	rate := a.Rate
+	if rate > 0 && l.window > 0 {
+		rate += a.Burst / l.window.Seconds()
+	}
+	return srshare.Limit{Rate: rate, Burst: a.Burst}
+}
+
+func (l *limits) setFleet(now time.Time, fleet int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if fleet == l.fleet {
+		return
+	}
+	l.fleet = fleet
+	for _, b := range l.buckets {
+		b.SetFleet(now, fleet)
+	}
+}
+
+// take takes cost from a workspace's allowance; level is what was left before.
+func (l *limits) take(now time.Time, workspace string, cost float64) (ok bool, after time.Duration, level float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, limited := l.buckets[workspace]
+	if !limited {
+		return true, 0, 0
+	}
+	level = b.Level(now)
+	ok, after = b.Take(now, cost)
+	return ok, after, level
+}
+
+// refund gives back what a request took that did not run.
+func (l *limits) refund(now time.Time, workspace string, cost float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b, ok := l.buckets[workspace]; ok {
+		b.Refund(now, cost)
+	}
+}
+
+func (l *limits) spent() map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]float64, len(l.buckets))
+	for name, b := range l.buckets {
+		out[name] = b.Spent()
+	}
+	return out
+}
+
+func (l *limits) hear(now time.Time, g sr.Gossip) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, b := range l.buckets {
+		b.Hear(now, g.From, g.Usage.Spent[name])
+	}
+}
+
+func (l *limits) leave(now time.Time, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.buckets {
+		b.Leave(now, address)
+	}
+}
+
+// request counts the first arrival of a request at a service.
+func (l *limits) request(now time.Time, service string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget(now, service).Request(now)
+}
+
+// again takes one retry at a service when the budget allows it.
+func (l *limits) again(now time.Time, service string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.budget(now, service).Retry(now, l.fleet)
+}
+
+func (l *limits) budget(now time.Time, service string) *srbudget.Budget {
+	b, ok := l.budgets[service]
+	if !ok {
+		b = srbudget.New(l.retry, now)
+		l.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/app/srforward/members.go
@@ -0,0 +1,224 @@
+package srforward
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+// members is what an instance knows of the others.
+type members struct {
+	self   sr.InstanceID
+	domain string
+
+	mu    sync.Mutex
+	seeds []string
+	list  map[string]*member
+	// left holds the incarnations that said they shut down.
+	left map[sr.InstanceID]time.Time
+}
+
+// member is another instance, by address.
+type member struct {
+	id     sr.InstanceID
+	domain string
+	// heard is when the last exchange succeeded, zero for never.
+	heard time.Time
+	// tried is when the last exchange was begun.
+	tried time.Time
+	// since is when the member became known.
+	since time.Time
+	usage sr.Usage
+	asOf  uint64
+}
+
+func newMembers(self sr.InstanceID, domain string, seeds []string) *members {
+	return &members{
+		self:   self,
+		domain: domain,
+		seeds:  seeds,
+		list:   make(map[string]*member),
+		left:   make(map[sr.InstanceID]time.Time),
+	}
+}
+
+func (m *members) setSeeds(seeds []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seeds = seeds
+}
+
+// hear takes another instance's news and reports whether it was new or silent.
+func (m *members) hear(now time.Time, g sr.Gossip) (joined bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if g.From.Address == m.self.Address {
+		return false
+	}
+	if g.Leaving {
+		m.left[g.From] = now
+		delete(m.list, g.From.Address)
+		return false
+	}
+	e, ok := m.list[g.From.Address]
+	if !ok {
+		e = &member{since: now}
+		m.list[g.From.Address] = e
+	}
+	joined = e.id != g.From || now.Sub(e.heard) > memberFor
+	e.id, e.domain, e.heard = g.From, g.Domain, now
+	e.usage, e.asOf = g.Usage, g.AsOf
+	for _, id := range g.Known {
+		m.learn(now, id)
+	}
+	return joined
+}
+
+// learn notes an instance that another one has heard of.
+func (m *members) learn(now time.Time, id sr.InstanceID) {
+	_, known := m.list[id.Address]
+	_, left := m.left[id]
+	if known || left || id.Address == m.self.Address {
+		return
+	}
+	m.list[id.Address] = &member{id: id, since: now}
+}
+
+// due returns the addresses with which an exchange should begin now.
+func (m *members) due(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for address, e := range m.list {
+		pause := gossipEvery
+		if now.Sub(e.heard) > aliveFor {
+			pause = seedEvery
+		}
+		if now.Sub(e.tried) >= pause && now.Sub(e.heard) >= gossipEvery {
+			e.tried = now
+			out = append(out, address)
+		}
+	}
+	for _, address := range m.seeds {
+		if _, ok := m.list[address]; !ok && address != m.self.Address {
+			// The incarnation is not known before the first exchange.
+			m.list[address] = &member{id: sr.InstanceID{Address: address}, tried: now, since: now}
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// sweep forgets members that have been silent for long.
+func (m *members) sweep(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.list, func(address string, e *member) bool {
+		last := e.heard
+		if e.since.After(last) {
+			last = e.since
+		}
+		return now.Sub(last) > memberFor && !slices.Contains(m.seeds, address)
+	})
+	maps.DeleteFunc(m.left, func(_ sr.InstanceID, t time.Time) bool { return now.Sub(t) > memberFor })
+}
+
+// alive returns the addresses of the members that were heard lately.
+func (m *members) alive(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for address, e := range m.list {
+		if now.Sub(e.heard) <= aliveFor {
+			out = append(out, address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// known returns the identities of the members that were heard lately.
+func (m *members) known(now time.Time) []sr.InstanceID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []sr.InstanceID
+	for _, e := range m.list {
+		if now.Sub(e.heard) <= memberFor {
+			out = append(out, e.id)
+		}
+	}
+	return out
+}
+
+// size returns the number of instances in the fleet.
+func (m *members) size(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 1
+	alone := true
+	for _, e := range m.list {
+		if !e.heard.IsZero() && now.Sub(e.heard) <= memberFor {
+			n++
+		}
+	}
+	for _, seed := range m.seeds {
+		alone = alone && seed == m.self.Address
+	}
+	if n == 1 && !alone {
+		return fleetUnknown
+	}
+	return n
+}
+
+// running adds up the requests that other instances have in flight.
+func (m *members) running(now time.Time) map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]int)
+	for _, e := range m.list {
+		if now.Sub(e.heard) > aliveFor {
+			continue
+		}
+		for id, n := range e.usage.Running {
+			out[id] += n
+		}
+	}
+	return out
+}
+
+// reads reports whether this instance is one of those that watch the registry
+// for all: the first by a hash of the address, and the next ones in other
+// failure domains if there are any.
+func (m *members) reads(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	type place struct{ address, domain string }
+	all := []place{{m.self.Address, m.domain}}
+	for address, e := range m.list {
+		if now.Sub(e.heard) <= aliveFor {
+			all = append(all, place{address, e.domain})
+		}
+	}
+	slices.SortFunc(all, func(a, b place) int {
+		if xxhash.Sum64String(a.address) < xxhash.Sum64String(b.address) {
+			return -1
+		}
+		return 1
+	})
+	taken := make(map[string]bool)
+	var chosen []string
+	for pass := 0; pass < 2 && len(chosen) < readers; pass++ {
+		for _, p := range all {
+			if len(chosen) < readers && !slices.Contains(chosen, p.address) && (pass == 1 || !taken[p.domain]) {
+				chosen = append(chosen, p.address)
+				taken[p.domain] = true
+			}
+		}
+	}
+	return slices.Contains(chosen, m.self.Address)
+}
--- /dev/null
+++ b/internal/app/srforward/queues.go
@@ -0,0 +1,160 @@
+package srforward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+)
+
+// queues carries out the decisions of srdispatch, one service each.
+type queues struct {
+	seed   uint64
+	domain string
+
+	mu   sync.Mutex
+	list map[string]*queue
+}
+
+// queue is the queue of one service.
+type queue struct {
+	mu      sync.Mutex
+	service *srdispatch.Service
+	waiting map[uint64]chan srdispatch.Decision
+	next    uint64
+	timer   *time.Timer
+	// ticking is set while the timer runs.
+	ticking bool
+}
+
+func newQueues(seed uint64, domain string) *queues {
+	return &queues{seed: seed, domain: domain, list: make(map[string]*queue)}
+}
+
+// of returns the queue of a service.
+func (q *queues) of(service string) *queue {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s, ok := q.list[service]
+	if !ok {
+		s = &queue{
+			service: srdispatch.New(srdispatch.Options{Seed: q.seed, Domain: q.domain}),
+			waiting: make(map[uint64]chan srdispatch.Decision),
+		}
+		q.list[service] = s
+	}
+	return s
+}
+
+func (q *queues) all() map[string]*queue {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := make(map[string]*queue, len(q.list))
+	for name, s := range q.list {
+		out[name] = s
+	}
+	return out
+}
+
+// configure sets the usable endpoints of every service.
+func (q *queues) configure(usable map[string][]srdispatch.Endpoint, fleet int) {
+	for service := range usable {
+		q.of(service)
+	}
+	for service, s := range q.all() {
+		s.do(func(now time.Time) []srdispatch.Decision {
+			return s.service.Configure(now, usable[service], fleet)
+		})
+	}
+}
+
+// peers passes on what the other instances have in flight.
+func (q *queues) peers(running map[string]int) {
+	for _, s := range q.all() {
+		s.do(func(now time.Time) []srdispatch.Decision { return s.service.Peers(now, running) })
+	}
+}
+
+// running returns the requests in flight here by endpoint.
+func (q *queues) running() map[string]int {
+	out := make(map[string]int)
+	for _, s := range q.all() {
+		s.mu.Lock()
+		s.service.Running(out)
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// acquire waits for an endpoint or a refusal.
+func (s *queue) acquire(ctx context.Context, a srdispatch.Ask) (srdispatch.Decision, error) {
+	ch := make(chan srdispatch.Decision, 1)
+	s.mu.Lock()
+	s.next++
+	a.ID = s.next
+	s.waiting[a.ID] = ch
+	s.mu.Unlock()
+	s.do(func(now time.Time) []srdispatch.Decision { return s.service.Add(now, a) })
+	select {
+	case d := <-ch:
+		return d, nil
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case d := <-ch:
+		// The decision came at the same moment.
+		return d, nil
+	default:
+	}
+	s.service.Withdraw(a.ID)
+	delete(s.waiting, a.ID)
+	return srdispatch.Decision{}, ctx.Err()
+}
+
+// done gives a slot back.
+func (s *queue) done(endpoint string, r srdispatch.Result) {
+	s.do(func(now time.Time) []srdispatch.Decision { return s.service.Done(now, endpoint, r) })
+}
+
+// do runs a step of the policy and delivers its decisions.
+func (s *queue) do(step func(now time.Time) []srdispatch.Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver(step(time.Now()))
+	s.schedule()
+}
+
+func (s *queue) deliver(list []srdispatch.Decision) {
+	for _, d := range list {
+		if ch, ok := s.waiting[d.Ask]; ok {
+			delete(s.waiting, d.Ask)
+			ch <- d
+		}
+	}
+}
+
+// schedule starts the timer while asks wait.
+func (s *queue) schedule() {
+	next, ok := s.service.Next()
+	if !ok || s.ticking {
+		return
+	}
+	wait := min(max(time.Until(next), 0), tickEvery)
+	s.ticking = true
+	if s.timer == nil {
+		s.timer = time.AfterFunc(wait, s.tick)
+		return
+	}
+	s.timer.Reset(wait)
+}
+
+func (s *queue) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ticking = false
+	s.deliver(s.service.Tick(time.Now()))
+	s.schedule()
+}
--- /dev/null
+++ b/internal/app/srforward/request.go
@@ -0,0 +1,236 @@
+package srforward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srview"
+)
+
+// request is one client request on its way.
+type request struct {
+	*Instance
+	w     http.ResponseWriter
+	r     *http.Request
+	ctx   context.Context
+	start time.Time
+	in    sr.Inbound
+	route sr.Route
+	// service is the one chosen of the route's services.
+	service   string
+	workspace sr.RoutedWorkspace
+	keyed     bool
+	version   uint64
+	// deadline is when the client or the route gives the request up.
+	deadline time.Time
+	body     []byte
+	hasBody  bool
+	cost     float64
+
+	// tries counts endpoints that were asked, runs those that may have run it.
+	tries int
+	runs  int
+	avoid []string
+	// begun is set once the header has gone to the client.
+	begun bool
+	// lastEvent is the id of the last event that the client has been sent.
+	lastEvent string
+	events    int
+	firstByte time.Duration
+}
+
+// refusal is an answer of this instance's own.
+type refusal struct {
+	status int
+	// reason is a stable word for logs and counters.
+	reason string
+	after  time.Duration
+}
+
+// Reasons of refusals; srdispatch has further ones.
+const (
+	reasonHeader     = "header"
+	reasonDraining   = "draining"
+	reasonUnknown    = "no-routing"
+	reasonNoRoute    = "no-route"
+	reasonNoKey      = "no-key"
+	reasonStale      = "stale-view"
+	reasonUnproved   = "unproved-key"
+	reasonBodySize   = "body-size"
+	reasonBodySlow   = "body-slow"
+	reasonBodyBroken = "body-broken"
+	reasonMemory     = "memory"
+	reasonAllowance  = "allowance"
+	reasonTimeout    = "timeout"
+	reasonBudget     = "retry-budget"
+	reasonTries      = "tries"
+	reasonRejected   = "rejected"
+	reasonBroken     = "broken"
+	reasonGone       = "client-gone"
+	reasonUnsent     = "unsent"
+)
+
+const (
+	// laterSoon is when a caller may come back after a state that passes soon,
+	// such as an instance that starts.
+	laterSoon = 500 * time.Millisecond
+	// elapsedSlack is how much less than the route's timeout a client may wait
+	// without being taken for one that came back.
+	elapsedSlack = 100 * time.Millisecond
+)
+
+// ServeHTTP implements http.Handler for clients.
+func (n *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := &request{Instance: n, w: w, r: r, ctx: r.Context(), start: time.Now()}
+	if ref := q.admit(); ref != nil {
+		q.refuse(*ref)
+		return
+	}
+	defer n.memory.give(int64(len(q.body)))
+	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
+	defer cancel()
+	q.ctx = ctx
+	q.run()
+}
+
+// admit reads and checks the request up to its place in a queue.
+func (q *request) admit() *refusal {
+	st := q.view.State()
+	in, err := q.Wire.Inbound(q.r.Header)
+	q.in = in
+	switch {
+	case err != nil:
+		return &refusal{status: http.StatusBadRequest, reason: reasonHeader}
+	case q.refusing.Load():
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, after: laterSoon}
+	case st.Routing == nil:
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonUnknown, after: laterSoon}
+	}
+	if ref := q.resolve(st); ref != nil {
+		return ref
+	}
+	if ref := q.read(st.Routing.Limits); ref != nil {
+		return ref
+	}
+	return q.allow()
+}
+
+// resolve finds the route, the service and the workspace.
+func (q *request) resolve(st *srview.State) *refusal {
+	q.version = st.Routing.Version
+	route, ok := st.Routing.Match(hostname(q.r.Host), q.r.URL.EscapedPath())
+	if !ok {
+		return q.unknown(http.StatusNotFound, reasonNoRoute)
+	}
+	q.route = route
+	q.setDeadline()
+	if st.Routing.Keyed && (!route.Public || q.in.Key != "") {
+		w, ok := st.Workspace(q.in.Key)
+		if !ok && !route.Public {
+			return q.unknown(http.StatusUnauthorized, reasonNoKey)
+		}
+		q.workspace, q.keyed = w, ok && !route.Public
+	}
+	if q.keyed && !q.proved() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonUnproved, after: laterSoon}
+	}
+	q.service = q.choose(route.Services)
+	return nil
+}
+
+// unknown refuses a name that the configuration lacks, unless a newer one may
+// hold it.
+func (q *request) unknown(status int, reason string) *refusal {
+	if !q.fresh() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonStale, after: laterSoon}
+	}
+	return &refusal{status: status, reason: reason}
+}
+
+func (q *request) setDeadline() {
+	left := q.route.Timeout
+	if q.in.Patience > 0 && q.in.Patience < left {
+		left = q.in.Patience
+	}
+	q.deadline = q.start.Add(left)
+}
+
+// elapsed is how long the client has been waiting over all its attempts, as far
+// as its remaining patience shows.
+func (q *request) elapsed() time.Duration {
+	if gone := q.route.Timeout - q.in.Patience; q.in.Patience > 0 && gone > elapsedSlack {
+		return gone
+	}
+	return 0
+}
+
+// choose draws one of a route's services by their weights.
+func (q *request) choose(list []sr.WeightedService) string {
+	total := 0
+	for _, s := range list {
+		total += max(s.Weight, 0)
+	}
+	if total == 0 {
+		if len(list) == 0 {
+			return ""
+		}
+		return list[0].Service
+	}
+	at := q.random.below(total)
+	for _, s := range list {
+		if at -= max(s.Weight, 0); at < 0 {
+			return s.Service
+		}
+	}
+	return list[len(list)-1].Service
+}
+
+// allow takes the request's cost from the workspace's allowance.
+func (q *request) allow() *refusal {
+	if !q.keyed {
+		return nil
+	}
+	cost := q.workspace.Allowance.Cost(q.in.Prompt + q.in.Output)
+	ok, after, level := q.limits.take(time.Now(), q.workspace.Name, cost)
+	if !ok {
+		q.memory.give(int64(len(q.body)))
+		q.Log.Failed("over-allowance", srlog.Request, q.in.ID, srlog.Workspace, q.workspace.Name, srlog.Cost, cost, srlog.Level, level, srlog.After, after)
+		return &refusal{status: http.StatusTooManyRequests, reason: reasonAllowance, after: after}
+	}
+	q.cost = cost
+	return nil
+}
+
+// refuse answers for this instance. The request has not run and will not.
+func (q *request) refuse(ref refusal) {
+	if q.cost > 0 && q.runs == 0 {
+		q.limits.refund(time.Now(), q.workspace.Name, q.cost)
+	}
+	q.answer(ref)
+}
+
+// answer writes an answer of this instance's own.
+func (q *request) answer(ref refusal) {
+	q.figures.count("refused." + ref.reason)
+	q.Log.Failed("refused",
+		srlog.Request, q.in.ID, srlog.Status, ref.status, srlog.Reason, ref.reason, srlog.Route, q.route.Name,
+		srlog.Service, q.service, srlog.Workspace, q.workspace.Name, srlog.After, ref.after, srlog.Attempt, q.tries,
+		srlog.Total, time.Since(q.start), srlog.Version, q.version, srlog.Age, q.view.Age(q.Clock()))
+	h := q.w.Header()
+	if ref.after > 0 {
+		q.Wire.Later(h, ref.after)
+	}
+	h["Content-Type"] = nil
+	h.Set("Content-Length", "0")
+	q.w.WriteHeader(ref.status)
+}
+
+// hostname strips the port of a Host header.
+func hostname(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return name
+}
--- /dev/null
+++ b/internal/app/srforward/timing.go
@@ -0,0 +1,62 @@
+package srforward
+
+import "time"
+
+const (
+	// lapseReturn is how long registrations that lapsed in an outage of the
+	// registry take to be back; the platform states about two seconds.
+	lapseReturn = 2 * time.Second
+	// revokeMargin divides the bound for removed keys into the part that is kept
+	// for the time between the check and the first byte to the endpoint.
+	revokeMargin = 10
+	// leastFresh is the least age at which an unknown name is not believed.
+	leastFresh = time.Second
+
+	// watchWait is how long a question waits at the registry for news. It is
+	// also the age up to which a connection that fell silent goes unnoticed.
+	watchWait = 1200 * time.Millisecond
+	// answerTime is the time that the registry has beyond the wait.
+	answerTime = time.Second
+	// listTime bounds a full listing.
+	listTime = 3 * time.Second
+	// askAfter is the age of a proof from which an instance that does not watch
+	// asks the registry itself.
+	askAfter = 1500 * time.Millisecond
+	// failPause is the time between two questions after one has failed.
+	failPause = 150 * time.Millisecond
+	// syncPause is how often an instance that does not watch looks at its proof.
+	syncPause = 100 * time.Millisecond
+	// readers is how many instances watch the registry for all.
+	readers = 2
+
+	// gossipEvery is the time between two exchanges with one peer.
+	gossipEvery = 200 * time.Millisecond
+	// gossipTime bounds one exchange.
+	gossipTime = 400 * time.Millisecond
+	// seedEvery is the time between two tries to reach a seed.
+	seedEvery = time.Second
+	// aliveFor is the time after the last exchange for which a member is alive.
+	aliveFor = time.Second
+	// memberFor is the time for which a silent member counts towards the fleet.
+	memberFor = 30 * time.Second
+	// fleetUnknown is the fleet's size while no other instance was heard, so
+	// that a part of a limit stays small at an instance that starts cut off.
+	fleetUnknown = 8
+
+	// sweepEvery is the time between two sweeps of what has expired.
+	sweepEvery = 250 * time.Millisecond
+	// bodyTime bounds the arrival of a body.
+	bodyTime = 10 * time.Second
+	// writeTime bounds one write to a client that does not read.
+	writeTime = 10 * time.Second
+	// leaveFor is the time after the stop signal for which new requests are
+	// still taken, since the balancer needs two questions to notice.
+	leaveFor = 2700 * time.Millisecond
+	// endMargin is kept at the end of the grace time to close the process.
+	endMargin = 500 * time.Millisecond
+	// mostTries bounds the endpoints that one request is offered to, rejections
+	// and failed connections included.
+	mostTries = 4
+	// tickEvery is the time between two looks at a queue that is not empty.
+	tickEvery = 20 * time.Millisecond
+)
--- /dev/null
+++ b/internal/app/srlog/field.go
@@ -0,0 +1,43 @@
+package srlog
+
+// Names of fields, the same in every line.
+const (
+	Time     = "time"
+	Event    = "event"
+	Instance = "instance"
+	// Request is the id of the client's attempt.
+	Request   = "request"
+	Route     = "route"
+	Service   = "service"
+	Workspace = "workspace"
+	Endpoint  = "endpoint"
+	Domain    = "domain"
+	Peer      = "peer"
+	Status    = "status"
+	Reason    = "reason"
+	Error     = "error"
+	Attempt   = "attempt"
+	Events    = "events"
+	// Version is the version of the configuration that decided.
+	Version  = "version"
+	Revision = "revision"
+	// Age is the time since the view was last proved to be current.
+	Age     = "age"
+	Waited  = "waited"
+	Queue   = "queue"
+	Running = "running"
+	Left    = "left"
+	First   = "first"
+	Total   = "total"
+	After   = "after"
+	Cost    = "cost"
+	Level   = "level"
+	Source  = "source"
+	State   = "state"
+	Class   = "class"
+	Count   = "count"
+	Address = "address"
+	Signal  = "signal"
+	Fleet   = "fleet"
+	Slots   = "slots"
+)
