--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 GO ?= go
-GO_DIRS = . ./cmd/... ./design/... ./internal/...
+GO_DIRS = . ./cmd/... ./design/... ./internal/... ./platform/...
 
 .PHONY: build generate format lint test race demo bench fuzz seeds race-proofs check
 
