Place by predicted start, judge endpoints by answers that begin

An endpoint that was left out got one request until that stream ended, seconds later, so a third of the slots stood empty under a full queue. 315 requests in 11 s went to addresses that answered 421 and were asked again. What came back late stood before what could be in time. Slow endpoints (110 ms an event against 19) got long prompts whose objective they cannot meet. Change: an answer that begins ends the time out; 421 counts as the longest one; within a rank, what can be in time goes first; the start of an answer is predicted by a line through the starts seen; callers are told a time within a third of what they have left. A new bucket holds a quarter of its burst: after a power cut the fleet refused 118 requests with 429 in its first second.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -33,8 +33,8 @@
 	switch {
 	case a.Reply.NotRun:
 		t.outcome, t.err = notRun, errors.Wrapf(errRejected, "status %d", a.Status)
-		// Another endpoint at the address says nothing about the one that was meant.
-		t.result.NotRun = !a.Reply.Misdirected
+		// Where another endpoint has the address, the one that was meant is gone.
+		t.result.NotRun, t.result.Gone = true, a.Reply.Misdirected
 		q.avoid = append(q.avoid, t.endpoint)
 		return t
 	case !a.Reply.Genuine:
--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -57,12 +57,12 @@
 func (n *Instance) gossip(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for srtimer.Wait(ctx, gossipEvery/2) == nil {
+	for srtimer.Wait(ctx, gossipTick) == nil {
 		now := time.Now()
 		for _, address := range n.members.due(now) {
 			wg.Go(func() { n.exchange(ctx, address) })
 		}
-		n.limits.setFleet(now, n.members.size(now))
+		n.limits.setFleet(now, n.members.size(now), n.members.silent())
 		n.queues.peers(n.members.running(now))
 	}
 }
--- a/internal/app/srforward/limits.go
+++ b/internal/app/srforward/limits.go
@@ -22,6 +22,8 @@
 	// budgets bound the retries by service.
 	budgets map[string]*srbudget.Budget
 	fleet   int
+	// silence is the time without news after which an instance is silent.
+	silence time.Duration
 }
 
 func newLimits(cfg srsite.Settings) *limits {
@@ -31,14 +33,14 @@
 		buckets: make(map[string]*srshare.Bucket),
 		budgets: make(map[string]*srbudget.Budget),
 		fleet:   1,
+		silence: aliveFor,
 	}
 }
 
 // configure applies the allowances of a configuration.
-func (l *limits) configure(now time.Time, c *sr.Routing, fleet int) {
+func (l *limits) configure(now time.Time, c *sr.Routing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fleet = fleet
 	for name, w := range c.Workspaces {
 		limit := l.limit(w.Allowance)
 		if limit.Rate <= 0 {
@@ -47,10 +49,9 @@
 		}
 		if b, ok := l.buckets[name]; ok {
 			b.SetLimit(now, limit)
-			b.SetFleet(now, fleet)
 			continue
 		}
-		l.buckets[name] = srshare.New(limit, fleet, now)
+		l.buckets[name] = srshare.New(limit, l.fleet, l.silence, now)
 	}
 	for name := range l.buckets {
 		if _, ok := c.Workspaces[name]; !ok {
@@ -69,15 +70,16 @@
 	return srshare.Limit{Rate: rate, Burst: a.Burst}
 }
 
-func (l *limits) setFleet(now time.Time, fleet int) {
+// setFleet says how many instances there are and after how long one is silent.
+func (l *limits) setFleet(now time.Time, fleet int, silence time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if fleet == l.fleet {
+	if fleet == l.fleet && silence == l.silence {
 		return
 	}
-	l.fleet = fleet
+	l.fleet, l.silence = fleet, silence
 	for _, b := range l.buckets {
-		b.SetFleet(now, fleet)
+		b.SetFleet(now, fleet, silence)
 	}
 }
 
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -89,17 +89,32 @@
 	m.list[id.Address] = &member{id: id, since: now}
 }
 
+// pause returns the time between two exchanges with one peer.
+func (m *members) pause() time.Duration {
+	return max(gossipEvery, time.Duration(len(m.list)+1)*gossipPeer)
+}
+
+// silence returns after how long without an exchange a member is silent.
+func (m *members) silence() time.Duration { return max(aliveFor, alivePauses*m.pause()) }
+
+// silent is silence for callers without the lock.
+func (m *members) silent() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.silence()
+}
+
 // due returns the addresses with which an exchange should begin now.
 func (m *members) due(now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []string
 	for address, e := range m.list {
-		pause := gossipEvery
-		if now.Sub(e.heard) > aliveFor {
-			pause = seedEvery
+		pause := m.pause()
+		if now.Sub(e.heard) > m.silence() {
+			pause = max(pause, seedEvery)
 		}
-		if now.Sub(e.tried) >= pause && now.Sub(e.heard) >= gossipEvery {
+		if now.Sub(e.tried) >= pause && now.Sub(e.heard) >= m.pause() {
 			e.tried = now
 			out = append(out, address)
 		}
@@ -134,7 +149,7 @@
 	defer m.mu.Unlock()
 	var out []string
 	for address, e := range m.list {
-		if now.Sub(e.heard) <= aliveFor {
+		if now.Sub(e.heard) <= m.silence() {
 			out = append(out, address)
 		}
 	}
@@ -181,7 +196,7 @@
 	defer m.mu.Unlock()
 	out := make(map[string]int)
 	for _, e := range m.list {
-		if now.Sub(e.heard) > aliveFor {
+		if now.Sub(e.heard) > m.silence() {
 			continue
 		}
 		for id, n := range e.usage.Running {
@@ -200,7 +215,7 @@
 	type place struct{ address, domain string }
 	all := []place{{m.self.Address, m.domain}}
 	for address, e := range m.list {
-		if now.Sub(e.heard) <= aliveFor {
+		if now.Sub(e.heard) <= m.silence() {
 			all = append(all, place{address, e.domain})
 		}
 	}
--- a/internal/app/srforward/queues.go
+++ b/internal/app/srforward/queues.go
@@ -114,6 +114,13 @@
 	return srdispatch.Decision{}, ctx.Err()
 }
 
+// began notes that an answer has begun.
+func (s *queue) began(endpoint string, prompt int, first time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service.Began(endpoint, prompt, first)
+}
+
 // done gives a slot back.
 func (s *queue) done(endpoint string, r srdispatch.Result) {
 	s.do(func(now time.Time) []srdispatch.Decision { return s.service.Done(now, endpoint, r) })
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -84,6 +84,8 @@
 		Until:    q.deadline,
 		Returned: q.elapsed() > 0,
 		Resumed:  q.begun,
+		Prompt:   q.in.Prompt,
+		Output:   q.in.Output,
 		Avoid:    q.avoid,
 	}
 	if q.workspace.HasRank {
@@ -108,7 +110,7 @@
 	st := q.view.State()
 	e, ok := st.Endpoints[id]
 	if !ok {
-		return try{outcome: unsent, endpoint: id, err: errChanged, result: srdispatch.Result{Unsent: true}}
+		return try{outcome: unsent, endpoint: id, err: errChanged, result: srdispatch.Result{Unsent: true, Prompt: q.in.Prompt}}
 	}
 	q.tries++
 	sent := time.Now()
@@ -117,7 +119,7 @@
 	timer := q.startFirstWait(cancel)
 	a, err := q.Upstream.Send(ctx, srupstream.Peer{ID: id, Address: e.Address, Born: e.Born}, q.onward(id), q.check(id))
 	timer.Stop()
-	t := try{endpoint: id, err: err}
+	t := try{endpoint: id, err: err, result: srdispatch.Result{Prompt: q.in.Prompt}}
 	switch {
 	case errors.Is(err, errChanged):
 		t.outcome, t.result.Unsent = unsent, true
@@ -133,7 +135,6 @@
 		return t
 	}
 	defer a.Body.Close()
-	t.result.First = time.Since(sent)
 	return q.take(t, a, sent)
 }
 
@@ -225,7 +226,8 @@
 
 // turnAway ends a request that got no endpoint.
 func (q *request) turnAway(d srdispatch.Decision, last try) {
-	q.Log.Failed("turned-away", srlog.Request, q.in.ID, srlog.Reason, d.Reason, srlog.Waited, d.Waited, srlog.Queue, d.Queue, srlog.Running, d.Running, srlog.After, d.After, srlog.Attempt, q.tries)
+	q.Log.Failed("turned-away", srlog.Request, q.in.ID, srlog.Reason, d.Reason, srlog.Waited, d.Waited, srlog.Queue, d.Queue, srlog.Running, d.Running,
+		srlog.Others, d.Others, srlog.Usable, d.Usable, srlog.Out, d.Out, srlog.After, d.After, srlog.Attempt, q.tries)
 	if q.runs > 0 || q.begun {
 		q.fail(last, d.Reason)
 		return
--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -34,7 +34,8 @@
 		if len(event) > 0 && (err == nil || err == io.EOF) {
 			if first.IsZero() {
 				first = time.Now()
-				t.result.First = first.Sub(sent)
+				t.result.Prompt = 0
+				q.queues.of(q.service).began(t.endpoint, q.in.Prompt, first.Sub(sent))
 			}
 			if werr := q.pass(a, event); werr != nil {
 				t.outcome, t.err = ended, q.clientBroke(werr)
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -127,7 +127,7 @@
 		return
 	}
 	fleet := n.members.size(now)
-	n.limits.configure(now, st.Routing, fleet)
+	n.limits.configure(now, st.Routing)
 	usable := make(map[string][]srdispatch.Endpoint)
 	for service, ids := range st.Services {
 		cfg := st.Routing.Services[service]
--- a/internal/app/srforward/timing.go
+++ b/internal/app/srforward/timing.go
@@ -29,14 +29,21 @@
 	// readers is how many instances watch the registry for all.
 	readers = 2
 
-	// gossipEvery is the time between two exchanges with one peer.
+	// gossipEvery is the least time between two exchanges with one peer, and
+	// gossipPeer what each instance of the fleet adds to it, so that the work of
+	// an instance does not grow with the fleet.
 	gossipEvery = 200 * time.Millisecond
+	gossipPeer  = 10 * time.Millisecond
+	// gossipTick is the time between two looks at who is due.
+	gossipTick = 50 * time.Millisecond
 	// gossipTime bounds one exchange.
 	gossipTime = 400 * time.Millisecond
 	// seedEvery is the time between two tries to reach a seed.
 	seedEvery = time.Second
-	// aliveFor is the time after the last exchange for which a member is alive.
-	aliveFor = time.Second
+	// alivePauses is how many pauses between exchanges a member may miss before
+	// it is taken as silent, aliveFor the least such time.
+	alivePauses = 3
+	aliveFor    = time.Second
 	// memberFor is the time for which a silent member counts towards the fleet.
 	memberFor = 30 * time.Second
 	// fleetUnknown is the fleet's size while no other instance was heard, so
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -40,4 +40,9 @@
 	Signal  = "signal"
 	Fleet   = "fleet"
 	Slots   = "slots"
+	// Usable and Out count the endpoints of a service that may be used, and those
+	// of them that are left out; Others counts the other instances' requests.
+	Usable = "usable"
+	Out    = "out"
+	Others = "others"
 )
--- a/internal/policy/srdispatch/endpoint.go
+++ b/internal/policy/srdispatch/endpoint.go
@@ -19,9 +19,11 @@
 	// mine and others are the requests in flight from here and elsewhere.
 	mine   int
 	others int
-	// pace and first are averages in seconds, 0 when unknown.
-	pace  float64
-	first float64
+	// pending is the number of prompt tokens sent from here whose answers have
+	// not begun.
+	pending int
+	// pace is the average time for an event in seconds, 0 when unknown.
+	pace float64
 	health
 	cold coldRate
 }
@@ -51,13 +53,11 @@
 
 func (e *endpoint) done(now time.Time, r Result) {
 	e.mine--
+	e.pending = max(e.pending-r.Prompt, 0)
 	if r.Unsent {
 		return
 	}
 	e.observe(now, r)
-	if r.First > 0 {
-		e.first = mix(e.first, r.First.Seconds())
-	}
 	if r.Pace > 0 {
 		e.pace = mix(e.pace, r.Pace.Seconds())
 	}
--- a/internal/policy/srdispatch/health.go
+++ b/internal/policy/srdispatch/health.go
@@ -35,7 +35,7 @@
 		}
 	}
 	if !r.NotRun && !r.Failed && !r.Error {
-		h.failures, h.errors = 0, 0
+		h.works()
 		h.outUntil = time.Time{}
 		return
 	}
@@ -44,10 +44,18 @@
 		return
 	}
 	out := leaveOut << min(h.failures, 8)
+	if r.Gone {
+		out = leaveOutMost
+	}
 	h.failures++
 	h.outUntil = now.Add(min(out, leaveOutMost))
 }
 
+// works notes that an answer has begun, long before a stream ends.
+func (h *health) works() {
+	h.failures, h.errors, h.probing = 0, 0, false
+}
+
 // probe notes that a request is sent.
 func (h *health) probe(now time.Time) {
 	if h.failures > 0 && !now.Before(h.outUntil) {
--- a/internal/policy/srdispatch/order.go
+++ b/internal/policy/srdispatch/order.go
@@ -97,8 +97,8 @@
 	return false
 }
 
-// before orders asks: streams that have begun, then the rank, then those that
-// were told to come back, then the earliest objective.
+// before orders asks: streams that have begun, then the rank, then those that can
+// be in time before those that came back late, then the earliest objective.
 func (w *waiting) before(o *waiting) bool {
 	if w.Resumed != o.Resumed {
 		return w.Resumed
@@ -107,7 +107,7 @@
 		return a < b
 	}
 	if w.Returned != o.Returned {
-		return w.Returned
+		return o.Returned
 	}
 	return w.Target.Before(o.Target)
 }
--- a/internal/policy/srdispatch/place.go
+++ b/internal/policy/srdispatch/place.go
@@ -12,18 +12,22 @@
 	// takes what the first has no room for.
 	homes = 2
 	// homeGain is the part of a full load that a prompt in the cache is worth.
-	homeGain = 0.5
+	homeGain = 1.0
 	// domainCost is the part of a full load that a hop to another failure domain
 	// costs.
 	domainCost = 0.05
+	// lateCost puts endpoints where an answer would begin late behind all others.
+	lateCost = 100
 )
 
-// place returns the best endpoint for an ask that has room, "" for none.
+// place returns the best endpoint for an ask that has room, "" for none. What can
+// be in time goes to an endpoint where it would be late only when no other has room.
 func (s *Service) place(now time.Time, w *waiting) string {
 	skip := s.skipUnsound(now)
 	best, bestCost := "", 0.0
 	near := s.homesOf(w.Last)
-	pace := s.medianPace()
+	median := s.medianPace()
+	left := w.Target.Sub(now)
 	for _, id := range s.order {
 		e := s.endpoints[id]
 		if !e.open(now, s.fleet) || slices.Contains(w.Avoid, id) {
@@ -32,10 +36,17 @@
 		if skip && !e.sound(now) {
 			continue
 		}
-		cost := s.cost(e, pace)
+		cost := s.cost(e, median)
 		if slices.Contains(near[:], id) {
 			cost -= homeGain
 		}
+		switch start := s.start(e, w, median); {
+		case left <= 0:
+			// Late already: leave the fast endpoints to others.
+			cost /= e.speed(median)
+		case start > left:
+			cost += lateCost
+		}
 		if best == "" || cost < bestCost {
 			best, bestCost = id, cost
 		}
@@ -47,9 +58,7 @@
 // times its pace against the others'.
 func (s *Service) cost(e *endpoint, pace float64) float64 {
 	cost := float64(e.mine+e.others+1) / float64(e.Slots)
-	if e.pace > 0 && pace > 0 {
-		cost *= e.pace / pace
-	}
+	cost *= e.speed(pace)
 	if e.Domain != s.opts.Domain {
 		cost += domainCost
 	}
--- a/internal/policy/srdispatch/refuse.go
+++ b/internal/policy/srdispatch/refuse.go
@@ -11,14 +11,18 @@
 	// leastFlow is the rate of grants a second below which no wait is predicted.
 	leastFlow = 1.0
 	// startPart is the part of the time to the objective that is kept for the
-	// answer to begin.
+	// answer to begin. Waiting for longer, up to the predicted start, served fewer
+	// in time (docs/PLATFORM.md).
 	startPart = 0.4
-	// returnedWait is how long a request that came back may wait at the most; it
-	// is late already, and refusing it again costs its caller most.
+	// returnedWait is how long a request that came back may wait at the most: it
+	// is late already, and its caller does not come back again. Callers of
+	// streams leave after two seconds without an event.
 	returnedWait = 500 * time.Millisecond
-	// leastReturn and mostReturn bound when refused callers come back.
+	// leastReturn and mostReturn bound when refused callers come back; they do
+	// not wait for more than a third of the time they have left.
 	leastReturn = 250 * time.Millisecond
-	mostReturn  = 3 * time.Second
+	mostReturn  = 4 * time.Second
+	returnPart  = 3
 	// emptyReturn is when callers come back to a service without endpoints.
 	emptyReturn = time.Second
 )
@@ -42,13 +46,15 @@
 	}
 }
 
-// giveUp returns until when an ask may wait.
-func (w *waiting) giveUp() time.Time {
+// giveUp returns until when an ask may wait: while its answer can still begin in
+// time, or a fixed time when it is late already.
+func (s *Service) giveUp(w *waiting) time.Time {
 	if w.Resumed {
 		return w.Until
 	}
-	limit := w.since.Add(time.Duration(float64(w.Target.Sub(w.since)) * (1 - startPart)))
-	if w.Returned || !limit.After(w.since) {
+	whole := w.Target.Sub(w.since)
+	limit := w.since.Add(time.Duration(float64(whole) * (1 - startPart)))
+	if w.Returned || whole <= 0 {
 		limit = w.since.Add(returnedWait)
 	}
 	if limit.After(w.Until) {
@@ -79,7 +85,7 @@
 		ahead++
 	}
 	wait := time.Duration(float64(ahead+1) / s.flow.rate * float64(time.Second))
-	if !now.Add(wait).After(w.giveUp()) {
+	if !now.Add(wait).After(s.giveUp(w)) {
 		return nil
 	}
 	s.Withdraw(w.ID)
@@ -91,7 +97,7 @@
 	var out []Decision
 	for i := 0; i < len(s.queue); {
 		w := s.queue[i]
-		if now.Before(w.giveUp()) {
+		if now.Before(s.giveUp(w)) {
 			i++
 			continue
 		}
@@ -111,9 +117,14 @@
 		s.returns = first
 	}
 	s.returns = s.returns.Add(gap)
-	if last := now.Add(mostReturn); s.returns.After(last) {
-		// The line is full: spread the rest over it.
-		s.returns = first.Add(time.Duration(s.rand.Float64() * float64(mostReturn-leastReturn)))
+	most := min(mostReturn, max(w.Until.Sub(now)/returnPart, leastReturn))
+	after := s.returns.Sub(now)
+	if after > most {
+		// The line is longer than this caller waits: spread over its later half.
+		after = most/2 + time.Duration(s.rand.Float64()*float64(most/2))
 	}
-	return s.decide(now, w, Decision{Kind: Refused, Reason: reason, After: s.returns.Sub(now)})
+	if after > mostReturn {
+		s.returns = first
+	}
+	return s.decide(now, w, Decision{Kind: Refused, Reason: reason, After: after})
 }
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -21,6 +21,9 @@
 //     everything. Each rank keeps a small part of its requests (order.go).
 //   - An endpoint that rejects or fails at once looks idle and attracts all
 //     requests. It is left out for a growing time, unless most are (health.go).
+//   - Endpoints of one service that differ several-fold in speed. What can still be
+//     in time goes where its answer is expected to begin in time; what is late
+//     already takes the slow ones (speed.go, place.go).
 //   - Prompts that share parts. A request goes where its last part was hashed
 //     to, as long as there is room (place.go).
 package srdispatch
@@ -47,6 +50,9 @@
 	Resumed bool
 	// Last names the last part of the prompt, "" when there is none.
 	Last string
+	// Prompt and Output are the stated tokens, 0 when unstated.
+	Prompt int
+	Output int
 	// Avoid lists endpoints that did not take or finish the request.
 	Avoid []string
 }
@@ -95,6 +101,11 @@
 	// Queue is the number of asks that wait, Running those in flight here.
 	Queue   int
 	Running int
+	// Usable is the number of usable endpoints, Out of those left out, Others the
+	// requests that other instances are known to have there.
+	Usable int
+	Out    int
+	Others int
 }
 
 // Options configure a Service.
@@ -113,6 +124,7 @@
 	queue     []*waiting
 	ranks     map[int]*rank
 	flow      flow
+	starts    starts
 	returns   time.Time
 	fleet     int
 	running   int
@@ -184,18 +196,31 @@
 	}
 }
 
+// Began tells that an answer has begun: its prompt has been read.
+func (s *Service) Began(id string, prompt int, first time.Duration) {
+	e, ok := s.endpoints[id]
+	if !ok {
+		return
+	}
+	s.starts.observe(float64(max(e.pending, prompt)), first.Seconds()/e.speed(s.medianPace()))
+	e.pending = max(e.pending-prompt, 0)
+	e.works()
+}
+
 // Result tells how a request fared at an endpoint.
 type Result struct {
 	// NotRun reports that the endpoint rejected the request.
 	NotRun bool
+	// Gone reports that another endpoint has its address.
+	Gone bool
 	// Failed reports that it broke off or did not answer.
 	Failed bool
 	// Error reports that it answered with a failure of its own.
 	Error bool
 	// Unsent reports that this instance did not send the request after all.
 	Unsent bool
-	// First is the time until the answer began, 0 when it did not.
-	First time.Duration
+	// Prompt is the size of a prompt whose answer never began, in tokens.
+	Prompt int
 	// Pace is the time for each event of a stream, or of the whole answer.
 	Pace time.Duration
 }
@@ -225,9 +250,9 @@
 	if len(s.queue) == 0 {
 		return time.Time{}, false
 	}
-	next := s.queue[0].giveUp()
+	next := s.giveUp(s.queue[0])
 	for _, w := range s.queue[1:] {
-		if t := w.giveUp(); t.Before(next) {
+		if t := s.giveUp(w); t.Before(next) {
 			next = t
 		}
 	}
@@ -257,16 +282,16 @@
 		}
 		w := s.queue[i]
 		id := s.place(now, w)
-		if id == "" && len(w.Avoid) == 0 {
-			break
-		}
 		if id == "" {
-			// Others may have room where this ask may not go.
+			// Others may have room where this ask may not or does not want to go.
 			skipped++
+			if !s.hasRoom(now) {
+				break
+			}
 			continue
 		}
 		s.remove(i)
-		s.take(now, id)
+		s.take(now, id, w.Ask)
 		s.rank(w.Ask).serve(now)
 		s.flow.grant(now)
 		out = append(out, s.decide(now, w, Decision{Kind: Placed, Endpoint: id}))
@@ -274,8 +299,20 @@
 	return out
 }
 
-func (s *Service) take(now time.Time, id string) {
-	s.endpoints[id].take(now)
+// hasRoom reports whether any endpoint is open.
+func (s *Service) hasRoom(now time.Time) bool {
+	for _, id := range s.order {
+		if s.endpoints[id].open(now, s.fleet) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Service) take(now time.Time, id string, a Ask) {
+	e := s.endpoints[id]
+	e.take(now)
+	e.pending += a.Prompt
 	s.running++
 }
 
@@ -284,5 +321,13 @@
 	d.Waited = now.Sub(w.since)
 	d.Queue = len(s.queue)
 	d.Running = s.running
+	d.Usable = len(s.order)
+	for _, id := range s.order {
+		e := s.endpoints[id]
+		d.Others += e.others
+		if !e.sound(now) {
+			d.Out++
+		}
+	}
 	return d
 }
--- a/internal/policy/srshare/bucket.go
+++ b/internal/policy/srshare/bucket.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	b := srshare.New(self, limit, fleet, now)
+//	b := srshare.New(limit, fleet, silence, now)
 //	b.Hear(now, peer, theirTotal)
 //	if ok, after := b.Take(now, cost); !ok {
 //		refuse(after)
@@ -17,7 +17,7 @@
 // one place, and news that is a fraction of a second old exceeds it only by what
 // arrives in that time.
 //
-// A bucket starts empty, so a fleet that is killed and comes back stays within
+// A bucket starts nearly empty, so a fleet that is killed and comes back stays within
 // the limit together with what it spent before. An instance that falls silent is
 // taken to spend its equal part until it is heard again, which keeps the sum
 // within the limit on both sides of a cut.
@@ -29,16 +29,17 @@
 	sr "github.com/sassafrasrail/sassafrasrail"
 )
 
-// silentAfter is the time without news after which an instance is taken to
-// spend its part. News comes several times a second.
-const silentAfter = time.Second
-
 // Limit is a rate a second with a burst, both in units of cost.
 type Limit struct {
 	Rate  float64
 	Burst float64
 }
 
+// startPart is the part of the burst that a new bucket holds. Instances that start
+// together spend it before they hear of each other, which takes a fraction of a
+// second; what exceeds the limit is taken back as soon as they do.
+const startPart = 0.25
+
 // Bucket is one limit as one instance sees it. It is used by one goroutine.
 type Bucket struct {
 	limit Limit
@@ -47,6 +48,9 @@
 	spent float64
 	peers map[string]*peer
 	fleet int
+	// silence is the time without news after which an instance is taken to spend
+	// its part.
+	silence time.Duration
 }
 
 // peer is what is known of another instance, by address.
@@ -58,9 +62,9 @@
 	assumed float64
 }
 
-// New returns an empty Bucket in a fleet of so many instances.
-func New(l Limit, fleet int, now time.Time) *Bucket {
-	return &Bucket{limit: l, at: now, peers: make(map[string]*peer), fleet: max(fleet, 1)}
+// New returns a nearly empty Bucket in a fleet of so many instances.
+func New(l Limit, fleet int, silence time.Duration, now time.Time) *Bucket {
+	return &Bucket{limit: l, level: l.Burst * startPart, at: now, peers: make(map[string]*peer), fleet: max(fleet, 1), silence: silence}
 }
 
 // Spent returns what this instance has taken since it started.
@@ -79,10 +83,11 @@
 	b.level = min(b.level, l.Burst)
 }
 
-// SetFleet says how many instances there are, this one included.
-func (b *Bucket) SetFleet(now time.Time, n int) {
+// SetFleet says how many instances there are, this one included, and after how
+// long without news one is taken to be silent.
+func (b *Bucket) SetFleet(now time.Time, n int, silence time.Duration) {
 	b.refill(now)
-	b.fleet = max(n, 1)
+	b.fleet, b.silence = max(n, 1), silence
 }
 
 // Take takes cost, or returns after how long it may be there.
@@ -143,7 +148,7 @@
 	part := b.limit.Rate / float64(b.fleet) * past
 	rate := b.rate(now)
 	for _, p := range b.peers {
-		if now.Sub(p.heard) > silentAfter {
+		if now.Sub(p.heard) > b.silence {
 			p.assumed += part
 		}
 	}
@@ -156,7 +161,7 @@
 func (b *Bucket) rate(now time.Time) float64 {
 	heard := 1
 	for _, p := range b.peers {
-		if now.Sub(p.heard) <= silentAfter {
+		if now.Sub(p.heard) <= b.silence {
 			heard++
 		}
 	}
