Tell returning clients from fresh ones by the route's longest patience

Cause: a request whose time left was 100 ms under its route's timeout counted as one that came back. Change: the longest patience of each route is learned; below three quarters of it a client has been trying before.

--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -55,6 +55,8 @@
 	figures *figures
 	memory  *memory
 	random  *random
+	// patience belongs to the clients.
+	patience *patience
 	// draining is set from the stop signal on, refusing a little later.
 	draining atomic.Bool
 	refusing atomic.Bool
@@ -71,10 +73,11 @@
 			Outage: d.Settings.Outage(),
 			Return: lapseReturn,
 		}),
-		members: newMembers(d.Self, d.Settings.Domain, d.Settings.Seeds),
-		figures: newFigures(),
-		memory:  newMemory(int64(float64(d.Settings.Memory) * bodyPart * (1 << 20))),
-		random:  newRandom(d.Seed),
+		members:  newMembers(d.Self, d.Settings.Domain, d.Settings.Seeds),
+		figures:  newFigures(),
+		memory:   newMemory(int64(float64(d.Settings.Memory) * bodyPart * (1 << 20))),
+		random:   newRandom(d.Seed),
+		patience: newPatience(),
 	}
 	n.limits = newLimits(d.Settings)
 	n.queues = newQueues(d.Seed, d.Settings.Domain)
--- a/internal/app/srforward/limits.go
+++ b/internal/app/srforward/limits.go
@@ -83,8 +83,9 @@
 	}
 }
 
-// take takes cost from a workspace's allowance; level is what was left before.
-func (l *limits) take(now time.Time, workspace string, cost float64) (ok bool, after time.Duration, level float64) {
+// take takes cost from a workspace's allowance, which may be there after a wait
+// within patience; level is what was left before.
+func (l *limits) take(now time.Time, workspace string, cost float64, patience time.Duration) (ok bool, wait time.Duration, level float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b, limited := l.buckets[workspace]
@@ -92,8 +93,8 @@
 		return true, 0, 0
 	}
 	level = b.Level(now)
-	ok, after = b.Take(now, cost)
-	return ok, after, level
+	ok, wait = b.Take(now, cost, patience)
+	return ok, wait, level
 }
 
 // refund gives back what a request took that did not run.
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -8,6 +8,7 @@
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srview"
 )
 
@@ -25,6 +26,8 @@
 	workspace sr.RoutedWorkspace
 	keyed     bool
 	version   uint64
+	// elapsed is how long the client has tried before, 0 when that does not show.
+	elapsed time.Duration
 	// deadline is when the client or the route gives the request up.
 	deadline time.Time
 	body     []byte
@@ -78,9 +81,6 @@
 	// laterSoon is when a caller may come back after a state that passes soon,
 	// such as an instance that starts.
 	laterSoon = 500 * time.Millisecond
-	// elapsedSlack is how much less than the route's timeout a client may wait
-	// without being taken for one that came back.
-	elapsedSlack = 100 * time.Millisecond
 )
 
 // ServeHTTP implements http.Handler for clients.
@@ -152,6 +152,7 @@
 }
 
 func (q *request) setDeadline() {
+	q.elapsed = q.patience.elapsed(q.route.Name, q.in.Patience)
 	left := q.route.Timeout
 	if q.in.Patience > 0 && q.in.Patience < left {
 		left = q.in.Patience
@@ -159,15 +160,6 @@
 	q.deadline = q.start.Add(left)
 }
 
-// elapsed is how long the client has been waiting over all its attempts, as far
-// as its remaining patience shows.
-func (q *request) elapsed() time.Duration {
-	if gone := q.route.Timeout - q.in.Patience; q.in.Patience > 0 && gone > elapsedSlack {
-		return gone
-	}
-	return 0
-}
-
 // choose draws one of a route's services by their weights.
 func (q *request) choose(list []sr.WeightedService) string {
 	total := 0
@@ -189,19 +181,27 @@
 	return list[len(list)-1].Service
 }
 
-// allow takes the request's cost from the workspace's allowance.
+// allowancePart is the part of the time to the objective for which a request
+// waits for its workspace's allowance; the rest is for its endpoint.
+const allowancePart = 0.4
+
+// allow takes the request's cost from the workspace's allowance. A short wait
+// still meets the objective, where a refused caller would come back late.
 func (q *request) allow() *refusal {
 	if !q.keyed {
 		return nil
 	}
 	cost := q.workspace.Allowance.Cost(q.in.Prompt + q.in.Output)
-	ok, after, level := q.limits.take(time.Now(), q.workspace.Name, cost)
+	patience := max(time.Duration(float64(q.route.Target-q.elapsed)*allowancePart), 0)
+	ok, wait, level := q.limits.take(time.Now(), q.workspace.Name, cost, patience)
 	if !ok {
 		q.memory.give(int64(len(q.body)))
-		q.Log.Failed("over-allowance", srlog.Request, q.in.ID, srlog.Workspace, q.workspace.Name, srlog.Cost, cost, srlog.Level, level, srlog.After, after)
-		return &refusal{status: http.StatusTooManyRequests, reason: reasonAllowance, after: after}
+		q.Log.Failed("over-allowance", srlog.Request, q.in.ID, srlog.Workspace, q.workspace.Name, srlog.Cost, cost, srlog.Level, level, srlog.After, wait)
+		return &refusal{status: http.StatusTooManyRequests, reason: reasonAllowance, after: wait}
 	}
 	q.cost = cost
+	// A client that leaves meanwhile is noticed by run.
+	_ = srtimer.Wait(q.ctx, wait)
 	return nil
 }
 
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -80,9 +80,9 @@
 func (q *request) ask() srdispatch.Ask {
 	a := srdispatch.Ask{
 		Route:    q.route.Rank,
-		Target:   q.start.Add(q.route.Target - q.elapsed()),
+		Target:   q.start.Add(q.route.Target - q.elapsed),
 		Until:    q.deadline,
-		Returned: q.elapsed() > 0,
+		Returned: q.elapsed > 0,
 		Resumed:  q.begun,
 		Prompt:   q.in.Prompt,
 		Output:   q.in.Output,
--- a/internal/policy/srshare/bucket.go
+++ b/internal/policy/srshare/bucket.go
@@ -6,7 +6,7 @@
 //
 //	b := srshare.New(limit, fleet, silence, now)
 //	b.Hear(now, peer, theirTotal)
-//	if ok, after := b.Take(now, cost); !ok {
+//	if ok, after := b.Take(now, cost, patience); !ok {
 //		refuse(after)
 //	}
 //	tell(b.Spent())
@@ -90,19 +90,34 @@
 	b.fleet, b.silence = max(n, 1), silence
 }
 
-// Take takes cost, or returns after how long it may be there.
-func (b *Bucket) Take(now time.Time, cost float64) (ok bool, after time.Duration) {
+// Take takes cost when it is there within patience; the caller then waits for
+// that time. Otherwise it returns after how long the cost may be there. Callers
+// that wait are served in the order in which they came.
+func (b *Bucket) Take(now time.Time, cost float64, patience time.Duration) (ok bool, wait time.Duration) {
 	b.refill(now)
-	if b.level >= cost || b.level >= b.limit.Burst && b.level > 0 {
-		b.level -= cost
-		b.spent += cost
-		return true, 0
+	if b.level < cost && !b.full() {
+		wait = b.until(now, cost)
 	}
+	if wait > patience {
+		return false, wait
+	}
+	b.level -= cost
+	b.spent += cost
+	return true, wait
+}
+
+// full reports whether the level cannot rise: a cost above the burst is taken
+// from a full bucket.
+func (b *Bucket) full() bool { return b.level > 0 && b.level >= b.limit.Burst }
+
+// until returns after how long cost is there.
+func (b *Bucket) until(now time.Time, cost float64) time.Duration {
 	rate := b.rate(now)
 	if rate <= 0 {
-		return false, maxWait
+		return maxWait
 	}
-	return false, min(time.Duration((cost-b.level)/rate*float64(time.Second)), maxWait)
+	missing := min(cost, b.limit.Burst) - b.level
+	return min(time.Duration(missing/rate*float64(time.Second)), maxWait)
 }
 
 // maxWait bounds the time that a refused caller is told to wait.
--- a/internal/policy/srshare/bucket_test.go
+++ b/internal/policy/srshare/bucket_test.go
@@ -56,7 +56,7 @@
 		for i, b := range f.buckets {
 			owed[i] += demand[i] * tick.Seconds()
 			for ; owed[i] >= cost; owed[i] -= cost {
-				if ok, _ := b.Take(f.now, cost); ok {
+				if ok, _ := b.Take(f.now, cost, 0); ok {
 					f.granted = append(f.granted, grant{f.now, cost})
 				} else {
 					f.denied += cost
@@ -159,13 +159,38 @@
 func TestRefundAndWait(t *testing.T) {
 	now := time.Unix(0, 0)
 	b := srshare.New(srshare.Limit{Rate: 100, Burst: 100}, 1, silence, now)
-	ok, _ := b.Take(now, 25)
+	ok, _ := b.Take(now, 25, 0)
 	assert.Assert(t, ok)
-	ok, after := b.Take(now, 10)
+	ok, after := b.Take(now, 10, 50*time.Millisecond)
 	assert.Assert(t, !ok)
 	assert.Equal(t, after, 100*time.Millisecond)
 	b.Refund(now, 10)
-	ok, _ = b.Take(now, 10)
+	ok, _ = b.Take(now, 10, 0)
 	assert.Assert(t, ok)
 	assert.Equal(t, b.Spent(), 25.0)
 }
+
+// TestShortWaitsKeepTheLimit: a caller asks for a little more than the limit in
+// clumps. Refused, each of these requests would come back late.
+func TestShortWaitsKeepTheLimit(t *testing.T) {
+	serve := func(patience time.Duration) (served int, most time.Duration) {
+		now := time.Unix(0, 0)
+		b := srshare.New(srshare.Limit{Rate: 100, Burst: 10}, 1, silence, now)
+		for range 100 {
+			for range 9 {
+				if ok, wait := b.Take(now, 1, patience); ok {
+					served++
+					most = max(most, wait)
+				}
+			}
+			now = now.Add(80 * time.Millisecond)
+		}
+		return served, most
+	}
+	refused, _ := serve(0)
+	waited, most := serve(100 * time.Millisecond)
+	assert.Assert(t, waited >= refused)
+	assert.Assert(t, most <= 100*time.Millisecond)
+	// A hundred clumps of 80 ms and the burst allow so many.
+	assert.Assert(t, waited <= 100*8+10+10, "%d", waited)
+}
