Wait for requests instead of connections when an instance drains

Ruled out: idle or unused connections: with the requests counted, 1 to 5 were still under way each time, streams longer than the grace time. Change: the drain ends when no request is under way, and tells how many are cut.

--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -57,6 +57,8 @@
 	random  *random
 	// patience belongs to the clients.
 	patience *patience
+	// running counts the clients' requests under way.
+	running atomic.Int64
 	// draining is set from the stop signal on, refusing a little later.
 	draining atomic.Bool
 	refusing atomic.Bool
--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -39,6 +39,8 @@
 	registryDial = 500 * time.Millisecond
 	// headerTime bounds the arrival of a header until a configuration says more.
 	headerTime = 10 * time.Second
+	// drainTick is the time between two looks at the requests under way.
+	drainTick = 20 * time.Millisecond
 	// reloadEvery is how often the settings are read again.
 	reloadEvery = 2 * time.Second
 )
@@ -211,9 +213,13 @@
 	p.instance.refusing.Store(true)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	// Shutdown closes the listener and idle connections, and waits for the rest.
-	if err := p.front.Shutdown(ctx); err != nil {
-		p.log.State("drain-cut", srlog.Error, err.Error(), srlog.Total, time.Since(start))
+	// Shutdown closes the listener and idle connections. It also waits for
+	// connections on which no request has come, so it is not waited for.
+	go func() { _ = p.front.Shutdown(ctx) }()
+	for p.instance.running.Load() > 0 && srtimer.Wait(ctx, drainTick) == nil {
+	}
+	if n := p.instance.running.Load(); n > 0 {
+		p.log.State("drain-cut", srlog.Count, n, srlog.Total, time.Since(start))
 	}
 }
 
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -85,6 +85,8 @@
 
 // ServeHTTP implements http.Handler for clients.
 func (n *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n.running.Add(1)
+	defer n.running.Add(-1)
 	q := &request{Instance: n, w: w, r: r, ctx: r.Context(), start: time.Now()}
 	if ref := q.admit(); ref != nil {
 		q.refuse(*ref)
