--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -216,13 +216,22 @@
 	// Shutdown closes the listener and idle connections. It also waits for
 	// connections on which no request has come, so it is not waited for.
 	go func() { _ = p.front.Shutdown(ctx) }()
-	for p.instance.running.Load() > 0 && srtimer.Wait(ctx, drainTick) == nil {
-	}
-	if n := p.instance.running.Load(); n > 0 {
+	if n := p.emptied(ctx); n > 0 {
 		p.log.State("drain-cut", srlog.Count, n, srlog.Total, time.Since(start))
 	}
 }
 
+// emptied waits until no request is under way, and returns how many are when ctx
+// ends before.
+func (p *Process) emptied(ctx context.Context) int64 {
+	for {
+		n := p.instance.running.Load()
+		if n == 0 || srtimer.Wait(ctx, drainTick) != nil {
+			return n
+		}
+	}
+}
+
 // waitOr waits for d and reports whether no signal came.
 func waitOr(ctx context.Context, d time.Duration, signals <-chan os.Signal) bool {
 	timer := time.NewTimer(d)
