Share each endpoint among a few instances of a large fleet

Ruled out: the others' counts, which are 0.7 s old in a fleet of that size. Change: beyond two instances for each slot, an endpoint's slots are divided among as many instances as get two each, chosen by a hash; the others take one request at a time when it is known to stand half empty. The cold rate is divided among the same few. Known instances are told only after a change.

--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -19,6 +19,8 @@
 	mu    sync.Mutex
 	seeds []string
 	list  map[string]*member
+	// changed is when a member was last heard for the first time.
+	changed time.Time
 	// left holds the incarnations that said they shut down.
 	left map[sr.InstanceID]time.Time
 }
@@ -71,6 +73,9 @@
 		m.list[g.From.Address] = e
 	}
 	joined = e.id != g.From || now.Sub(e.heard) > memberFor
+	if joined {
+		m.changed = now
+	}
 	e.id, e.domain, e.heard = g.From, g.Domain, now
 	e.usage, e.asOf = g.Usage, g.AsOf
 	for _, id := range g.Known {
@@ -157,10 +162,41 @@
 	return out
 }
 
-// known returns the identities of the members that were heard lately.
+// present returns the addresses of the members that count towards the fleet, or
+// as many unknown ones as a fleet is taken to have while none was heard.
+func (m *members) present(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for address, e := range m.list {
+		if !e.heard.IsZero() && now.Sub(e.heard) <= presentFor {
+			out = append(out, address)
+		}
+	}
+	if len(out) == 0 && !m.alone() {
+		out = make([]string, fleetUnknown-1)
+	}
+	return out
+}
+
+// alone reports whether the seeds name no other instance.
+func (m *members) alone() bool {
+	for _, seed := range m.seeds {
+		if seed != m.self.Address {
+			return false
+		}
+	}
+	return true
+}
+
+// known returns the identities of the members that were heard lately, while
+// there is someone who may not know them.
 func (m *members) known(now time.Time) []sr.InstanceID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if now.Sub(m.changed) > spreadFor {
+		return nil
+	}
 	var out []sr.InstanceID
 	for _, e := range m.list {
 		if now.Sub(e.heard) <= memberFor {
@@ -175,16 +211,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := 1
-	alone := true
 	for _, e := range m.list {
 		if !e.heard.IsZero() && now.Sub(e.heard) <= memberFor {
 			n++
 		}
 	}
-	for _, seed := range m.seeds {
-		alone = alone && seed == m.self.Address
-	}
-	if n == 1 && !alone {
+	if n == 1 && !m.alone() {
 		return fleetUnknown
 	}
 	return n
--- a/internal/app/srforward/queues.go
+++ b/internal/app/srforward/queues.go
@@ -58,13 +58,13 @@
 }
 
 // configure sets the usable endpoints of every service.
-func (q *queues) configure(usable map[string][]srdispatch.Endpoint, fleet int) {
+func (q *queues) configure(usable map[string][]srdispatch.Endpoint) {
 	for service := range usable {
 		q.of(service)
 	}
 	for service, s := range q.all() {
 		s.do(func(now time.Time) []srdispatch.Decision {
-			return s.service.Configure(now, usable[service], fleet)
+			return s.service.Configure(now, usable[service])
 		})
 	}
 }
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -20,7 +20,7 @@
 func (n *Instance) sync(ctx context.Context) {
 	lost := time.Time{}
 	for ctx.Err() == nil {
-		if n.view.Revision() > 0 && !n.members.reads(time.Now()) && n.view.Age(n.Clock()) < askAfter {
+		if n.view.Revision() > 0 && !n.members.reads(time.Now()) && n.view.Age(n.Clock()) < n.Settings.AskAfter() {
 			_ = srtimer.Wait(ctx, syncPause)
 			continue
 		}
@@ -126,7 +126,7 @@
 	if st.Routing == nil {
 		return
 	}
-	fleet := n.members.size(now)
+	others := n.members.present(now)
 	n.limits.configure(now, st.Routing)
 	usable := make(map[string][]srdispatch.Endpoint)
 	for service, ids := range st.Services {
@@ -140,13 +140,15 @@
 			if d.Slots == 0 {
 				d.Slots = cfg.Slots
 			}
+			var sharers int
+			d.Share, sharers = srdispatch.Share(id, d.Slots, n.Self.Address, others)
 			if boot.Before(e.ColdUntil) {
-				d.Cold = cfg.ColdRate / float64(fleet)
+				d.Cold = cfg.ColdRate / float64(sharers)
 			}
 			usable[service] = append(usable[service], d)
 		}
 	}
-	n.queues.configure(usable, fleet)
+	n.queues.configure(usable)
 }
 
 // sweep removes what has expired until ctx ends.
--- a/internal/app/srforward/timing.go
+++ b/internal/app/srforward/timing.go
@@ -19,9 +19,6 @@
 	answerTime = time.Second
 	// listTime bounds a full listing.
 	listTime = 3 * time.Second
-	// askAfter is the age of a proof from which an instance that does not watch
-	// asks the registry itself.
-	askAfter = 1500 * time.Millisecond
 	// failPause is the time between two questions after one has failed.
 	failPause = 150 * time.Millisecond
 	// syncPause is how often an instance that does not watch looks at its proof.
@@ -46,6 +43,12 @@
 	aliveFor    = time.Second
 	// memberFor is the time for which a silent member counts towards the fleet.
 	memberFor = 30 * time.Second
+	// spreadFor is the time after a change for which instances tell each other
+	// whom they know; every exchange repeats it, so a few would do.
+	spreadFor = 10 * time.Second
+	// presentFor is the time for which a silent member keeps its share of the
+	// endpoints; a member that is replaced is back sooner.
+	presentFor = 5 * time.Second
 	// fleetUnknown is the fleet's size while no other instance was heard, so
 	// that a part of a limit stays small at an instance that starts cut off.
 	fleetUnknown = 8
--- a/internal/policy/srdispatch/endpoint.go
+++ b/internal/policy/srdispatch/endpoint.go
@@ -1,9 +1,6 @@
 package srdispatch
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// pacePart is the weight of a new measurement of an endpoint's pace.
@@ -71,15 +68,22 @@
 }
 
 // room returns how many more requests the endpoint may get from here: up to its
-// slots less what the others have, and at least an equal part of its slots.
-func (e *endpoint) room(fleet int) int {
-	part := int(math.Ceil(float64(e.Slots) / float64(fleet)))
-	return max(e.Slots-e.others, part) - e.mine
+// slots less what the others have, and at least this instance's share of them.
+func (e *endpoint) room() int {
+	free := e.Slots - e.others
+	if e.Share == 0 {
+		// What the others have is not known to the moment, so one at a time.
+		if e.Cold > 0 || free-e.mine < (e.Slots+1)/2 {
+			return 0
+		}
+		return 1 - e.mine
+	}
+	return max(free, e.Share) - e.mine
 }
 
 // open reports whether the endpoint may get a request now.
-func (e *endpoint) open(now time.Time, fleet int) bool {
-	if !e.usable || e.room(fleet) <= 0 {
+func (e *endpoint) open(now time.Time) bool {
+	if !e.usable || e.room() <= 0 {
 		return false
 	}
 	return e.Cold == 0 || !now.Before(e.cold.next)
--- a/internal/policy/srdispatch/place.go
+++ b/internal/policy/srdispatch/place.go
@@ -16,6 +16,9 @@
 	// domainCost is the part of a full load that a hop to another failure domain
 	// costs.
 	domainCost = 0.05
+	// spillCost is the part of a full load that an endpoint of other instances
+	// costs.
+	spillCost = 1
 	// lateCost puts endpoints where an answer would begin late behind all others.
 	lateCost = 100
 )
@@ -30,7 +33,7 @@
 	left := w.Target.Sub(now)
 	for _, id := range s.order {
 		e := s.endpoints[id]
-		if !e.open(now, s.fleet) || slices.Contains(w.Avoid, id) {
+		if !e.open(now) || slices.Contains(w.Avoid, id) {
 			continue
 		}
 		if skip && !e.sound(now) {
@@ -59,6 +62,9 @@
 func (s *Service) cost(e *endpoint, pace float64) float64 {
 	cost := float64(e.mine+e.others+1) / float64(e.Slots)
 	cost *= e.speed(pace)
+	if e.Share == 0 {
+		cost += spillCost
+	}
 	if e.Domain != s.opts.Domain {
 		cost += domainCost
 	}
--- a/internal/policy/srdispatch/replay_test.go
+++ b/internal/policy/srdispatch/replay_test.go
@@ -57,9 +57,9 @@
 	for i, e := range engines {
 		id := fmt.Sprintf("e%d", i)
 		w.engines[id] = e
-		list = append(list, srdispatch.Endpoint{ID: id, Domain: "a", Slots: e.slots})
+		list = append(list, srdispatch.Endpoint{ID: id, Domain: "a", Slots: e.slots, Share: e.slots})
 	}
-	w.carry(w.s.Configure(w.now, list, 1))
+	w.carry(w.s.Configure(w.now, list))
 	return w
 }
 
@@ -243,7 +243,7 @@
 func TestGoneEndpointIsLeftOutAtOnce(t *testing.T) {
 	s := srdispatch.New(srdispatch.Options{Domain: "a"})
 	now := time.Unix(0, 0)
-	s.Configure(now, []srdispatch.Endpoint{{ID: "gone", Domain: "a", Slots: 4}, {ID: "b", Slots: 4}, {ID: "c", Slots: 4}}, 1)
+	s.Configure(now, []srdispatch.Endpoint{{ID: "gone", Domain: "a", Slots: 4, Share: 4}, {ID: "b", Slots: 4, Share: 4}, {ID: "c", Slots: 4, Share: 4}})
 	placed := func(id uint64, now time.Time) string {
 		d := s.Add(now, srdispatch.Ask{ID: id, Target: now.Add(time.Second), Until: now.Add(time.Second)})
 		assert.Equal(t, d[0].Kind, srdispatch.Placed)
@@ -321,8 +321,8 @@
 func TestSlowEndpointsTakeWhatIsLate(t *testing.T) {
 	s := srdispatch.New(srdispatch.Options{Domain: "a"})
 	now := time.Unix(0, 0)
-	list := []srdispatch.Endpoint{{ID: "slow", Domain: "a", Slots: 8}, {ID: "b", Domain: "a", Slots: 8}, {ID: "c", Domain: "a", Slots: 8}}
-	s.Configure(now, list, 1)
+	list := []srdispatch.Endpoint{{ID: "slow", Domain: "a", Slots: 8, Share: 8}, {ID: "b", Domain: "a", Slots: 8, Share: 8}, {ID: "c", Domain: "a", Slots: 8, Share: 8}}
+	s.Configure(now, list)
 	id := uint64(0)
 	add := func(target time.Duration) string {
 		id++
@@ -350,7 +350,7 @@
 func TestColdEndpointIsSpared(t *testing.T) {
 	s := srdispatch.New(srdispatch.Options{Domain: "a"})
 	now := time.Unix(0, 0)
-	s.Configure(now, []srdispatch.Endpoint{{ID: "cold", Slots: 50, Cold: 10}}, 1)
+	s.Configure(now, []srdispatch.Endpoint{{ID: "cold", Slots: 50, Share: 50, Cold: 10}})
 	placed := 0
 	for i := range uint64(1000) {
 		for _, d := range s.Add(now, srdispatch.Ask{ID: i, Target: now.Add(time.Second), Until: now.Add(time.Second)}) {
@@ -370,3 +370,62 @@
 	assert.Assert(t, placed <= 11, "%d", placed)
 	assert.Assert(t, placed >= 9, "%d", placed)
 }
+
+// TestManyInstancesShareAnEndpoint: 69 instances before 90 endpoints of 8 slots.
+// An equal part of at least one slot each would let 69 requests run at once.
+func TestManyInstancesShareAnEndpoint(t *testing.T) {
+	const instances, endpoints, slots = 69, 90, 8
+	var names []string
+	for i := range instances {
+		names = append(names, fmt.Sprintf("10.0.0.%d:8003", i))
+	}
+	own := make(map[string]int)
+	for e := range endpoints {
+		sum := 0
+		for i, self := range names {
+			others := append(slices.Clone(names[:i]), names[i+1:]...)
+			share, sharers := srdispatch.Share(fmt.Sprint("e", e), slots, self, others)
+			assert.Equal(t, sharers, 4)
+			sum += share
+			if share > 0 {
+				own[self]++
+			}
+		}
+		assert.Equal(t, sum, slots)
+	}
+	for _, self := range names {
+		assert.Assert(t, own[self] > 0, "%s has no endpoint", self)
+	}
+}
+
+// TestFewInstancesShareEqually, at least one slot each.
+func TestFewInstancesShareEqually(t *testing.T) {
+	share, sharers := srdispatch.Share("e", 17, "a", []string{"b", "c", "d", "e", "f", "g"})
+	assert.Equal(t, share, 3)
+	assert.Equal(t, sharers, 7)
+	share, _ = srdispatch.Share("e", 4, "a", []string{"b", "c", "d", "e", "f", "g"})
+	assert.Equal(t, share, 1)
+}
+
+// TestEndpointOfOthersTakesOneAtATime, only while it is known to be half empty
+// and not cold.
+func TestEndpointOfOthersTakesOneAtATime(t *testing.T) {
+	now := time.Unix(0, 0)
+	placed := func(e srdispatch.Endpoint, others int) int {
+		s := srdispatch.New(srdispatch.Options{})
+		s.Configure(now, []srdispatch.Endpoint{e})
+		s.Peers(now, map[string]int{e.ID: others})
+		n := 0
+		for i := range uint64(5) {
+			for _, d := range s.Add(now, srdispatch.Ask{ID: i, Target: now.Add(time.Second), Until: now.Add(time.Second)}) {
+				if d.Kind == srdispatch.Placed {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	assert.Equal(t, placed(srdispatch.Endpoint{ID: "e", Slots: 8}, 4), 1)
+	assert.Equal(t, placed(srdispatch.Endpoint{ID: "e", Slots: 8}, 5), 0)
+	assert.Equal(t, placed(srdispatch.Endpoint{ID: "e", Slots: 8, Cold: 5}, 0), 0)
+}
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	s := srdispatch.New(srdispatch.Options{Seed: seed})
-//	s.Configure(now, endpoints, fleet)
+//	s.Configure(now, endpoints)
 //	for _, d := range s.Add(now, ask) { ... }
 //	for _, d := range s.Done(now, endpoint, srdispatch.Result{...}) { ... }
 //	for _, d := range s.Tick(now) { ... }
@@ -19,6 +19,9 @@
 //     its objective is turned away on arrival, not after a wait (refuse.go).
 //   - A lower rank that would get nothing for as long as a higher one asks for
 //     everything. Each rank keeps a small part of its requests (order.go).
+//   - More instances than slots. Each endpoint is shared by a few instances, which
+//     use its slots without asking; the others take only what is known to stand
+//     half empty, when their own endpoints are full (share.go).
 //   - An endpoint that rejects or fails at once looks idle and attracts all
 //     requests. It is left out for a growing time, unless most are (health.go).
 //   - Endpoints of one service that differ several-fold in speed. What can still be
@@ -63,6 +66,9 @@
 	Domain string
 	// Slots is how many requests it runs at once.
 	Slots int
+	// Share is the number of slots that this instance may use whatever the others
+	// do, 0 when it may only take what they are known to leave free.
+	Share int
 	// Cold is how many requests a second this instance may send to it, 0 for no limit.
 	Cold float64
 }
@@ -126,7 +132,6 @@
 	flow      flow
 	starts    starts
 	returns   time.Time
-	fleet     int
 	running   int
 }
 
@@ -137,13 +142,11 @@
 		rand:      rand.New(rand.NewPCG(o.Seed, uint64(len(o.Domain)))),
 		endpoints: make(map[string]*endpoint),
 		ranks:     make(map[int]*rank),
-		fleet:     1,
 	}
 }
 
-// Configure sets the usable endpoints and the number of instances.
-func (s *Service) Configure(now time.Time, list []Endpoint, fleet int) []Decision {
-	s.fleet = max(fleet, 1)
+// Configure sets the usable endpoints.
+func (s *Service) Configure(now time.Time, list []Endpoint) []Decision {
 	usable := make(map[string]bool, len(list))
 	s.order = s.order[:0]
 	for _, e := range list {
@@ -303,7 +306,7 @@
 // hasRoom reports whether any endpoint is open.
 func (s *Service) hasRoom(now time.Time) bool {
 	for _, id := range s.order {
-		if s.endpoints[id].open(now, s.fleet) {
+		if s.endpoints[id].open(now) {
 			return true
 		}
 	}
--- a/internal/state/srsite/keys.go
+++ b/internal/state/srsite/keys.go
@@ -33,6 +33,7 @@
 		{Section: "bounds", Name: "revoke", Value: srini.Duration(&s.Revoke, 0, maxBound), About: "after it a removed key is not served; not given when keys need no proof"},
 		{Section: "bounds", Name: "config", Value: srini.Duration(&s.Config, 0, maxBound), Default: "2s", About: "a configuration is in force within it"},
 		{Section: "bounds", Name: "contact", Value: srini.Duration(&s.Contact, 0, maxBound), Default: "3s", About: "time without disturbance after which bounds hold again"},
+		{Section: "bounds", Name: "drain", Value: srini.Duration(&s.Drain, 0, maxBound), Default: "2s", About: "a leaving endpoint gets nothing new after it"},
 		{Section: "bounds", Name: "grace", Value: srini.Duration(&s.Grace, 0, maxBound), Default: "8s", About: "time between the stop signal and the end"},
 
 		{Section: "retry", Name: "ratio", Value: srini.Float(&s.Retry.Ratio, "", 0, 10), Default: "0.2", About: "retries for each request, over all instances"},
--- a/internal/state/srsite/settings.go
+++ b/internal/state/srsite/settings.go
@@ -49,6 +49,8 @@
 	Config time.Duration
 	// Contact is the time without disturbance after which bounds hold again.
 	Contact time.Duration
+	// Drain is the time after which a leaving endpoint must get nothing new.
+	Drain time.Duration
 	// Grace is the time between the stop signal and the end of the process.
 	Grace time.Duration
 
@@ -100,6 +102,16 @@
 // registrations may begin to lapse.
 func (s Settings) Outage() time.Duration { return 2 * s.Heartbeat }
 
+// askPart is the part of the bound for leaving endpoints after which an instance
+// without news asks the registry itself; the rest is for the answer.
+const askPart = 0.75
+
+// AskAfter returns the age of a proof from which an instance that does not watch
+// the registry asks it.
+func (s Settings) AskAfter() time.Duration {
+	return time.Duration(float64(s.Drain) * askPart)
+}
+
 // ID returns the identity of a run of the process.
 func (s Settings) ID(incarnation uint64) sr.InstanceID {
 	return sr.InstanceID{Address: s.Peers, Incarnation: incarnation}
