--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -57,6 +57,7 @@
 // Reasons of refusals; srdispatch has further ones.
 const (
 	reasonHeader     = "header"
+	reasonHeaderSize = "header-size"
 	reasonDraining   = "draining"
 	reasonUnknown    = "no-routing"
 	reasonNoRoute    = "no-route"
@@ -112,6 +113,9 @@
 	case st.Routing == nil:
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonUnknown, after: laterSoon}
 	}
+	if most := st.Routing.Limits.Header; most > 0 && headerSize(q.r) > most {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderSize}
+	}
 	if ref := q.resolve(st); ref != nil {
 		return ref
 	}
@@ -231,6 +235,19 @@
 	q.w.WriteHeader(ref.status)
 }
 
+// headerSize returns the bytes of a request's first line and header.
+func headerSize(r *http.Request) int {
+	// Each line has a colon, a space and a line end beside its texts.
+	const extra = 4
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + extra
+		}
+	}
+	return n
+}
+
 // hostname strips the port of a Host header.
 func hostname(host string) string {
 	name, _, _ := strings.Cut(host, ":")
