Give every instance a share, and remove what nothing uses

Change: a service of few endpoints is shared by more instances, and an instance that the hash leaves out takes the endpoint that it ranks first. Cold rates are divided in the same place. Fields of records, headers and settings that decide nothing are gone.

--- a/forward.go
+++ b/forward.go
@@ -24,9 +24,7 @@
 	// Prompt and Output are the stated tokens, Output at most; both 0 when unstated.
 	Prompt int
 	Output int
-	// Expected is the client's estimate of the output tokens, 0 for none.
-	Expected int
-	Parts    []PromptPart
+	Parts  []PromptPart
 }
 
 // Onward is what an instance tells an endpoint beside the client's headers.
@@ -50,8 +48,6 @@
 	Misdirected bool
 	// Genuine reports whether the answer is the endpoint's own.
 	Genuine bool
-	// ColdLeft is how long the endpoint stays cold, 0 when unstated.
-	ColdLeft time.Duration
 }
 
 // Wire translates the headers of requests and answers. It decides nothing.
--- a/internal/app/srforward/dump.go
+++ b/internal/app/srforward/dump.go
@@ -23,6 +23,8 @@
 	Queues    map[string]queueDump
 	Spent     map[string]float64
 	Dropped   int64
+	// Opened is the number of connections opened to endpoints.
+	Opened int64
 }
 
 type endpointDump struct {
@@ -58,6 +60,7 @@
 		Queues:   make(map[string]queueDump),
 		Spent:    n.limits.spent(),
 		Dropped:  n.Log.Dropped(),
+		Opened:   n.Upstream.Opened(),
 	}
 	if st.Routing != nil {
 		d.Version = st.Routing.Version
--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -19,7 +19,7 @@
 }
 
 // Pull implements sr.FleetHandler.
-func (n *Instance) Pull(_ context.Context, after uint64, _ time.Duration) (sr.Changes, error) {
+func (n *Instance) Pull(_ context.Context, after uint64) (sr.Changes, error) {
 	return n.view.Since(after, n.Clock()), nil
 }
 
@@ -92,7 +92,7 @@
 // pull takes the registry's facts from another instance.
 func (n *Instance) pull(ctx context.Context, address string) {
 	asked := n.Clock()
-	c, err := n.Fleet.Fleet(address).Pull(ctx, n.view.Revision(), 0)
+	c, err := n.Fleet.Fleet(address).Pull(ctx, n.view.Revision())
 	if err != nil {
 		n.figures.count("fleet.failed")
 		return
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -85,7 +85,6 @@
 		Returned: q.elapsed > 0,
 		Resumed:  q.begun,
 		Prompt:   q.in.Prompt,
-		Output:   q.in.Output,
 		Avoid:    q.avoid,
 	}
 	if q.workspace.HasRank {
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -140,13 +140,12 @@
 			if d.Slots == 0 {
 				d.Slots = cfg.Slots
 			}
-			var sharers int
-			d.Share, sharers = srdispatch.Share(id, d.Slots, n.Self.Address, others)
 			if boot.Before(e.ColdUntil) {
-				d.Cold = cfg.ColdRate / float64(sharers)
+				d.Cold = cfg.ColdRate
 			}
 			usable[service] = append(usable[service], d)
 		}
+		srdispatch.Share(usable[service], n.Self.Address, others)
 	}
 	n.queues.configure(usable)
 }
--- a/internal/peer/srinstance/fleet.go
+++ b/internal/peer/srinstance/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/rpc"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,12 +15,6 @@
 	pullMethod   = "Pull"
 )
 
-// PullArgs ask for registry facts.
-type PullArgs struct {
-	After uint64
-	Wait  time.Duration
-}
-
 // NewFleetServer returns a Server that passes the calls of forwarding instances
 // on to h.
 func NewFleetServer(ctx context.Context, h sr.FleetHandler) (*Server, error) {
@@ -39,8 +32,8 @@
 	return call[sr.Gossip, sr.Gossip](ctx, c, gossipMethod, g)
 }
 
-func (c *client) Pull(ctx context.Context, after uint64, wait time.Duration) (sr.Changes, error) {
-	return call[PullArgs, sr.Changes](ctx, c, pullMethod, PullArgs{After: after, Wait: wait})
+func (c *client) Pull(ctx context.Context, after uint64) (sr.Changes, error) {
+	return call[uint64, sr.Changes](ctx, c, pullMethod, after)
 }
 
 // fleetMethods are the calls of forwarding instances as net/rpc wants them.
@@ -55,8 +48,6 @@
 }
 
 // Pull returns registry facts.
-func (m *fleetMethods) Pull(args Args[PullArgs], reply *Reply[sr.Changes]) error {
-	return answer(m.ctx, args, reply, func(ctx context.Context, a PullArgs) (sr.Changes, error) {
-		return m.handler.Pull(ctx, a.After, a.Wait)
-	})
+func (m *fleetMethods) Pull(args Args[uint64], reply *Reply[sr.Changes]) error {
+	return answer(m.ctx, args, reply, m.handler.Pull)
 }
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -53,9 +53,8 @@
 	Resumed bool
 	// Last names the last part of the prompt, "" when there is none.
 	Last string
-	// Prompt and Output are the stated tokens, 0 when unstated.
+	// Prompt is its size in tokens, 0 when unstated.
 	Prompt int
-	Output int
 	// Avoid lists endpoints that did not take or finish the request.
 	Avoid []string
 }
@@ -69,7 +68,8 @@
 	// Share is the number of slots that this instance may use whatever the others
 	// do, 0 when it may only take what they are known to leave free.
 	Share int
-	// Cold is how many requests a second this instance may send to it, 0 for no limit.
+	// Cold is how many requests a second it may get while it is cold, from this
+	// instance once Share has divided it, 0 for no limit.
 	Cold float64
 }
 
--- a/internal/policy/srdispatch/share.go
+++ b/internal/policy/srdispatch/share.go
@@ -1,8 +1,6 @@
 package srdispatch
 
-import (
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 const (
 	// crowded is how many instances for each slot of an endpoint are too many to
@@ -10,29 +8,61 @@
 	crowded = 2
 	// leastPart is the least number of slots that a sharing instance gets.
 	leastPart = 2
+	// leastChoice is how many endpoints of a service each instance shares on
+	// average, so that one that fails is not the only one.
+	leastChoice = 2
 )
 
-// Share returns how many slots of an endpoint an instance may use whatever the
-// others do, and how many instances share the endpoint. The instances that share
-// it are chosen by a hash, the same at each that knows the same fleet.
-func Share(endpoint string, slots int, self string, others []string) (share, sharers int) {
-	if slots <= 0 {
-		slots = defaultSlots
+// Share sets the shares of an instance in the endpoints of one service, and
+// divides their cold rates among those that share them. The instances that share
+// an endpoint are chosen by a hash, the same at each that knows the same fleet. A
+// service of few endpoints is shared by more of them, and an instance that the
+// hash leaves without any takes the one that it ranks first.
+func Share(list []Endpoint, self string, others []string) {
+	without := true
+	first, best := 0, uint64(0)
+	for i := range list {
+		e := &list[i]
+		if e.Slots <= 0 {
+			e.Slots = defaultSlots
+		}
+		sharers := sharersOf(e.Slots, len(list), len(others)+1)
+		rank := hash(self, e.ID)
+		if before(rank, e.ID, others) < sharers {
+			e.Share = (e.Slots + sharers - 1) / sharers
+			without = false
+		}
+		e.Cold /= float64(sharers)
+		if rank >= best {
+			first, best = i, rank
+		}
+	}
+	if without && len(list) > 0 {
+		list[first].Share = 1
 	}
-	fleet := len(others) + 1
+}
+
+// sharersOf returns how many instances share an endpoint: all in a small fleet,
+// and otherwise as many as get some slots each.
+func sharersOf(slots, endpoints, fleet int) int {
 	if fleet <= crowded*slots {
-		return (slots + fleet - 1) / fleet, fleet
+		return fleet
 	}
-	sharers = max(slots/leastPart, 1)
-	own := xxhash.Sum64String(self + "/" + endpoint)
-	ahead := 0
+	choice := (leastChoice*fleet + endpoints - 1) / endpoints
+	return min(max(slots/leastPart, choice), fleet)
+}
+
+// before counts the instances that rank higher for an endpoint.
+func before(rank uint64, endpoint string, others []string) int {
+	n := 0
 	for _, o := range others {
-		if xxhash.Sum64String(o+"/"+endpoint) > own {
-			ahead++
+		if hash(o, endpoint) > rank {
+			n++
 		}
 	}
-	if ahead >= sharers {
-		return 0, sharers
-	}
-	return (slots + sharers - 1) / sharers, sharers
+	return n
+}
+
+func hash(instance, endpoint string) uint64 {
+	return xxhash.Sum64String(instance + "/" + endpoint)
 }
--- a/internal/state/srsite/keys.go
+++ b/internal/state/srsite/keys.go
@@ -25,14 +25,12 @@
 		{Section: "instance", Name: "seeds", Value: srini.Addresses(&s.Seeds, maxSeeds), About: "peer addresses of a few instances"},
 
 		{Section: "machine", Name: "memory", Value: srini.Int(&s.Memory, "MB", 16, maxMemory), Default: "256", About: "memory of the process"},
-		{Section: "machine", Name: "descriptors", Value: srini.Int(&s.Descriptors, "", 64, maxCount), Default: "4096", About: "file descriptors of the process"},
 
 		{Section: "registry", Name: "address", Value: srini.Address(&s.Registry), Required: true, About: "the platform's store"},
 		{Section: "registry", Name: "heartbeat", Value: srini.Duration(&s.Heartbeat, 0, maxBound), Default: "1200ms", About: "time between two reports of an endpoint"},
 
 		{Section: "bounds", Name: "revoke", Value: srini.Duration(&s.Revoke, 0, maxBound), About: "after it a removed key is not served; not given when keys need no proof"},
 		{Section: "bounds", Name: "config", Value: srini.Duration(&s.Config, 0, maxBound), Default: "2s", About: "a configuration is in force within it"},
-		{Section: "bounds", Name: "contact", Value: srini.Duration(&s.Contact, 0, maxBound), Default: "3s", About: "time without disturbance after which bounds hold again"},
 		{Section: "bounds", Name: "drain", Value: srini.Duration(&s.Drain, 0, maxBound), Default: "2s", About: "a leaving endpoint gets nothing new after it"},
 		{Section: "bounds", Name: "grace", Value: srini.Duration(&s.Grace, 0, maxBound), Default: "8s", About: "time between the stop signal and the end"},
 
--- a/internal/state/srsite/settings.go
+++ b/internal/state/srsite/settings.go
@@ -33,9 +33,8 @@
 	// Seeds are the peer addresses of a few instances, possibly out of date.
 	Seeds []string
 
-	// Memory is in MB, Descriptors a count.
-	Memory      int
-	Descriptors int
+	// Memory is in MB.
+	Memory int
 
 	// Registry is the address of the platform's store, Heartbeat the time between
 	// two reports of an endpoint to it.
@@ -47,8 +46,6 @@
 	Revoke time.Duration
 	// Config is the time in which a configuration has to be in force.
 	Config time.Duration
-	// Contact is the time without disturbance after which bounds hold again.
-	Contact time.Duration
 	// Drain is the time after which a leaving endpoint must get nothing new.
 	Drain time.Duration
 	// Grace is the time between the stop signal and the end of the process.
--- a/live.go
+++ b/live.go
@@ -108,5 +108,5 @@
 type FleetHandler interface {
 	Gossip(ctx context.Context, g Gossip) (Gossip, error)
 	// Pull returns registry facts after a revision, a full listing for 0.
-	Pull(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
+	Pull(ctx context.Context, after uint64) (Changes, error)
 }
--- a/route.go
+++ b/route.go
@@ -31,8 +31,6 @@
 	Timeout time.Duration
 	// Target is the latency objective: the whole answer, or the first event.
 	Target time.Duration
-	// Gap is the longest pause between events that is still on time, 0 for none.
-	Gap time.Duration
 	// Rank orders requests under overload, 0 is the most urgent.
 	Rank int
 	// Attempts is the most endpoints on which one request may run.
@@ -41,8 +39,6 @@
 	Public bool
 	// Resumable streams may go on at another endpoint after an event.
 	Resumable bool
-	// Sticky requests share parts of their prompts.
-	Sticky bool
 }
 
 // Repeatable reports whether a request of the route may run twice.
@@ -59,18 +55,11 @@
 // RoutedService is a service as the operators configure it.
 type RoutedService struct {
 	Name string
-	// Conns is the most connections to one endpoint from all callers, 0 for no limit.
-	Conns int
 	// ColdRate is the most requests a second that a cold endpoint bears, 0 for no limit.
 	ColdRate float64
-	// ColdTime is how long an endpoint stays cold after its start.
-	ColdTime time.Duration
 	// Slots is the number of requests that an endpoint of the service runs at
 	// once, 0 when only the endpoint's own record says so.
 	Slots int
-	// CacheTokens is how many prompt tokens an endpoint can hold, 0 for services
-	// that are not model engines.
-	CacheTokens int
 }
 
 // Allowance is the most cost of a workspace over all instances.
@@ -112,9 +101,8 @@
 	// Header and Body are in bytes.
 	Header int
 	Body   int
-	// HeaderTime bounds the arrival of a header, IdleTime an unused connection.
-	HeaderTime time.Duration
-	IdleTime   time.Duration
+	// IdleTime is how long a connection may be unused.
+	IdleTime time.Duration
 }
 
 // Routing is one version of the operators' configuration. It is immutable.
