--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	crand "crypto/rand"
-	"encoding/binary"
 	"io"
 	"log"
 	"net"
@@ -23,6 +21,7 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srinstance"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srupstream"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srclock"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srseed"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srsite"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
 )
@@ -79,7 +78,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "srforward")
 	}
-	seed, incarnation, err := drawSeeds()
+	seed, incarnation, err := srseed.Draw()
 	if err != nil {
 		return nil, err
 	}
@@ -310,11 +309,3 @@
 		failed <- errors.Wrap(err, "srforward")
 	}
 }
-
-func drawSeeds() (seed, incarnation uint64, err error) {
-	var b [16]byte
-	if _, err := crand.Read(b[:]); err != nil {
-		return 0, 0, errors.Wrap(err, "srforward: read random")
-	}
-	return binary.BigEndian.Uint64(b[:]), binary.BigEndian.Uint64(b[8:]), nil
-}
--- a/internal/app/srserve/process.go
+++ b/internal/app/srserve/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	crand "crypto/rand"
-	"encoding/binary"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +19,7 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/sroperator"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srplatform"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srservice"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srseed"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srsettings"
 )
 
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "srserve")
 	}
-	seed, incarnation, err := drawSeeds()
+	seed, incarnation, err := srseed.Draw()
 	if err != nil {
 		return nil, err
 	}
@@ -198,11 +198,3 @@
 	timeouts.Dial = cfg.Connect
 	return srconn.Options{Dial: dialer.DialContext, Timeouts: timeouts}
 }
-
-func drawSeeds() (seed, incarnation uint64, err error) {
-	var b [16]byte
-	if _, err := crand.Read(b[:]); err != nil {
-		return 0, 0, errors.Wrap(err, "srserve: read random")
-	}
-	return binary.BigEndian.Uint64(b[:]), binary.BigEndian.Uint64(b[8:]), nil
-}
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -139,7 +139,7 @@
 func New(o Options) *Service {
 	return &Service{
 		opts:      o,
-		rand:      rand.New(rand.NewPCG(o.Seed, uint64(len(o.Domain)))),
+		rand:      rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		endpoints: make(map[string]*endpoint),
 		ranks:     make(map[int]*rank),
 	}
--- a/internal/state/srini/fill.go
+++ b/internal/state/srini/fill.go
@@ -14,6 +14,16 @@
 	return Table{file: file, table: keys, problems: ps}
 }
 
+// Parse reads data and sets the keys. It reports whether there was a text to read.
+func (t Table) Parse(data []byte) bool {
+	sections := Read(t.file, data, t.problems)
+	if sections == nil && len(t.problems.List) > 0 {
+		return false
+	}
+	t.Fill(sections)
+	return true
+}
+
 // Fill sets the keys of every section of the table, those that the text
 // leaves out too.
 func (t Table) Fill(sections []Section) {
--- a/internal/state/srsettings/settings.go
+++ b/internal/state/srsettings/settings.go
@@ -78,9 +78,7 @@
 func Parse(name string, data []byte) (Settings, error) {
 	var s Settings
 	var ps srini.Problems
-	sections := srini.Read(name, data, &ps)
-	if sections != nil || len(ps.List) == 0 {
-		srini.NewTable(name, keys(&s), &ps).Fill(sections)
+	if srini.NewTable(name, keys(&s), &ps).Parse(data) {
 		s.check(name, &ps)
 	}
 	if err := ps.Err("srsettings"); err != nil {
--- a/internal/state/srsite/settings.go
+++ b/internal/state/srsite/settings.go
@@ -79,10 +79,7 @@
 func Parse(name string, data []byte) (Settings, error) {
 	var s Settings
 	var ps srini.Problems
-	sections := srini.Read(name, data, &ps)
-	if sections != nil || len(ps.List) == 0 {
-		srini.NewTable(name, keys(&s), &ps).Fill(sections)
-	}
+	srini.NewTable(name, keys(&s), &ps).Parse(data)
 	if err := ps.Err("srsite"); err != nil {
 		return Settings{}, err
 	}
--- a/internal/state/srview/view.go
+++ b/internal/state/srview/view.go
@@ -235,7 +235,7 @@
 	return out
 }
 
-// Sweep removes what has expired and reports whether anything changed.
+// Sweep removes what has expired.
 func (v *View) Sweep(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
