Ask for a proof when the others always begin the exchange

Only an answer proves a view, and an instance that is always heard before its own turn comes never asks. Besides, the wait at the registry and the age from which it is asked did not follow the bound for removed keys. Ruled out: a longer bound in the test; the product has to serve deployments with short bounds. Change: when half of the time to ask the registry is over, an instance begins exchanges itself; both times are parts of the bounds in the settings.

--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -59,7 +59,8 @@
 	defer wg.Wait()
 	for srtimer.Wait(ctx, gossipTick) == nil {
 		now := time.Now()
-		for _, address := range n.members.due(now) {
+		proof := n.view.Age(n.Clock()) > n.Settings.AskAfter()/2
+		for _, address := range n.members.due(now, proof) {
 			wg.Go(func() { n.exchange(ctx, address) })
 		}
 		n.limits.setFleet(now, n.members.size(now), n.members.silent())
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -109,8 +109,10 @@
 	return m.silence()
 }
 
-// due returns the addresses with which an exchange should begin now.
-func (m *members) due(now time.Time) []string {
+// due returns the addresses with which an exchange should begin now: those that
+// were not heard lately, or all when the view wants a proof, which only an answer
+// can bring.
+func (m *members) due(now time.Time, proof bool) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []string
@@ -119,7 +121,7 @@
 		if now.Sub(e.heard) > m.silence() {
 			pause = max(pause, seedEvery)
 		}
-		if now.Sub(e.tried) >= pause && now.Sub(e.heard) >= m.pause() {
+		if now.Sub(e.tried) >= pause && (proof || now.Sub(e.heard) >= m.pause()) {
 			e.tried = now
 			out = append(out, address)
 		}
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -49,7 +49,7 @@
 	if after == 0 {
 		return n.list(ctx)
 	}
-	wait := watchWait
+	wait := n.Settings.Watch()
 	if !n.members.reads(time.Now()) {
 		wait = 0
 	}
--- a/internal/app/srforward/timing.go
+++ b/internal/app/srforward/timing.go
@@ -12,9 +12,6 @@
 	// leastFresh is the least age at which an unknown name is not believed.
 	leastFresh = time.Second
 
-	// watchWait is how long a question waits at the registry for news. It is
-	// also the age up to which a connection that fell silent goes unnoticed.
-	watchWait = 1200 * time.Millisecond
 	// answerTime is the time that the registry has beyond the wait.
 	answerTime = time.Second
 	// listTime bounds a full listing.
--- a/internal/state/srsite/settings.go
+++ b/internal/state/srsite/settings.go
@@ -96,16 +96,40 @@
 // registrations may begin to lapse.
 func (s Settings) Outage() time.Duration { return 2 * s.Heartbeat }
 
-// askPart is the part of the bound for leaving endpoints after which an instance
-// without news asks the registry itself; the rest is for the answer.
-const askPart = 0.75
+const (
+	// askDrain and askRevoke are the parts of the bounds for leaving endpoints and
+	// removed keys after which an instance without news asks the registry itself;
+	// the rest is for the answer and for telling the others.
+	askDrain  = 0.75
+	askRevoke = 0.4
+	// watchRevoke is the part of the bound for removed keys for which a question
+	// may wait at the registry, since a proof is as old as its question.
+	watchRevoke = 0.25
+	// mostWatch bounds that wait. It is also the age up to which a connection that
+	// fell silent goes unnoticed.
+	mostWatch = 1200 * time.Millisecond
+)
 
 // AskAfter returns the age of a proof from which an instance that does not watch
 // the registry asks it.
 func (s Settings) AskAfter() time.Duration {
-	return time.Duration(float64(s.Drain) * askPart)
+	after := part(s.Drain, askDrain)
+	if s.Revoke > 0 {
+		after = min(after, part(s.Revoke, askRevoke))
+	}
+	return after
+}
+
+// Watch returns how long a question for changes waits at the registry.
+func (s Settings) Watch() time.Duration {
+	if s.Revoke > 0 {
+		return min(mostWatch, part(s.Revoke, watchRevoke))
+	}
+	return mostWatch
 }
 
+func part(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
+
 // ID returns the identity of a run of the process.
 func (s Settings) ID(incarnation uint64) sr.InstanceID {
 	return sr.InstanceID{Address: s.Peers, Incarnation: incarnation}
--- a/internal/state/srsite/settings_test.go
+++ b/internal/state/srsite/settings_test.go
@@ -35,6 +35,19 @@
 	assert.Equal(t, len(s.Seeds), 0)
 }
 
+// TestQuestionsFitTheBounds: a proof is as old as the question that brought it,
+// and other instances learn of it a gossip or two later.
+func TestQuestionsFitTheBounds(t *testing.T) {
+	for _, revoke := range []time.Duration{time.Second, 2 * time.Second, 5 * time.Second, time.Minute} {
+		for _, drain := range []time.Duration{time.Second, 3 * time.Second} {
+			s := Settings{Revoke: revoke, Drain: drain}
+			assert.Assert(t, s.Watch() <= revoke/4, "%v", revoke)
+			assert.Assert(t, s.AskAfter() <= revoke/2 && s.AskAfter() < drain, "%v %v", revoke, drain)
+		}
+	}
+	assert.Equal(t, Settings{Drain: 2 * time.Second}.AskAfter(), 1500*time.Millisecond)
+}
+
 func TestEveryProblemIsReportedAtOnce(t *testing.T) {
 	_, err := Parse("bad.ini", []byte("[instance]\nname = a b\npeers = somewhere\n[bounds]\ngrace = 8\nlease = 3s\n[other]\n"))
 	assert.Assert(t, errors.Is(err, sr.ErrInvalid))
