Try an endpoint again when its probe was not sent

Cause: found in reading. After a failure an endpoint gets one request to try it; when that one was not sent after all (key or endpoint changed meanwhile), the endpoint waited for its outcome for good and was left out until it registered anew. Change: a request that was not sent ends the probe. Figures: TestProbeThatWasNotSentIsRepeated fails before and passes after.

--- a/internal/policy/srdispatch/endpoint.go
+++ b/internal/policy/srdispatch/endpoint.go
@@ -52,6 +52,7 @@
 	e.mine--
 	e.pending = max(e.pending-r.Prompt, 0)
 	if r.Unsent {
+		e.probing = false
 		return
 	}
 	e.observe(now, r)
--- a/internal/policy/srdispatch/replay_test.go
+++ b/internal/policy/srdispatch/replay_test.go
@@ -239,6 +239,28 @@
 	assert.Equal(t, len(engines[0].running), 4)
 }
 
+// TestProbeThatWasNotSentIsRepeated: after a failure the endpoint is tried with one
+// request, and that one is not sent after all.
+func TestProbeThatWasNotSentIsRepeated(t *testing.T) {
+	s := srdispatch.New(srdispatch.Options{})
+	now := time.Unix(0, 0)
+	s.Configure(now, []srdispatch.Endpoint{{ID: "a", Slots: 4, Share: 4}, {ID: "b", Slots: 4, Share: 4}})
+	add := func(id uint64, avoid ...string) string {
+		d := s.Add(now, srdispatch.Ask{ID: id, Target: now.Add(time.Second), Until: now.Add(time.Second), Avoid: avoid})
+		assert.Equal(t, d[0].Kind, srdispatch.Placed)
+		return d[0].Endpoint
+	}
+	assert.Equal(t, add(1, "b"), "a")
+	s.Done(now, "a", srdispatch.Result{NotRun: true})
+	now = now.Add(time.Second)
+	assert.Equal(t, add(2, "b"), "a")
+	s.Done(now, "a", srdispatch.Result{Unsent: true})
+	// Two at b, so that a is the better one again.
+	add(3, "a")
+	add(4, "a")
+	assert.Equal(t, add(5), "a")
+}
+
 // TestGoneEndpointIsLeftOutAtOnce: its address answers for another one.
 func TestGoneEndpointIsLeftOutAtOnce(t *testing.T) {
 	s := srdispatch.New(srdispatch.Options{Domain: "a"})
