Give a request's memory and cost back in one place each

The memory of a body was given back on four paths, and the cost of a request that did not run on two. Two reasons that nothing used are gone. No behaviour changes.

--- a/internal/app/srforward/body.go
+++ b/internal/app/srforward/body.go
@@ -32,11 +32,9 @@
 	}
 	body, ref := q.readAll(most)
 	if ref != nil {
-		q.memory.give(int64(len(body)))
 		return ref
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		q.memory.give(int64(len(body)))
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonBodyBroken}
 	}
 	q.body = body
@@ -46,8 +44,7 @@
 // readPart is how much of a body is reserved in memory at a time, in bytes.
 const readPart = 16 << 10
 
-// readAll returns the body, whose bytes are reserved in memory also when it
-// fails.
+// readAll returns the body and reserves memory for it.
 func (q *request) readAll(most int64) ([]byte, *refusal) {
 	var body []byte
 	if n := q.r.ContentLength; n > 0 {
@@ -61,18 +58,19 @@
 		}
 		n, err := q.r.Body.Read(body[len(body):cap(body)])
 		if !q.memory.take(int64(n)) {
-			return body, &refusal{status: http.StatusServiceUnavailable, reason: reasonMemory, after: laterSoon}
+			return nil, &refusal{status: http.StatusServiceUnavailable, reason: reasonMemory, after: laterSoon}
 		}
+		q.reserved += int64(n)
 		body = body[:len(body)+n]
 		switch {
 		case most > 0 && int64(len(body)) > most:
-			return body, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodySize}
+			return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodySize}
 		case err == io.EOF:
 			return body, nil
 		case err != nil && timedOut(err):
-			return body, &refusal{status: http.StatusRequestTimeout, reason: reasonBodySlow}
+			return nil, &refusal{status: http.StatusRequestTimeout, reason: reasonBodySlow}
 		case err != nil:
-			return body, &refusal{status: http.StatusBadRequest, reason: reasonBodyBroken}
+			return nil, &refusal{status: http.StatusBadRequest, reason: reasonBodyBroken}
 		}
 	}
 }
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -32,6 +32,8 @@
 	deadline time.Time
 	body     []byte
 	hasBody  bool
+	// reserved is the memory that the body holds, in bytes.
+	reserved int64
 	cost     float64
 
 	// tries counts endpoints that were asked, runs those that may have run it.
@@ -72,28 +74,24 @@
 	reasonTimeout    = "timeout"
 	reasonBudget     = "retry-budget"
 	reasonTries      = "tries"
-	reasonRejected   = "rejected"
 	reasonBroken     = "broken"
 	reasonGone       = "client-gone"
-	reasonUnsent     = "unsent"
 )
 
-const (
-	// laterSoon is when a caller may come back after a state that passes soon,
-	// such as an instance that starts.
-	laterSoon = 500 * time.Millisecond
-)
+// laterSoon is when a caller may come back after a state that passes soon, such as
+// an instance that starts.
+const laterSoon = 500 * time.Millisecond
 
 // ServeHTTP implements http.Handler for clients.
 func (n *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n.running.Add(1)
 	defer n.running.Add(-1)
 	q := &request{Instance: n, w: w, r: r, ctx: r.Context(), start: time.Now()}
+	defer func() { n.memory.give(q.reserved) }()
 	if ref := q.admit(); ref != nil {
 		q.refuse(*ref)
 		return
 	}
-	defer n.memory.give(int64(len(q.body)))
 	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
 	defer cancel()
 	q.ctx = ctx
@@ -201,7 +199,6 @@
 	patience := max(time.Duration(float64(q.route.Target-q.elapsed)*allowancePart), 0)
 	ok, wait, level := q.limits.take(time.Now(), q.workspace.Name, cost, patience)
 	if !ok {
-		q.memory.give(int64(len(q.body)))
 		q.Log.Failed("over-allowance", srlog.Request, q.in.ID, srlog.Workspace, q.workspace.Name, srlog.Cost, cost, srlog.Level, level, srlog.After, wait)
 		return &refusal{status: http.StatusTooManyRequests, reason: reasonAllowance, after: wait}
 	}
@@ -213,10 +210,15 @@
 
 // refuse answers for this instance. The request has not run and will not.
 func (q *request) refuse(ref refusal) {
+	q.refund()
+	q.answer(ref)
+}
+
+// refund gives the cost back of a request that no endpoint may have run.
+func (q *request) refund() {
 	if q.cost > 0 && q.runs == 0 {
 		q.limits.refund(time.Now(), q.workspace.Name, q.cost)
 	}
-	q.answer(ref)
 }
 
 // answer writes an answer of this instance's own.
