Give the slot back when a long answer breaks

Cause: found in reading. passLong broke the client's connection by a panic before run had given the slot of the endpoint back, so each long answer that broke took one slot of the endpoint for good. Ruled out: the other ways to break off; they come after the slot was given back. Change: the try ends as cut, and run breaks off. The two places that broke a connection are one, with the endpoint and the events in both lines. The context of a try is a plain one: nothing read its cause.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -77,7 +77,9 @@
 		q.passOn(a, body, t.endpoint)
 		return t
 	}
-	t.err = q.passLong(a, body)
+	if err := q.passLong(a, body, t.endpoint); err != nil {
+		t.outcome, t.err = cut, err
+	}
 	return t
 }
 
@@ -94,7 +96,7 @@
 }
 
 // passLong writes an answer whose end has not been seen yet.
-func (q *request) passLong(a *srupstream.Answer, body []byte) error {
+func (q *request) passLong(a *srupstream.Answer, body []byte, endpoint string) error {
 	q.header(a)
 	if a.Length >= 0 {
 		q.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
@@ -105,30 +107,23 @@
 	part := make([]byte, copyPart)
 	for {
 		if err := control.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
-			return q.abort(errors.Wrap(err, "client"))
+			return errors.Wrap(err, "client")
 		}
 		if _, err := q.w.Write(body); err != nil {
-			return q.abort(errors.Wrap(err, "client"))
+			return errors.Wrap(err, "client")
 		}
 		n, err := a.Body.Read(part)
 		body = part[:n]
 		if err == io.EOF && n == 0 {
-			q.done(a.Status, "", nil)
+			q.done(a.Status, endpoint, nil)
 			return nil
 		}
 		if err != nil && err != io.EOF {
-			return q.abort(errors.Wrap(err, "endpoint"))
+			return errors.Wrap(err, "endpoint")
 		}
 	}
 }
 
-// abort breaks the client's connection, so that a part does not look whole.
-func (q *request) abort(err error) error {
-	q.figures.count("broken." + reasonBroken)
-	q.Log.Failed("broken-off", srlog.Request, q.in.ID, srlog.Reason, reasonBroken, srlog.Error, err.Error(), srlog.Total, time.Since(q.start), srlog.Route, q.route.Name)
-	panic(http.ErrAbortHandler)
-}
-
 // header copies the header of an answer.
 func (q *request) header(a *srupstream.Answer) {
 	h := q.w.Header()
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -29,6 +29,8 @@
 	unsent
 	// mayRun: it may have run, and nothing final has gone to the client.
 	mayRun
+	// cut: a part of an answer has gone to the client, and the rest cannot.
+	cut
 )
 
 // try is what one endpoint made of the request.
@@ -60,8 +62,11 @@
 		q.placed(d)
 		t := q.try(d.Endpoint)
 		queue.done(d.Endpoint, t.result)
-		if t.outcome == ended {
+		switch t.outcome {
+		case ended:
 			return
+		case cut:
+			q.breakOff(reasonBroken, t.endpoint, t.err)
 		}
 		last = t
 		if q.ctx.Err() != nil {
@@ -113,8 +118,8 @@
 	}
 	q.tries++
 	sent := time.Now()
-	ctx, cancel := q.firstWait()
-	defer cancel(nil)
+	ctx, cancel := context.WithCancel(q.ctx)
+	defer cancel()
 	timer := q.startFirstWait(cancel)
 	a, err := q.Upstream.Send(ctx, srupstream.Peer{ID: id, Address: e.Address, Born: e.Born}, q.onward(id), q.check(id))
 	timer.Stop()
@@ -137,14 +142,6 @@
 	return q.take(t, a, sent)
 }
 
-// firstWait returns a context that ends the try when it brings no answer.
-func (q *request) firstWait() (context.Context, context.CancelCauseFunc) {
-	return context.WithCancelCause(q.ctx)
-}
-
-// errSilent ends a try whose answer does not begin.
-var errSilent = errors.New("no answer has begun")
-
 const (
 	// silentTargets is how many objectives a repeatable request waits for an
 	// answer to begin before it is offered to another endpoint.
@@ -157,12 +154,12 @@
 
 // startFirstWait ends the try when no answer begins, if the request may go to
 // another endpoint.
-func (q *request) startFirstWait(cancel context.CancelCauseFunc) *time.Timer {
+func (q *request) startFirstWait(cancel context.CancelFunc) *time.Timer {
 	wait := min(max(silentTargets*q.route.Target, leastSilent), mostSilent)
 	if !q.route.Repeatable() || q.runs+1 >= max(q.route.Attempts, 1) {
 		wait = time.Until(q.deadline) + time.Second
 	}
-	return time.AfterFunc(wait, func() { cancel(errSilent) })
+	return time.AfterFunc(wait, cancel)
 }
 
 // onward is the request as an endpoint gets it.
@@ -239,9 +236,7 @@
 	if q.r.Context().Err() != nil {
 		q.figures.count("ended." + reasonGone)
 		q.Log.Failed("client-gone", srlog.Request, q.in.ID, srlog.Attempt, q.tries, srlog.Total, time.Since(q.start))
-		if q.cost > 0 && q.runs == 0 {
-			q.limits.refund(time.Now(), q.workspace.Name, q.cost)
-		}
+		q.refund()
 		panic(http.ErrAbortHandler)
 	}
 	q.fail(last, reasonTimeout)
@@ -251,10 +246,7 @@
 func (q *request) fail(last try, reason string) {
 	switch {
 	case q.begun:
-		// Only a broken connection tells that the answer is not whole.
-		q.figures.count("broken." + reason)
-		q.Log.Failed("broken-off", srlog.Request, q.in.ID, srlog.Reason, reason, srlog.Endpoint, last.endpoint, srlog.Events, q.events, srlog.Error, errorText(last.err), srlog.Total, time.Since(q.start), srlog.Route, q.route.Name)
-		panic(http.ErrAbortHandler)
+		q.breakOff(reason, last.endpoint, last.err)
 	case last.answer != nil:
 		q.passOn(last.answer, last.body, last.endpoint)
 	case q.runs > 0 && reason == reasonTimeout:
@@ -268,9 +260,17 @@
 	}
 }
 
+// breakOff breaks the client's connection: only that tells that the answer is not
+// whole.
+func (q *request) breakOff(reason, endpoint string, err error) {
+	q.figures.count("broken." + reason)
+	q.Log.Failed("broken-off", srlog.Request, q.in.ID, srlog.Reason, reason, srlog.Endpoint, endpoint, srlog.Events, q.events, srlog.Error, errorText(err), srlog.Total, time.Since(q.start), srlog.Route, q.route.Name)
+	panic(http.ErrAbortHandler)
+}
+
 // String names the outcome in logs.
 func (o outcome) String() string {
-	names := []string{"", "ended", "not-run", "unsent", "may-run"}
+	names := []string{"", "ended", "not-run", "unsent", "may-run", "cut"}
 	return names[o]
 }
 
