Filter members in one place, and name the sockets

Six methods of members each looked for those that were heard lately; reads chose in two passes and was worked out twice for each question. Listeners were told apart by their index. A channel of the view that nobody waited on is gone. No behaviour changes.

--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -1,6 +1,7 @@
 package srforward
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -36,7 +37,6 @@
 	// since is when the member became known.
 	since time.Time
 	usage sr.Usage
-	asOf  uint64
 }
 
 func newMembers(self sr.InstanceID, domain string, seeds []string) *members {
@@ -77,7 +77,7 @@
 		m.changed = now
 	}
 	e.id, e.domain, e.heard = g.From, g.Domain, now
-	e.usage, e.asOf = g.Usage, g.AsOf
+	e.usage = g.Usage
 	for _, id := range g.Known {
 		m.learn(now, id)
 	}
@@ -150,31 +150,30 @@
 	maps.DeleteFunc(m.left, func(_ sr.InstanceID, t time.Time) bool { return now.Sub(t) > memberFor })
 }
 
+// recent returns the members that were heard within a time.
+func (m *members) recent(now time.Time, within time.Duration) []*member {
+	var out []*member
+	for _, e := range m.list {
+		if now.Sub(e.heard) <= within {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // alive returns the addresses of the members that were heard lately.
 func (m *members) alive(now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []string
-	for address, e := range m.list {
-		if now.Sub(e.heard) <= m.silence() {
-			out = append(out, address)
-		}
-	}
-	slices.Sort(out)
-	return out
+	return addresses(m.recent(now, m.silence()))
 }
 
-// present returns the addresses of the members that count towards the fleet, or
-// as many unknown ones as a fleet is taken to have while none was heard.
+// present returns the addresses of the members that share the endpoints, or as
+// many unknown ones as a fleet is taken to have while none was heard.
 func (m *members) present(now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []string
-	for address, e := range m.list {
-		if !e.heard.IsZero() && now.Sub(e.heard) <= presentFor {
-			out = append(out, address)
-		}
-	}
+	out := addresses(m.recent(now, presentFor))
 	if len(out) == 0 && !m.alone() {
 		out = make([]string, fleetUnknown-1)
 	}
@@ -183,12 +182,7 @@
 
 // alone reports whether the seeds name no other instance.
 func (m *members) alone() bool {
-	for _, seed := range m.seeds {
-		if seed != m.self.Address {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(m.seeds, func(seed string) bool { return seed != m.self.Address })
 }
 
 // known returns the identities of the members that were heard lately, while
@@ -200,10 +194,8 @@
 		return nil
 	}
 	var out []sr.InstanceID
-	for _, e := range m.list {
-		if now.Sub(e.heard) <= memberFor {
-			out = append(out, e.id)
-		}
+	for _, e := range m.recent(now, memberFor) {
+		out = append(out, e.id)
 	}
 	return out
 }
@@ -212,12 +204,7 @@
 func (m *members) size(now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := 1
-	for _, e := range m.list {
-		if !e.heard.IsZero() && now.Sub(e.heard) <= memberFor {
-			n++
-		}
-	}
+	n := 1 + len(m.recent(now, memberFor))
 	if n == 1 && !m.alone() {
 		return fleetUnknown
 	}
@@ -229,10 +216,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make(map[string]int)
-	for _, e := range m.list {
-		if now.Sub(e.heard) > m.silence() {
-			continue
-		}
+	for _, e := range m.recent(now, m.silence()) {
 		for id, n := range e.usage.Running {
 			out[id] += n
 		}
@@ -246,28 +230,29 @@
 func (m *members) reads(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	type place struct{ address, domain string }
-	all := []place{{m.self.Address, m.domain}}
-	for address, e := range m.list {
-		if now.Sub(e.heard) <= m.silence() {
-			all = append(all, place{address, e.domain})
-		}
-	}
-	slices.SortFunc(all, func(a, b place) int {
-		if xxhash.Sum64String(a.address) < xxhash.Sum64String(b.address) {
-			return -1
-		}
-		return 1
+	all := append(m.recent(now, m.silence()), &member{id: m.self, domain: m.domain})
+	slices.SortFunc(all, func(a, b *member) int {
+		return cmp.Compare(xxhash.Sum64String(a.id.Address), xxhash.Sum64String(b.id.Address))
 	})
 	taken := make(map[string]bool)
-	var chosen []string
-	for pass := 0; pass < 2 && len(chosen) < readers; pass++ {
-		for _, p := range all {
-			if len(chosen) < readers && !slices.Contains(chosen, p.address) && (pass == 1 || !taken[p.domain]) {
-				chosen = append(chosen, p.address)
-				taken[p.domain] = true
-			}
+	var chosen, rest []string
+	for _, e := range all {
+		if taken[e.domain] {
+			rest = append(rest, e.id.Address)
+			continue
 		}
+		taken[e.domain] = true
+		chosen = append(chosen, e.id.Address)
+	}
+	order := append(chosen, rest...)
+	return slices.Contains(order[:min(readers, len(order))], m.self.Address)
+}
+
+func addresses(list []*member) []string {
+	var out []string
+	for _, e := range list {
+		out = append(out, e.id.Address)
 	}
-	return slices.Contains(chosen, m.self.Address)
+	slices.Sort(out)
+	return out
 }
--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -40,6 +40,8 @@
 	headerTime = 10 * time.Second
 	// drainTick is the time between two looks at the requests under way.
 	drainTick = 20 * time.Millisecond
+	// sockets is the number of listeners, each of which may fail once.
+	sockets = 4
 	// reloadEvery is how often the settings are read again.
 	reloadEvery = 2 * time.Second
 )
@@ -65,7 +67,15 @@
 	clients  *clients
 	servers  []*http.Server
 	front    *http.Server
-	listen   []net.Listener
+	listen   listeners
+}
+
+// listeners are the sockets of a process.
+type listeners struct {
+	clients net.Listener
+	ready   net.Listener
+	peers   net.Listener
+	operate net.Listener
 }
 
 // New opens the sockets and returns a Process that serves once Run is called.
@@ -100,9 +110,7 @@
 
 // newDialer returns a dialer whose connections notice a peer that fell silent.
 func newDialer() *net.Dialer {
-	return &net.Dialer{KeepAliveConfig: keepAlive(), ControlContext: func(_ context.Context, network, address string, c syscall.RawConn) error {
-		return setUserTimeout(network, address, c)
-	}}
+	return &net.Dialer{KeepAliveConfig: keepAlive(), Control: setUserTimeout}
 }
 
 func keepAlive() net.KeepAliveConfig {
@@ -123,15 +131,25 @@
 // open opens all sockets, or none.
 func (p *Process) open() error {
 	lc := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: setUserTimeout}
-	for _, address := range []string{p.cfg.Clients, p.cfg.Ready, p.cfg.Peers, p.cfg.Operate} {
-		ln, err := lc.Listen(context.Background(), "tcp", address)
+	var opened []net.Listener
+	for _, socket := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{p.cfg.Clients, &p.listen.clients},
+		{p.cfg.Ready, &p.listen.ready},
+		{p.cfg.Peers, &p.listen.peers},
+		{p.cfg.Operate, &p.listen.operate},
+	} {
+		ln, err := lc.Listen(context.Background(), "tcp", socket.address)
 		if err != nil {
-			for _, open := range p.listen {
+			for _, open := range opened {
 				open.Close()
 			}
 			return errors.Wrap(err, "srforward")
 		}
-		p.listen = append(p.listen, ln)
+		*socket.into = ln
+		opened = append(opened, ln)
 	}
 	return nil
 }
@@ -140,7 +158,7 @@
 func (p *Process) Run(ctx context.Context, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	failed := make(chan error, len(p.listen))
+	failed := make(chan error, sockets)
 	var wg sync.WaitGroup
 	if err := p.serve(ctx, &wg, failed); err != nil {
 		return err
@@ -259,10 +277,10 @@
 	p.front.ConnState = p.clients.state
 	ready, operate := newServer(p.instance.readiness()), newServer(p.instance.operate())
 	p.servers = []*http.Server{p.front, ready, operate}
-	for server, ln := range map[*http.Server]net.Listener{p.front: p.listen[0], ready: p.listen[1], operate: p.listen[3]} {
-		wg.Go(func() { report(failed, server.Serve(ln)) })
-	}
-	wg.Go(func() { report(failed, rpc.Serve(p.listen[2])) })
+	wg.Go(func() { report(failed, p.front.Serve(p.listen.clients)) })
+	wg.Go(func() { report(failed, ready.Serve(p.listen.ready)) })
+	wg.Go(func() { report(failed, operate.Serve(p.listen.operate)) })
+	wg.Go(func() { report(failed, rpc.Serve(p.listen.peers)) })
 	return nil
 }
 
@@ -298,7 +316,7 @@
 	for _, s := range p.servers {
 		s.Close()
 	}
-	p.listen[2].Close()
+	p.listen.peers.Close()
 	p.rpc.Close()
 	p.peers.Close()
 	p.instance.Upstream.Close()
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -20,11 +20,12 @@
 func (n *Instance) sync(ctx context.Context) {
 	lost := time.Time{}
 	for ctx.Err() == nil {
-		if n.view.Revision() > 0 && !n.members.reads(time.Now()) && n.view.Age(n.Clock()) < n.Settings.AskAfter() {
+		watches := n.members.reads(time.Now())
+		if n.view.Revision() > 0 && !watches && n.view.Age(n.Clock()) < n.Settings.AskAfter() {
 			_ = srtimer.Wait(ctx, syncPause)
 			continue
 		}
-		err := n.ask(ctx)
+		err := n.ask(ctx, watches)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -43,15 +44,15 @@
 }
 
 // ask asks the registry once: for everything when nothing is known, and
-// otherwise for changes.
-func (n *Instance) ask(ctx context.Context) error {
+// otherwise for changes, waiting for some when this instance watches the registry.
+func (n *Instance) ask(ctx context.Context, watches bool) error {
 	after := n.view.Revision()
 	if after == 0 {
 		return n.list(ctx)
 	}
-	wait := n.Settings.Watch()
-	if !n.members.reads(time.Now()) {
-		wait = 0
+	wait := time.Duration(0)
+	if watches {
+		wait = n.Settings.Watch()
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
--- a/internal/state/srview/view.go
+++ b/internal/state/srview/view.go
@@ -17,6 +17,7 @@
 package srview
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -103,7 +104,6 @@
 	proved time.Time
 	// answered is when the last answer came.
 	answered time.Time
-	changed  chan struct{}
 }
 
 type factKey struct {
@@ -120,7 +120,7 @@
 
 // New returns an empty View.
 func New(o Options) *View {
-	v := &View{opts: o, facts: make(map[factKey]known), changed: make(chan struct{})}
+	v := &View{opts: o, facts: make(map[factKey]known)}
 	v.publish()
 	return v
 }
@@ -159,13 +159,6 @@
 	return now.Sub(v.proved)
 }
 
-// Changed returns a channel that is closed at the next change.
-func (v *View) Changed() <-chan struct{} {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.changed
-}
-
 // Apply takes an answer to a question that was sent at asked.
 func (v *View) Apply(asked, now time.Time, c sr.Changes) News {
 	v.mu.Lock()
@@ -209,8 +202,8 @@
 	if proof := asked.Add(-age); proof.After(v.proved) {
 		v.proved = proof
 	}
-	if now := asked; now.After(v.answered) && age < v.opts.Outage {
-		v.answered = now
+	if asked.After(v.answered) && age < v.opts.Outage {
+		v.answered = asked
 	}
 }
 
@@ -226,12 +219,7 @@
 		}
 		out.Facts = append(out.Facts, k.fact)
 	}
-	slices.SortFunc(out.Facts, func(a, b sr.Fact) int {
-		if a.Revision < b.Revision {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out.Facts, func(a, b sr.Fact) int { return cmp.Compare(a.Revision, b.Revision) })
 	return out
 }
 
@@ -307,7 +295,7 @@
 	return news
 }
 
-// publish makes a new snapshot and wakes those who wait for one.
+// publish makes a new snapshot.
 func (v *View) publish() {
 	st := &State{
 		Revision:   v.revision,
@@ -343,8 +331,6 @@
 		st.index()
 	}
 	v.state.Store(st)
-	close(v.changed)
-	v.changed = make(chan struct{})
 }
 
 // index maps the keys of the configuration to their workspaces.
