Fade averages in one place, and work a pace out once for each round

The middle pace was sorted anew for each ask of a queue although it changes only when a request ends. Queues use the library's insert, delete and search. No behaviour changes.

--- a/internal/peer/srupstream/send.go
+++ b/internal/peer/srupstream/send.go
@@ -106,7 +106,7 @@
 	}()
 }
 
-// head returns the header of the request, with the body when it is short.
+// head returns the first line and the header of the request.
 func (r Request) head() []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
--- a/internal/policy/sradmit/admission.go
+++ b/internal/policy/sradmit/admission.go
@@ -194,7 +194,7 @@
 	if len(a.buckets) >= a.opts.Buckets && !a.evict(now) {
 		return nil, false
 	}
-	b := &bucket{limits: w, at: now, seen: now, tokens: a.burst(w), retries: a.opts.RetryBurst}
+	b := &bucket{limits: w, at: now, tokens: a.burst(w), retries: a.opts.RetryBurst}
 	a.buckets[w.Name] = a.recent.PushFront(b)
 	return b, true
 }
--- a/internal/policy/sradmit/bucket.go
+++ b/internal/policy/sradmit/bucket.go
@@ -1,10 +1,10 @@
 package sradmit
 
 import (
-	"math"
 	"time"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdecay"
 )
 
 // bucket is what is known of one workspace.
@@ -17,9 +17,9 @@
 	promised time.Time
 	waiting  int
 	retries  float64
-	// arrivals is the rate of arrivals here as of seen, fleet that of all instances.
+	// arrivals is the rate of arrivals here as of fade, fleet that of all instances.
 	arrivals float64
-	seen     time.Time
+	fade     srdecay.Decay
 	fleet    float64
 }
 
@@ -50,9 +50,5 @@
 }
 
 func (b *bucket) decay(now time.Time) {
-	past := now.Sub(b.seen)
-	b.seen = now
-	if past > 0 {
-		b.arrivals *= math.Exp(-float64(past) / float64(arrivalSpan))
-	}
+	b.arrivals *= b.fade.Keep(now, arrivalSpan)
 }
--- a/internal/policy/srdispatch/endpoint.go
+++ b/internal/policy/srdispatch/endpoint.go
@@ -22,12 +22,8 @@
 	// pace is the average time for an event in seconds, 0 when unknown.
 	pace float64
 	health
-	cold coldRate
-}
-
-// coldRate spaces requests to a cold endpoint.
-type coldRate struct {
-	next time.Time
+	// coldNext is when a cold endpoint may get its next request.
+	coldNext time.Time
 }
 
 func (e *endpoint) set(now time.Time, c Endpoint) {
@@ -35,7 +31,7 @@
 		c.Slots = defaultSlots
 	}
 	if c.Cold > 0 && e.Cold == 0 {
-		e.cold.next = now
+		e.coldNext = now
 	}
 	e.Endpoint = c
 }
@@ -43,7 +39,7 @@
 func (e *endpoint) take(now time.Time) {
 	e.mine++
 	if e.Cold > 0 {
-		e.cold.next = now.Add(time.Duration(float64(time.Second) / e.Cold))
+		e.coldNext = now.Add(time.Duration(float64(time.Second) / e.Cold))
 	}
 	e.probe(now)
 }
@@ -87,5 +83,5 @@
 	if !e.usable || e.room() <= 0 {
 		return false
 	}
-	return e.Cold == 0 || !now.Before(e.cold.next)
+	return e.Cold == 0 || !now.Before(e.coldNext)
 }
--- a/internal/policy/srdispatch/order.go
+++ b/internal/policy/srdispatch/order.go
@@ -1,8 +1,10 @@
 package srdispatch
 
 import (
-	"math"
+	"slices"
 	"time"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdecay"
 )
 
 const (
@@ -23,10 +25,9 @@
 
 // rank counts the arrivals and grants of requests of equal rank.
 type rank struct {
-	key      int
 	arrivals float64
 	served   float64
-	at       time.Time
+	fade     srdecay.Decay
 }
 
 // rankKey orders ranks: the workspace first, then the route.
@@ -39,7 +40,7 @@
 	key := rankKey(a)
 	r, ok := s.ranks[key]
 	if !ok {
-		r = &rank{key: key}
+		r = &rank{}
 		s.ranks[key] = r
 	}
 	return r
@@ -56,14 +57,9 @@
 }
 
 func (r *rank) decay(now time.Time) {
-	past := now.Sub(r.at)
-	r.at = now
-	if past <= 0 {
-		return
-	}
-	f := math.Exp(-float64(past) / float64(rankSpan))
-	r.arrivals *= f
-	r.served *= f
+	keep := r.fade.Keep(now, rankSpan)
+	r.arrivals *= keep
+	r.served *= keep
 }
 
 func (r *rank) share() float64 {
@@ -79,22 +75,11 @@
 	for i > 0 && w.before(s.queue[i-1]) {
 		i--
 	}
-	s.queue = append(s.queue, nil)
-	copy(s.queue[i+1:], s.queue[i:])
-	s.queue[i] = w
+	s.queue = slices.Insert(s.queue, i, w)
 }
 
 func (s *Service) remove(i int) {
-	s.queue = append(s.queue[:i], s.queue[i+1:]...)
-}
-
-func (s *Service) waits(id uint64) bool {
-	for _, w := range s.queue {
-		if w.ID == id {
-			return true
-		}
-	}
-	return false
+	s.queue = slices.Delete(s.queue, i, i+1)
 }
 
 // before orders asks: streams that have begun, then the rank, then those that can
--- a/internal/policy/srdispatch/place.go
+++ b/internal/policy/srdispatch/place.go
@@ -25,11 +25,11 @@
 
 // place returns the best endpoint for an ask that has room, "" for none. What can
 // be in time goes to an endpoint where it would be late only when no other has room.
-func (s *Service) place(now time.Time, w *waiting) string {
+// median is the pace of a middle endpoint.
+func (s *Service) place(now time.Time, w *waiting, median float64) string {
 	skip := s.skipUnsound(now)
 	best, bestCost := "", 0.0
 	near := s.homesOf(w.Last)
-	median := s.medianPace()
 	left := w.Target.Sub(now)
 	for _, id := range s.order {
 		e := s.endpoints[id]
@@ -59,9 +59,9 @@
 
 // cost is the load of an endpoint with one more request, in parts of its slots,
 // times its pace against the others'.
-func (s *Service) cost(e *endpoint, pace float64) float64 {
+func (s *Service) cost(e *endpoint, median float64) float64 {
 	cost := float64(e.mine+e.others+1) / float64(e.Slots)
-	cost *= e.speed(pace)
+	cost *= e.speed(median)
 	if e.Share == 0 {
 		cost += spillCost
 	}
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -14,7 +14,7 @@
 //
 //   - More work than slots. Engines admit in order of arrival and know no ranks,
 //     so work waits here, in one order, and an endpoint gets no more than its
-//     slots (capacity.go).
+//     slots (endpoint.go).
 //   - A burst of which only a part can be served in time. What would wait past
 //     its objective is turned away on arrival, not after a wait (refuse.go).
 //   - A lower rank that would get nothing for as long as a higher one asks for
@@ -33,6 +33,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -183,7 +184,7 @@
 	r.arrive(now)
 	s.insert(w)
 	out := s.run(now)
-	if s.waits(a.ID) {
+	if slices.Contains(s.queue, w) {
 		out = append(out, s.admit(now, w)...)
 	}
 	return out
@@ -191,11 +192,8 @@
 
 // Withdraw drops an ask whose caller has left.
 func (s *Service) Withdraw(id uint64) {
-	for i, w := range s.queue {
-		if w.ID == id {
-			s.remove(i)
-			return
-		}
+	if i := slices.IndexFunc(s.queue, func(w *waiting) bool { return w.ID == id }); i >= 0 {
+		s.remove(i)
 	}
 }
 
@@ -279,6 +277,7 @@
 // run places what can be placed, in order.
 func (s *Service) run(now time.Time) []Decision {
 	var out []Decision
+	median := s.medianPace()
 	skipped := 0
 	for skipped < len(s.queue) {
 		i := s.head(now)
@@ -286,9 +285,9 @@
 			i = skipped
 		}
 		w := s.queue[i]
-		id := s.place(now, w)
+		id := s.place(now, w, median)
 		if id == "" {
-			// Others may have room where this ask may not or does not want to go.
+			// Others may have room where this ask may not go.
 			skipped++
 			if !s.hasRoom(now) {
 				break
--- a/internal/policy/srslot/meter.go
+++ b/internal/policy/srslot/meter.go
@@ -1,10 +1,10 @@
 package srslot
 
 import (
-	"math"
 	"time"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdecay"
 )
 
 const (
@@ -21,7 +21,7 @@
 	mean time.Duration
 	// offered is the number of slots that a tier's asks keep busy.
 	offered []float64
-	at      time.Time
+	fade    srdecay.Decay
 }
 
 // arrived notes an ask with its expected service time.
@@ -52,12 +52,7 @@
 }
 
 func (m *meter) decay(now time.Time) {
-	past := now.Sub(m.at)
-	m.at = now
-	if past <= 0 {
-		return
-	}
-	keep := math.Exp(-float64(past) / float64(loadSpan))
+	keep := m.fade.Keep(now, loadSpan)
 	for i := range m.offered {
 		m.offered[i] *= keep
 	}
