Log each step of a request, and what is believed of members, limits and endpoints

Cause: a failed request could be followed from its placement on, but not from its admission, and there was no line when a member fell silent, an endpoint was left out, or an allowance or the size of the fleet changed. Change: lines admitted, waits, sent, client-gone in the middle of a stream; member silent and leaving, fleet, allowance, endpoint-out, endpoint-back. The class of served lines may write 250 a second for up to five lines a request.

--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -44,7 +44,7 @@
 func (n *Instance) hear(g sr.Gossip) {
 	now := time.Now()
 	if n.members.hear(now, g) {
-		n.Log.State("member", srlog.Peer, g.From.Address, srlog.Domain, g.Domain, srlog.State, "heard", srlog.Fleet, n.members.size(now))
+		n.Log.State("member", srlog.Peer, g.From.Address, srlog.Domain, g.Domain, srlog.State, stateOf(g.Leaving, "leaving", "heard"), srlog.Fleet, n.members.size(now))
 	}
 	if g.Leaving {
 		n.limits.leave(now, g.From.Address)
@@ -53,6 +53,18 @@
 	n.limits.hear(now, g)
 }
 
+// review takes note of who fell silent and of the size of the fleet, which sets
+// this instance's part of the limits.
+func (n *Instance) review(now time.Time) {
+	size := n.members.size(now)
+	for _, l := range n.members.lost(now) {
+		n.Log.State("member", srlog.Peer, l.id.Address, srlog.State, "silent", srlog.Age, l.age, srlog.Fleet, size)
+	}
+	if n.limits.setFleet(now, size, n.members.silent()) {
+		n.Log.State("fleet", srlog.Fleet, size)
+	}
+}
+
 // gossip exchanges news until ctx ends.
 func (n *Instance) gossip(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -63,7 +75,7 @@
 		for _, address := range n.members.due(now, proof) {
 			wg.Go(func() { n.exchange(ctx, address) })
 		}
-		n.limits.setFleet(now, n.members.size(now), n.members.silent())
+		n.review(now)
 		n.queues.peers(n.members.running(now))
 	}
 }
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -82,7 +82,7 @@
 		patience: newPatience(),
 	}
 	n.limits = newLimits(d.Settings)
-	n.queues = newQueues(d.Seed, d.Settings.Domain)
+	n.queues = newQueues(d.Seed, d.Settings.Domain, d.Log)
 	return n
 }
 
--- a/internal/app/srforward/limits.go
+++ b/internal/app/srforward/limits.go
@@ -37,27 +37,34 @@
 	}
 }
 
-// configure applies the allowances of a configuration.
-func (l *limits) configure(now time.Time, c *sr.Routing) {
+// configure applies the allowances of a configuration, and returns those that
+// changed, by workspace.
+func (l *limits) configure(now time.Time, c *sr.Routing) map[string]srshare.Limit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	changed := make(map[string]srshare.Limit)
 	for name, w := range c.Workspaces {
 		limit := l.limit(w.Allowance)
-		if limit.Rate <= 0 {
+		b, ok := l.buckets[name]
+		switch {
+		case limit.Rate <= 0 && ok:
 			delete(l.buckets, name)
+		case limit.Rate <= 0 || ok && b.Limit() == limit:
 			continue
-		}
-		if b, ok := l.buckets[name]; ok {
+		case ok:
 			b.SetLimit(now, limit)
-			continue
+		default:
+			l.buckets[name] = srshare.New(limit, l.fleet, l.silence, now)
 		}
-		l.buckets[name] = srshare.New(limit, l.fleet, l.silence, now)
+		changed[name] = limit
 	}
 	for name := range l.buckets {
 		if _, ok := c.Workspaces[name]; !ok {
 			delete(l.buckets, name)
+			changed[name] = srshare.Limit{}
 		}
 	}
+	return changed
 }
 
 // limit spreads the burst over the window in which an allowance is counted, so
@@ -70,17 +77,20 @@
 	return srshare.Limit{Rate: rate, Burst: a.Burst}
 }
 
-// setFleet says how many instances there are and after how long one is silent.
-func (l *limits) setFleet(now time.Time, fleet int, silence time.Duration) {
+// setFleet says how many instances there are and after how long one is silent,
+// and reports whether the number is another one.
+func (l *limits) setFleet(now time.Time, fleet int, silence time.Duration) (resized bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if fleet == l.fleet && silence == l.silence {
-		return
+		return false
 	}
+	resized = fleet != l.fleet
 	l.fleet, l.silence = fleet, silence
 	for _, b := range l.buckets {
 		b.SetFleet(now, fleet, silence)
 	}
+	return resized
 }
 
 // take takes cost from a workspace's allowance, which may be there after a wait
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -37,6 +37,14 @@
 	// since is when the member became known.
 	since time.Time
 	usage sr.Usage
+	// silent is set while the member is known to be silent.
+	silent bool
+}
+
+// loss is a member that fell silent, and the time since it was heard.
+type loss struct {
+	id  sr.InstanceID
+	age time.Duration
 }
 
 func newMembers(self sr.InstanceID, domain string, seeds []string) *members {
@@ -55,33 +63,50 @@
 	m.seeds = seeds
 }
 
-// hear takes another instance's news and reports whether it was new or silent.
-func (m *members) hear(now time.Time, g sr.Gossip) (joined bool) {
+// hear takes another instance's news and reports whether that changes what is
+// known of it: it was new or silent, or leaves.
+func (m *members) hear(now time.Time, g sr.Gossip) (changed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if g.From.Address == m.self.Address {
 		return false
 	}
 	if g.Leaving {
+		_, known := m.left[g.From]
 		m.left[g.From] = now
 		delete(m.list, g.From.Address)
-		return false
+		return !known
 	}
 	e, ok := m.list[g.From.Address]
 	if !ok {
 		e = &member{since: now}
 		m.list[g.From.Address] = e
 	}
-	joined = e.id != g.From || now.Sub(e.heard) > memberFor
+	joined := e.id != g.From || now.Sub(e.heard) > memberFor
 	if joined {
 		m.changed = now
 	}
-	e.id, e.domain, e.heard = g.From, g.Domain, now
+	changed = e.silent || joined
+	e.id, e.domain, e.heard, e.silent = g.From, g.Domain, now, false
 	e.usage = g.Usage
 	for _, id := range g.Known {
 		m.learn(now, id)
 	}
-	return joined
+	return changed
+}
+
+// lost returns the members that have fallen silent since the last call.
+func (m *members) lost(now time.Time) []loss {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []loss
+	for _, e := range m.list {
+		if age := now.Sub(e.heard); !e.heard.IsZero() && !e.silent && age > m.silence() {
+			e.silent = true
+			out = append(out, loss{id: e.id, age: age})
+		}
+	}
+	return out
 }
 
 // learn notes an instance that another one has heard of.
--- a/internal/app/srforward/queues.go
+++ b/internal/app/srforward/queues.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
 )
 
@@ -12,6 +13,7 @@
 type queues struct {
 	seed   uint64
 	domain string
+	log    *srlog.Log
 
 	mu   sync.Mutex
 	list map[string]*queue
@@ -19,6 +21,9 @@
 
 // queue is the queue of one service.
 type queue struct {
+	name string
+	log  *srlog.Log
+
 	mu      sync.Mutex
 	service *srdispatch.Service
 	waiting map[uint64]chan srdispatch.Decision
@@ -28,8 +33,8 @@
 	ticking bool
 }
 
-func newQueues(seed uint64, domain string) *queues {
-	return &queues{seed: seed, domain: domain, list: make(map[string]*queue)}
+func newQueues(seed uint64, domain string, log *srlog.Log) *queues {
+	return &queues{seed: seed, domain: domain, log: log, list: make(map[string]*queue)}
 }
 
 // of returns the queue of a service.
@@ -39,6 +44,8 @@
 	s, ok := q.list[service]
 	if !ok {
 		s = &queue{
+			name:    service,
+			log:     q.log,
 			service: srdispatch.New(srdispatch.Options{Seed: q.seed, Domain: q.domain}),
 			waiting: make(map[uint64]chan srdispatch.Decision),
 		}
@@ -87,8 +94,9 @@
 	return out
 }
 
-// acquire waits for an endpoint or a refusal.
-func (s *queue) acquire(ctx context.Context, a srdispatch.Ask) (srdispatch.Decision, error) {
+// acquire waits for an endpoint or a refusal. It calls waits with the length of
+// the queue when there is none at once.
+func (s *queue) acquire(ctx context.Context, a srdispatch.Ask, waits func(queue int)) (srdispatch.Decision, error) {
 	ch := make(chan srdispatch.Decision, 1)
 	s.mu.Lock()
 	s.next++
@@ -97,6 +105,12 @@
 	s.mu.Unlock()
 	s.do(func(now time.Time) []srdispatch.Decision { return s.service.Add(now, a) })
 	select {
+	case d := <-ch:
+		return d, nil
+	default:
+		waits(s.length())
+	}
+	select {
 	case d := <-ch:
 		return d, nil
 	case <-ctx.Done():
@@ -114,11 +128,18 @@
 	return srdispatch.Decision{}, ctx.Err()
 }
 
+func (s *queue) length() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.service.Waiting()
+}
+
 // began notes that an answer has begun.
 func (s *queue) began(endpoint string, prompt int, first time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.service.Began(endpoint, prompt, first)
+	s.service.Began(time.Now(), endpoint, prompt, first)
+	s.tell()
 }
 
 // done gives a slot back.
@@ -131,9 +152,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deliver(step(time.Now()))
+	s.tell()
 	s.schedule()
 }
 
+// tell writes a line for each endpoint that is judged otherwise than before.
+func (s *queue) tell() {
+	for _, t := range s.service.Turns() {
+		if t.Out {
+			s.log.State("endpoint-out", srlog.Endpoint, t.Endpoint, srlog.Service, s.name, srlog.Failures, t.Failures, srlog.After, t.For)
+			continue
+		}
+		s.log.State("endpoint-back", srlog.Endpoint, t.Endpoint, srlog.Service, s.name)
+	}
+}
+
 func (s *queue) deliver(list []srdispatch.Decision) {
 	for _, d := range list {
 		if ch, ok := s.waiting[d.Ask]; ok {
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -92,6 +92,7 @@
 		q.refuse(*ref)
 		return
 	}
+	q.admitted()
 	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
 	defer cancel()
 	q.ctx = ctx
@@ -123,6 +124,13 @@
 	return q.allow()
 }
 
+func (q *request) admitted() {
+	q.Log.Served("admitted",
+		srlog.Request, q.in.ID, srlog.Route, q.route.Name, srlog.Service, q.service, srlog.Workspace, q.workspace.Name,
+		srlog.Cost, q.cost, srlog.Waited, time.Since(q.start), srlog.Left, time.Until(q.deadline),
+		srlog.Version, q.version, srlog.Age, q.view.Age(q.Clock()))
+}
+
 // resolve finds the route, the service and the workspace.
 func (q *request) resolve(st *srview.State) *refusal {
 	q.version = st.Routing.Version
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -50,7 +50,7 @@
 	queue := q.queues.of(q.service)
 	var last try
 	for {
-		d, err := queue.acquire(q.ctx, q.ask())
+		d, err := queue.acquire(q.ctx, q.ask(), q.waits)
 		if err != nil {
 			q.giveUp(last)
 			return
@@ -101,6 +101,11 @@
 	return a
 }
 
+// waits notes that no endpoint has room yet.
+func (q *request) waits(queue int) {
+	q.Log.Served("waits", srlog.Request, q.in.ID, srlog.Service, q.service, srlog.Queue, queue, srlog.Attempt, q.tries+1)
+}
+
 func (q *request) placed(d srdispatch.Decision) {
 	q.figures.observe("wait", d.Waited)
 	q.Log.Served("placed",
@@ -121,7 +126,7 @@
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
 	timer := q.startFirstWait(cancel)
-	a, err := q.Upstream.Send(ctx, srupstream.Peer{ID: id, Address: e.Address, Born: e.Born}, q.onward(id), q.check(id))
+	a, err := q.Upstream.Send(ctx, srupstream.Peer{ID: id, Address: e.Address, Born: e.Born}, q.onward(id), q.checked(id))
 	timer.Stop()
 	t := try{endpoint: id, err: err, result: srdispatch.Result{Prompt: q.in.Prompt}}
 	switch {
@@ -202,6 +207,21 @@
 	}
 }
 
+// checked is check with a line about its outcome.
+func (q *request) checked(id string) func() error {
+	check := q.check(id)
+	return func() error {
+		err := check()
+		line := q.Log.Served
+		if err != nil {
+			line = q.Log.Failed
+		}
+		line("sent", srlog.Request, q.in.ID, srlog.Endpoint, id, srlog.Attempt, q.tries, srlog.Left, time.Until(q.deadline),
+			srlog.Age, q.view.Age(q.Clock()), srlog.Error, errorText(err))
+		return err
+	}
+}
+
 // mayTryAgain returns why the request may not be offered to another endpoint,
 // "" when it may.
 func (q *request) mayTryAgain(t try) string {
--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srupstream"
 )
 
@@ -104,6 +105,7 @@
 
 func (q *request) clientBroke(err error) error {
 	q.figures.count("ended." + reasonGone)
+	q.Log.Failed("client-gone", srlog.Request, q.in.ID, srlog.Attempt, q.tries, srlog.Events, q.events, srlog.Error, errorText(err), srlog.Total, time.Since(q.start))
 	return errors.Wrap(err, "client")
 }
 
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -128,7 +128,9 @@
 		return
 	}
 	others := n.members.present(now)
-	n.limits.configure(now, st.Routing)
+	for workspace, limit := range n.limits.configure(now, st.Routing) {
+		n.Log.State("allowance", srlog.Workspace, workspace, srlog.Rate, limit.Rate, srlog.Burst, limit.Burst, srlog.Version, st.Routing.Version)
+	}
 	usable := make(map[string][]srdispatch.Endpoint)
 	for service, ids := range st.Services {
 		cfg := st.Routing.Services[service]
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -32,6 +32,9 @@
 	After   = "after"
 	Cost    = "cost"
 	Level   = "level"
+	// Rate and Burst are an allowance, in cost a second and in cost.
+	Rate    = "rate"
+	Burst   = "burst"
 	Source  = "source"
 	State   = "state"
 	Class   = "class"
@@ -45,4 +48,6 @@
 	Usable = "usable"
 	Out    = "out"
 	Others = "others"
+	// Failures is how often an endpoint has failed in a row.
+	Failures = "failures"
 )
--- a/internal/app/srlog/log.go
+++ b/internal/app/srlog/log.go
@@ -32,10 +32,10 @@
 	ringLines = 2048
 	// A class may write so many lines a second. Served requests are sampled
 	// beyond the load of an instance of today, about 50 requests a second with
-	// two lines each.
+	// up to five lines each.
 	stateLines  = 500
 	failedLines = 300
-	servedLines = 150
+	servedLines = 250
 	// reportEvery is the time between two reports of lines left out.
 	reportEvery = time.Second
 	// closeWait bounds the time that Close waits for the output.
--- a/internal/policy/srdispatch/health.go
+++ b/internal/policy/srdispatch/health.go
@@ -15,6 +15,16 @@
 	mostErrors = 3
 )
 
+// Turn is a change in what is believed of an endpoint.
+type Turn struct {
+	Endpoint string
+	// Out marks an endpoint that is left out, for a time, after so many failures;
+	// otherwise it works again.
+	Out      bool
+	For      time.Duration
+	Failures int
+}
+
 // health judges an endpoint by the outcomes of its requests alone: its own
 // health answers may be wrong either way.
 type health struct {
--- a/internal/policy/srdispatch/replay_test.go
+++ b/internal/policy/srdispatch/replay_test.go
@@ -122,7 +122,7 @@
 		a.started = w.now
 		a.finishes = w.now.Add(time.Duration(float64(a.work) * e.speed))
 		e.running = append(e.running, a)
-		w.s.Began(id, a.Prompt, 30*time.Millisecond)
+		w.s.Began(w.now, id, a.Prompt, 30*time.Millisecond)
 	}
 }
 
@@ -358,7 +358,7 @@
 			if at == "slow" {
 				first, pace = 500*time.Millisecond, 100*time.Millisecond
 			}
-			s.Began(at, 1000, first)
+			s.Began(now, at, 1000, first)
 			s.Done(now, at, srdispatch.Result{Pace: pace})
 		}
 	}
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -134,6 +134,7 @@
 	starts    starts
 	returns   time.Time
 	running   int
+	turns     []Turn
 }
 
 // New returns a Service without endpoints.
@@ -198,14 +199,14 @@
 }
 
 // Began tells that an answer has begun: its prompt has been read.
-func (s *Service) Began(id string, prompt int, first time.Duration) {
+func (s *Service) Began(now time.Time, id string, prompt int, first time.Duration) {
 	e, ok := s.endpoints[id]
 	if !ok {
 		return
 	}
 	s.starts.observe(float64(max(e.pending, prompt)), first.Seconds()/e.speed(s.medianPace()))
 	e.pending = max(e.pending-prompt, 0)
-	e.works()
+	s.judge(now, e, e.works)
 }
 
 // Result tells how a request fared at an endpoint.
@@ -235,13 +236,32 @@
 	s.flow.pass(now, s.running)
 	s.flow.ends++
 	s.running--
-	e.done(now, r)
+	s.judge(now, e, func() { e.done(now, r) })
 	if !e.usable && e.mine == 0 {
 		delete(s.endpoints, id)
 	}
 	return s.run(now)
 }
 
+// judge notes what a step changes in the judgement of an endpoint.
+func (s *Service) judge(now time.Time, e *endpoint, step func()) {
+	before := e.failures
+	step()
+	switch {
+	case e.failures > before:
+		s.turns = append(s.turns, Turn{Endpoint: e.ID, Out: true, For: e.outUntil.Sub(now), Failures: e.failures})
+	case e.failures < before:
+		s.turns = append(s.turns, Turn{Endpoint: e.ID})
+	}
+}
+
+// Turns returns the turns since the last call.
+func (s *Service) Turns() []Turn {
+	out := s.turns
+	s.turns = nil
+	return out
+}
+
 // Tick refuses what has waited for too long and tries endpoints that are due.
 func (s *Service) Tick(now time.Time) []Decision {
 	out := s.expire(now)
--- a/internal/policy/srshare/bucket.go
+++ b/internal/policy/srshare/bucket.go
@@ -70,6 +70,9 @@
 // Spent returns what this instance has taken since it started.
 func (b *Bucket) Spent() float64 { return b.spent }
 
+// Limit returns the limit in force.
+func (b *Bucket) Limit() Limit { return b.limit }
+
 // Level returns what may be taken now.
 func (b *Bucket) Level(now time.Time) float64 {
 	b.refill(now)
