Leave hanging endpoints out while a request waits on, and move silent streams

Cause: only repeatable requests noticed an endpoint that hangs. Where a request may run once, the end of its time counted as an answer, which even cleared the endpoint's failures; a resumable stream waited on a silent endpoint for good. A probe after a time out was forgotten when any other request ended. Ruled out: clearing the failures when an answer begins. Change: a watch on each try. When it ends, the request moves if it may, and otherwise waits on while the endpoint is left out. An answer that ends takes half of the failures back. The end of a caller's time says nothing of the endpoint.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -53,6 +53,7 @@
 // plain passes on an answer that is not a stream.
 func (q *request) plain(t try, a *srupstream.Answer, sent time.Time) try {
 	body, err := io.ReadAll(io.LimitReader(a.Body, wholeBody))
+	t.silence.disarm()
 	whole := err == nil && len(body) < wholeBody
 	t.result.Pace = time.Since(sent)
 	switch {
--- a/internal/app/srforward/queues.go
+++ b/internal/app/srforward/queues.go
@@ -142,6 +142,14 @@
 	s.tell()
 }
 
+// silent notes that a request has waited for too long for an endpoint to answer.
+func (s *queue) silent(endpoint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service.Silent(time.Now(), endpoint)
+	s.tell()
+}
+
 // done gives a slot back.
 func (s *queue) done(endpoint string, r srdispatch.Result) {
 	s.do(func(now time.Time) []srdispatch.Decision { return s.service.Done(now, endpoint, r) })
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -42,6 +42,8 @@
 	answer *srupstream.Answer
 	body   []byte
 	err    error
+	// silence watches for an endpoint that hangs.
+	silence *stall
 }
 
 // run offers the request to endpoints until it has its final answer.
@@ -125,21 +127,23 @@
 	sent := time.Now()
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
-	timer := q.startFirstWait(cancel)
+	silence := q.watch(id, cancel)
+	defer silence.disarm()
 	a, err := q.Upstream.Send(ctx, srupstream.Peer{ID: id, Address: e.Address, Born: e.Born}, q.onward(id), q.checked(id))
-	timer.Stop()
-	t := try{endpoint: id, err: err, result: srdispatch.Result{Prompt: q.in.Prompt}}
+	t := try{endpoint: id, err: err, silence: silence, result: srdispatch.Result{Prompt: q.in.Prompt}}
 	switch {
 	case errors.Is(err, errChanged):
 		t.outcome, t.result.Unsent = unsent, true
 		return t
 	case errors.Is(err, sr.ErrNotSent):
-		t.outcome, t.result.Failed = unsent, q.r.Context().Err() == nil
+		t.outcome = unsent
+		t.result.Failed, t.result.Unknown = q.r.Context().Err() == nil, q.r.Context().Err() != nil
 		q.avoid = append(q.avoid, id)
 		return t
 	case err != nil:
 		q.runs++
-		t.outcome, t.result.Failed = mayRun, q.ctx.Err() == nil
+		t.outcome = mayRun
+		t.result.Failed, t.result.Unknown = q.ctx.Err() == nil, q.ctx.Err() != nil
 		q.avoid = append(q.avoid, id)
 		return t
 	}
@@ -148,23 +152,32 @@
 }
 
 const (
-	// silentTargets is how many objectives a repeatable request waits for an
-	// answer to begin before it is offered to another endpoint.
+	// silentTargets is how many objectives a request waits for an answer to begin
+	// or to go on before its endpoint is taken to hang.
 	silentTargets = 3
 	// leastSilent keeps short objectives from repeating requests that merely wait.
 	leastSilent = 600 * time.Millisecond
-	// mostSilent leaves time for a second try before streaming clients leave.
+	// mostSilent leaves time for a second try before streaming clients leave; a
+	// stream that has begun is given that long, since moving it costs its prompt.
 	mostSilent = 1200 * time.Millisecond
 )
 
-// startFirstWait ends the try when no answer begins, if the request may go to
-// another endpoint.
-func (q *request) startFirstWait(cancel context.CancelFunc) *time.Timer {
+// watch acts on an endpoint that sends nothing for a time: the try ends if the
+// request may go to another endpoint, and otherwise goes on while the endpoint is
+// left out for others.
+func (q *request) watch(endpoint string, cancel context.CancelFunc) *stall {
 	wait := min(max(silentTargets*q.route.Target, leastSilent), mostSilent)
-	if !q.route.Repeatable() || q.runs+1 >= max(q.route.Attempts, 1) {
-		wait = time.Until(q.deadline) + time.Second
-	}
-	return time.AfterFunc(wait, cancel)
+	attempt := q.tries
+	movable := q.route.Repeatable() && q.runs+1 < max(q.route.Attempts, 1)
+	return newStall(wait, func() {
+		q.figures.count("endpoint.silent")
+		q.Log.Failed("endpoint-silent", srlog.Request, q.in.ID, srlog.Endpoint, endpoint, srlog.Attempt, attempt, srlog.After, wait, srlog.Outcome, stateOf(movable, "moved", "waits on"))
+		if movable {
+			cancel()
+			return
+		}
+		q.queues.of(q.service).silent(endpoint)
+	})
 }
 
 // onward is the request as an endpoint gets it.
--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -31,7 +31,11 @@
 	before := q.events
 	var first time.Time
 	for {
+		if q.begun {
+			t.silence.arm(mostSilent)
+		}
 		event, err := readEvent(r)
+		t.silence.disarm()
 		if len(event) > 0 && (err == nil || err == io.EOF) {
 			if first.IsZero() {
 				first = time.Now()
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -37,6 +37,7 @@
 	Burst   = "burst"
 	Source  = "source"
 	State   = "state"
+	Outcome = "outcome"
 	Class   = "class"
 	Count   = "count"
 	Address = "address"
--- a/internal/policy/srdispatch/endpoint.go
+++ b/internal/policy/srdispatch/endpoint.go
@@ -48,7 +48,7 @@
 	e.mine--
 	e.pending = max(e.pending-r.Prompt, 0)
 	if r.Unsent {
-		e.probing = false
+		e.probeUntil = time.Time{}
 		return
 	}
 	e.observe(now, r)
--- a/internal/policy/srdispatch/replay_test.go
+++ b/internal/policy/srdispatch/replay_test.go
@@ -28,8 +28,9 @@
 type engine struct {
 	slots int
 	speed float64
-	// fails makes it reject everything.
+	// fails makes it reject everything, hangs answer nothing.
 	fails   bool
+	hangs   bool
 	running []*ask
 	waiting []*ask
 	most    int
@@ -116,7 +117,7 @@
 		e.running = slices.DeleteFunc(e.running, func(o *ask) bool { return o == a })
 		w.carry(w.s.Done(w.now, id, srdispatch.Result{Pace: a.finishes.Sub(a.started) / 10}))
 	}
-	for len(e.waiting) > 0 && len(e.running) < e.slots {
+	for !e.hangs && len(e.waiting) > 0 && len(e.running) < e.slots {
 		a := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		a.started = w.now
@@ -223,6 +224,72 @@
 	assert.Assert(t, served >= 0.9, "%v", served)
 }
 
+// TestHangingEndpointIsSparedByRequestsThatWaitOn: they may run only once, so each
+// of them holds a slot there until its deadline, and only the silence tells the
+// others. Without it the endpoint gets as many as it has slots, again and again.
+func TestHangingEndpointIsSparedByRequestsThatWaitOn(t *testing.T) {
+	swallowed := func(told bool) (n int) {
+		const silent, deadline = 600 * time.Millisecond, 4 * time.Second
+		engines := healthy(4, 6)
+		engines[0].hangs = true
+		w := newWorld(t, engines...)
+		sent := make(map[*ask]time.Time)
+		w.advance(60*time.Second, func() {
+			if w.now.UnixMilli()%20 == 0 {
+				w.add("once", 1, 300*time.Millisecond, 240*time.Millisecond)
+			}
+			for _, a := range slices.Clone(engines[0].waiting) {
+				since, ok := sent[a]
+				switch {
+				case !ok:
+					sent[a] = w.now
+					n++
+				case told && w.now.Sub(since) == silent:
+					w.s.Silent(w.now, "e0")
+				case w.now.Sub(since) == deadline:
+					engines[0].waiting = slices.DeleteFunc(engines[0].waiting, func(o *ask) bool { return o == a })
+					w.carry(w.s.Done(w.now, "e0", srdispatch.Result{Unknown: true, Prompt: a.Prompt}))
+				}
+			}
+		})
+		served, _ := w.share("once")
+		t.Logf("silence told %v: %d swallowed, %.3f served", told, n, served)
+		return n
+	}
+	told, untold := swallowed(true), swallowed(false)
+	assert.Assert(t, 2*told < untold, "%d %d", told, untold)
+}
+
+// TestEndpointThatFallsSilentMidwayIsLeftOutForLonger: it begins every answer and
+// ends none, so a begun answer alone is no sign that it works.
+func TestEndpointThatFallsSilentMidwayIsLeftOutForLonger(t *testing.T) {
+	s := srdispatch.New(srdispatch.Options{Domain: "a"})
+	now := time.Unix(0, 0)
+	s.Configure(now, []srdispatch.Endpoint{{ID: "mute", Domain: "a", Slots: 40, Share: 40}, {ID: "b", Slots: 40, Share: 40}})
+	var out []time.Duration
+	for id := uint64(1); len(out) < 6; id++ {
+		d := s.Add(now, srdispatch.Ask{ID: id, Target: now.Add(time.Second), Until: now.Add(10 * time.Second), Avoid: []string{"b"}})
+		assert.Equal(t, d[0].Endpoint, "mute")
+		s.Began(now, "mute", 0, 50*time.Millisecond)
+		now = now.Add(time.Second)
+		s.Silent(now, "mute")
+		for _, turn := range s.Turns() {
+			if turn.Out {
+				out = append(out, turn.For)
+			}
+		}
+		now = now.Add(out[len(out)-1])
+	}
+	assert.DeepEqual(t, out, []time.Duration{
+		200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond,
+		1600 * time.Millisecond, 3200 * time.Millisecond, 3200 * time.Millisecond,
+	})
+	// An answer that ends takes half of the failures back.
+	s.Done(now, "mute", srdispatch.Result{})
+	s.Silent(now, "mute")
+	assert.Equal(t, s.Turns()[1].For, 1600*time.Millisecond)
+}
+
 // TestEndpointIsUsedAgainWhenAnAnswerBegins: one request was rejected, and the
 // next one is a stream of many seconds.
 func TestEndpointIsUsedAgainWhenAnAnswerBegins(t *testing.T) {
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -24,6 +24,9 @@
 //     half empty, when their own endpoints are full (share.go).
 //   - An endpoint that rejects or fails at once looks idle and attracts all
 //     requests. It is left out for a growing time, unless most are (health.go).
+//   - An endpoint that hangs holds each request up to its deadline. It is left out
+//     as soon as one has waited for too long, while the request waits on
+//     (Silent).
 //   - Endpoints of one service that differ several-fold in speed. What can still be
 //     in time goes where its answer is expected to begin in time; what is late
 //     already takes the slow ones (speed.go, place.go).
@@ -209,6 +212,14 @@
 	s.judge(now, e, e.works)
 }
 
+// Silent tells that a request has waited for too long for an endpoint to answer,
+// and goes on waiting.
+func (s *Service) Silent(now time.Time, id string) {
+	if e, ok := s.endpoints[id]; ok {
+		s.judge(now, e, func() { e.observe(now, Result{Failed: true}) })
+	}
+}
+
 // Result tells how a request fared at an endpoint.
 type Result struct {
 	// NotRun reports that the endpoint rejected the request.
@@ -219,6 +230,8 @@
 	Failed bool
 	// Error reports that it answered with a failure of its own.
 	Error bool
+	// Unknown reports that its caller left before it answered.
+	Unknown bool
 	// Unsent reports that this instance did not send the request after all.
 	Unsent bool
 	// Prompt is the size of a prompt whose answer never began, in tokens.
@@ -245,12 +258,12 @@
 
 // judge notes what a step changes in the judgement of an endpoint.
 func (s *Service) judge(now time.Time, e *endpoint, step func()) {
-	before := e.failures
+	before, failed := e.failures, e.failed
 	step()
 	switch {
 	case e.failures > before:
 		s.turns = append(s.turns, Turn{Endpoint: e.ID, Out: true, For: e.outUntil.Sub(now), Failures: e.failures})
-	case e.failures < before:
+	case failed && !e.failed:
 		s.turns = append(s.turns, Turn{Endpoint: e.ID})
 	}
 }
