End slow headers by the configuration's limit, and keep unused connections

Cause: the time for a header was fixed at 10 s, whatever the configuration said, and a client that took longer got no answer. A fresh connection whose send was called off counted as too old at its next use. Ruled out: changing ReadHeaderTimeout of the running server, which reads it without a lock. A fresh connection is kept as long as a used one. TestSlowHeaderIsRefused and TestConnectionOfACalledOffSendIsKept failed before.

--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -36,8 +36,8 @@
 	unacked = 2500 * time.Millisecond
 	// registryDial bounds a connection to the registry.
 	registryDial = 500 * time.Millisecond
-	// headerTime bounds the arrival of a header until a configuration says more.
-	headerTime = 10 * time.Second
+	// headerTime bounds the arrival of a header whatever the configuration says.
+	headerTime = 30 * time.Second
 	// drainTick is the time between two looks at the requests under way.
 	drainTick = 20 * time.Millisecond
 	// sockets is the number of listeners, each of which may fail once.
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{cfg: cfg, opts: o, log: o.Log, clients: newClients()}
+	p := &Process{cfg: cfg, opts: o, log: o.Log, clients: newClients(o.Log)}
 	p.peers = srinstance.New(dialer.DialContext, gossipTime)
 	p.instance = NewInstance(Deps{
 		Settings: cfg,
@@ -277,7 +277,7 @@
 	p.front.ConnState = p.clients.state
 	ready, operate := newServer(p.instance.readiness()), newServer(p.instance.operate())
 	p.servers = []*http.Server{p.front, ready, operate}
-	wg.Go(func() { report(failed, p.front.Serve(p.listen.clients)) })
+	wg.Go(func() { report(failed, p.front.Serve(p.clients.listen(p.listen.clients))) })
 	wg.Go(func() { report(failed, ready.Serve(p.listen.ready)) })
 	wg.Go(func() { report(failed, operate.Serve(p.listen.operate)) })
 	wg.Go(func() { report(failed, rpc.Serve(p.listen.peers)) })
@@ -306,8 +306,8 @@
 func (p *Process) sweepClients(ctx context.Context) {
 	for srtimer.Wait(ctx, sweepEvery) == nil {
 		st := p.instance.view.State()
-		if st.Routing != nil && st.Routing.Limits.IdleTime > 0 {
-			p.clients.sweep(time.Now(), st.Routing.Limits.IdleTime)
+		if st.Routing != nil {
+			p.clients.sweep(time.Now(), st.Routing.Limits)
 		}
 	}
 }
--- a/internal/peer/srupstream/pool.go
+++ b/internal/peer/srupstream/pool.go
@@ -159,5 +159,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return newConn(nc, peer), nil
+	c := newConn(nc, peer)
+	// A send that is called off leaves it unused.
+	c.until = time.Now().Add(keepIdle)
+	return c, nil
 }
--- a/route.go
+++ b/route.go
@@ -101,6 +101,8 @@
 	// Header and Body are in bytes.
 	Header int
 	Body   int
+	// HeaderTime is how long the header of a request may take to arrive.
+	HeaderTime time.Duration
 	// IdleTime is how long a connection may be unused.
 	IdleTime time.Duration
 }
