--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -25,6 +25,7 @@
 			_ = srtimer.Wait(ctx, syncPause)
 			continue
 		}
+		before := n.view.Revision()
 		err := n.ask(ctx, watches)
 		switch {
 		case ctx.Err() != nil:
@@ -39,6 +40,8 @@
 				n.Log.State("registry-lost", srlog.Error, err.Error(), srlog.Age, n.view.Age(n.Clock()))
 			}
 			_ = srtimer.Wait(ctx, failPause)
+		case n.view.Revision() > before:
+			_ = srtimer.Wait(ctx, batchPause)
 		}
 	}
 }
