--- a/internal/app/srforward/connections.go
+++ b/internal/app/srforward/connections.go
@@ -61,8 +61,8 @@
 }
 
 // sweep closes the connections that have been idle for longer, or whose header has
-// taken longer, than the limits say.
-func (c *clients) sweep(now time.Time, limits sr.ClientLimits) {
+// taken longer, than the limits say. It returns how many headers were too slow.
+func (c *clients) sweep(now time.Time, limits sr.ClientLimits) (slow int) {
 	for _, conn := range c.all() {
 		idle, header := conn.since()
 		switch {
@@ -70,12 +70,14 @@
 			if limits.HeaderTime > 0 && now.Sub(header) > limits.HeaderTime && conn.late() {
 				c.log.Failed("header-slow", srlog.Address, conn.RemoteAddr().String(), srlog.After, now.Sub(header))
 				conn.refuse(now)
+				slow++
 			}
 		case !idle.IsZero() && limits.IdleTime > 0 && now.Sub(idle) > limits.IdleTime+idleExtra:
 			// The connection is of no use, whatever Close says.
 			_ = conn.Close()
 		}
 	}
+	return slow
 }
 
 func (c *clients) all() []*clientConn {
--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -306,8 +306,11 @@
 func (p *Process) sweepClients(ctx context.Context) {
 	for srtimer.Wait(ctx, sweepEvery) == nil {
 		st := p.instance.view.State()
-		if st.Routing != nil {
-			p.clients.sweep(time.Now(), st.Routing.Limits)
+		if st.Routing == nil {
+			continue
+		}
+		for range p.clients.sweep(time.Now(), st.Routing.Limits) {
+			p.instance.figures.count("refused." + reasonHeaderSlow)
 		}
 	}
 }
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -60,6 +60,7 @@
 const (
 	reasonHeader     = "header"
 	reasonHeaderSize = "header-size"
+	reasonHeaderSlow = "header-slow"
 	reasonDraining   = "draining"
 	reasonUnknown    = "no-routing"
 	reasonNoRoute    = "no-route"
