Put news into force before telling of it, and name verdicts on endpoints

Cause: TestSilentStreamGoesOnElsewhere failed twice beside other processes, with 503 where two endpoints were registered. Lines about new endpoints were written before the queues knew them, so a request right after the line found a service without endpoints. Change: the queues and limits are configured first. Also: the line endpoint-silent says for how long it really was silent, and a change of mind about an endpoint is a Verdict.

--- a/internal/app/srforward/queues.go
+++ b/internal/app/srforward/queues.go
@@ -139,7 +139,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.service.Began(time.Now(), endpoint, prompt, first)
-	s.tell()
+	s.logVerdicts()
 }
 
 // silent notes that a request has waited for too long for an endpoint to answer.
@@ -147,7 +147,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.service.Silent(time.Now(), endpoint)
-	s.tell()
+	s.logVerdicts()
 }
 
 // done gives a slot back.
@@ -160,18 +160,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deliver(step(time.Now()))
-	s.tell()
+	s.logVerdicts()
 	s.schedule()
 }
 
-// tell writes a line for each endpoint that is judged otherwise than before.
-func (s *queue) tell() {
-	for _, t := range s.service.Turns() {
-		if t.Out {
-			s.log.State("endpoint-out", srlog.Endpoint, t.Endpoint, srlog.Service, s.name, srlog.Failures, t.Failures, srlog.After, t.For)
+// logVerdicts writes a line for each endpoint that is judged otherwise than before.
+func (s *queue) logVerdicts() {
+	for _, v := range s.service.Verdicts() {
+		if v.Out {
+			s.log.State("endpoint-out", srlog.Endpoint, v.Endpoint, srlog.Service, s.name, srlog.Failures, v.Failures, srlog.After, v.For)
 			continue
 		}
-		s.log.State("endpoint-back", srlog.Endpoint, t.Endpoint, srlog.Service, s.name)
+		s.log.State("endpoint-back", srlog.Endpoint, v.Endpoint, srlog.Service, s.name)
 	}
 }
 
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -169,9 +169,9 @@
 	wait := min(max(silentTargets*q.route.Target, leastSilent), mostSilent)
 	attempt := q.tries
 	movable := q.route.Repeatable() && q.runs+1 < max(q.route.Attempts, 1)
-	return newStall(wait, func() {
+	return newStall(wait, func(silent time.Duration) {
 		q.figures.count("endpoint.silent")
-		q.Log.Failed("endpoint-silent", srlog.Request, q.in.ID, srlog.Endpoint, endpoint, srlog.Attempt, attempt, srlog.After, wait, srlog.Outcome, stateOf(movable, "moved", "waits on"))
+		q.Log.Failed("endpoint-silent", srlog.Request, q.in.ID, srlog.Endpoint, endpoint, srlog.Attempt, attempt, srlog.After, silent, srlog.Outcome, stateOf(movable, "moved", "waits on"))
 		if movable {
 			cancel()
 			return
--- a/internal/app/srforward/stall.go
+++ b/internal/app/srforward/stall.go
@@ -13,7 +13,7 @@
 // only the time in which this process could have seen something: after it stood
 // still itself, the time begins again.
 type stall struct {
-	call func()
+	call func(silent time.Duration)
 
 	mu    sync.Mutex
 	wait  time.Duration
@@ -23,7 +23,7 @@
 }
 
 // newStall returns a stall whose time begins now.
-func newStall(wait time.Duration, call func()) *stall {
+func newStall(wait time.Duration, call func(silent time.Duration)) *stall {
 	s := &stall{wait: wait, call: call, armed: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -48,23 +48,23 @@
 }
 
 func (s *stall) fire() {
-	if s.due(time.Now()) {
-		s.call()
+	if silent, due := s.due(time.Now()); due {
+		s.call(silent)
 	}
 }
 
 // due reports whether the time is over, and begins it anew after a standstill.
-func (s *stall) due(now time.Time) bool {
+func (s *stall) due(now time.Time) (silent time.Duration, due bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	past := now.Sub(s.armed)
 	switch {
 	case s.off || past < s.wait:
-		return false
+		return past, false
 	case past > s.wait+stallSlack:
 		s.armed = now
 		s.timer.Reset(s.wait)
-		return false
+		return past, false
 	}
-	return true
+	return past, true
 }
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -92,12 +92,12 @@
 	if news.Regained > 0 {
 		n.Log.State("view-regained", srlog.Source, source, srlog.After, news.Regained)
 	}
-	for _, f := range news.Facts {
-		n.logFact(f, source)
-	}
 	if len(news.Facts) > 0 {
 		n.configure()
 	}
+	for _, f := range news.Facts {
+		n.logFact(f, source)
+	}
 }
 
 func (n *Instance) logFact(f sr.Fact, source string) {
--- a/internal/policy/srdispatch/health.go
+++ b/internal/policy/srdispatch/health.go
@@ -18,8 +18,8 @@
 	mostErrors = 3
 )
 
-// Turn is a change in what is believed of an endpoint.
-type Turn struct {
+// Verdict is a change in what is believed of an endpoint.
+type Verdict struct {
 	Endpoint string
 	// Out marks an endpoint that is left out, for a time, after so many failures;
 	// otherwise it works again.
--- a/internal/policy/srdispatch/replay_test.go
+++ b/internal/policy/srdispatch/replay_test.go
@@ -273,9 +273,9 @@
 		s.Began(now, "mute", 0, 50*time.Millisecond)
 		now = now.Add(time.Second)
 		s.Silent(now, "mute")
-		for _, turn := range s.Turns() {
-			if turn.Out {
-				out = append(out, turn.For)
+		for _, v := range s.Verdicts() {
+			if v.Out {
+				out = append(out, v.For)
 			}
 		}
 		now = now.Add(out[len(out)-1])
@@ -287,7 +287,7 @@
 	// An answer that ends takes half of the failures back.
 	s.Done(now, "mute", srdispatch.Result{})
 	s.Silent(now, "mute")
-	assert.Equal(t, s.Turns()[1].For, 1600*time.Millisecond)
+	assert.Equal(t, s.Verdicts()[1].For, 1600*time.Millisecond)
 }
 
 // TestEndpointIsUsedAgainWhenAnAnswerBegins: one request was rejected, and the
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -137,7 +137,7 @@
 	starts    starts
 	returns   time.Time
 	running   int
-	turns     []Turn
+	verdicts  []Verdict
 }
 
 // New returns a Service without endpoints.
@@ -262,16 +262,16 @@
 	step()
 	switch {
 	case e.failures > before:
-		s.turns = append(s.turns, Turn{Endpoint: e.ID, Out: true, For: e.outUntil.Sub(now), Failures: e.failures})
+		s.verdicts = append(s.verdicts, Verdict{Endpoint: e.ID, Out: true, For: e.outUntil.Sub(now), Failures: e.failures})
 	case failed && !e.failed:
-		s.turns = append(s.turns, Turn{Endpoint: e.ID})
+		s.verdicts = append(s.verdicts, Verdict{Endpoint: e.ID})
 	}
 }
 
-// Turns returns the turns since the last call.
-func (s *Service) Turns() []Turn {
-	out := s.turns
-	s.turns = nil
+// Verdicts returns those since the last call.
+func (s *Service) Verdicts() []Verdict {
+	out := s.verdicts
+	s.verdicts = nil
 	return out
 }
 
