--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -15,7 +15,7 @@
 // Gossip implements sr.FleetHandler.
 func (n *Instance) Gossip(_ context.Context, g sr.Gossip) (sr.Gossip, error) {
 	n.hear(g)
-	return n.news(g.From.Address), nil
+	return n.news(), nil
 }
 
 // Pull implements sr.FleetHandler.
@@ -23,14 +23,14 @@
 	return n.view.Since(after, n.Clock()), nil
 }
 
-// news is what this instance tells the one at an address.
-func (n *Instance) news(to string) sr.Gossip {
+// news is what this instance tells the others.
+func (n *Instance) news() sr.Gossip {
 	now := time.Now()
 	g := sr.Gossip{
 		From:    n.Self,
 		Domain:  n.Settings.Domain,
 		Leaving: n.draining.Load(),
-		Known:   n.members.known(now, to),
+		Known:   n.members.known(now),
 		Usage: sr.Usage{
 			Spent:   n.limits.spent(),
 			Running: n.queues.running(),
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithTimeout(ctx, gossipTime)
 	defer cancel()
 	asked := n.Clock()
-	g, err := n.Fleet.Fleet(address).Gossip(ctx, n.news(address))
+	g, err := n.Fleet.Fleet(address).Gossip(ctx, n.news())
 	if err != nil {
 		n.figures.count("fleet.failed")
 		return
@@ -116,11 +116,12 @@
 // leave tells the members that this instance shuts down.
 func (n *Instance) leave(ctx context.Context) {
 	var wg sync.WaitGroup
+	news := n.news()
 	for _, address := range n.members.alive(time.Now()) {
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, gossipTime)
 			defer cancel()
-			if _, err := n.Fleet.Fleet(address).Gossip(ctx, n.news(address)); err != nil {
+			if _, err := n.Fleet.Fleet(address).Gossip(ctx, news); err != nil {
 				n.figures.count("fleet.failed")
 			}
 		})
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -17,7 +17,6 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
@@ -76,7 +75,7 @@
 			Outage: d.Settings.Outage(),
 			Return: lapseReturn,
 		}),
-		members:  newMembers(time.Now(), d.Self, d.Settings.Domain, d.Settings.Seeds),
+		members:  newMembers(d.Self, d.Settings.Domain, d.Settings.Seeds),
 		figures:  newFigures(),
 		memory:   newMemory(int64(float64(d.Settings.Memory) * bodyPart * (1 << 20))),
 		random:   newRandom(d.Seed),
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -14,13 +14,14 @@
 
 // members is what an instance knows of the others.
 type members struct {
-	self    sr.InstanceID
-	domain  string
-	started time.Time
+	self   sr.InstanceID
+	domain string
 
 	mu    sync.Mutex
 	seeds []string
 	list  map[string]*member
+	// changed is when a member was last heard for the first time.
+	changed time.Time
 	// left holds the incarnations that said they shut down.
 	left map[sr.InstanceID]time.Time
 }
@@ -33,12 +34,8 @@
 	heard time.Time
 	// tried is when the last exchange was begun.
 	tried time.Time
-	// since is when the member became known, joined when it was heard for the first
-	// time or again after a long silence.
-	since  time.Time
-	joined time.Time
-	// told is when it was told all members.
-	told  time.Time
+	// since is when the member became known.
+	since time.Time
 	usage sr.Usage
 	// silent is set while the member is known to be silent.
 	silent bool
@@ -50,14 +47,13 @@
 	age time.Duration
 }
 
-func newMembers(now time.Time, self sr.InstanceID, domain string, seeds []string) *members {
+func newMembers(self sr.InstanceID, domain string, seeds []string) *members {
 	return &members{
-		started: now,
-		self:    self,
-		domain:  domain,
-		seeds:   seeds,
-		list:    make(map[string]*member),
-		left:    make(map[sr.InstanceID]time.Time),
+		self:   self,
+		domain: domain,
+		seeds:  seeds,
+		list:   make(map[string]*member),
+		left:   make(map[sr.InstanceID]time.Time),
 	}
 }
 
@@ -88,7 +84,7 @@
 	}
 	joined := e.id != g.From || now.Sub(e.heard) > memberFor
 	if joined {
-		e.joined, e.told = now, time.Time{}
+		m.changed = now
 	}
 	changed = e.silent || joined
 	e.id, e.domain, e.heard, e.silent = g.From, g.Domain, now, false
@@ -214,22 +210,17 @@
 	return !slices.ContainsFunc(m.seeds, func(seed string) bool { return seed != m.self.Address })
 }
 
-// known returns the members that another one is told: all that were heard lately,
-// now and then and when it is new itself, and otherwise those that have joined
-// lately.
-func (m *members) known(now time.Time, to string) []sr.InstanceID {
+// known returns the identities of the members that were heard lately, while
+// there is someone who may not know them.
+func (m *members) known(now time.Time) []sr.InstanceID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []sr.InstanceID
-	e, ok := m.list[to]
-	all := ok && now.Sub(e.told) > tellEvery
-	if all {
-		e.told = now
+	if now.Sub(m.changed) > spreadFor {
+		return nil
 	}
-	for _, o := range m.recent(now, memberFor) {
-		if o != e && (all || now.Sub(o.joined) <= spreadFor) {
-			out = append(out, o.id)
-		}
+	var out []sr.InstanceID
+	for _, e := range m.recent(now, memberFor) {
+		out = append(out, e.id)
 	}
 	return out
 }
@@ -260,17 +251,11 @@
 
 // reads reports whether this instance is one of those that watch the registry
 // for all: the first by a hash of the address, and the next ones in other
-// failure domains if there are any. An instance that has just started leaves that
-// to the others until it has heard them: when a whole fleet starts, each of its
-// members would be woken by each registration.
+// failure domains if there are any.
 func (m *members) reads(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	heard := m.recent(now, m.silence())
-	if len(heard) == 0 && !m.alone() && now.Sub(m.started) < joinTime {
-		return false
-	}
-	all := append(heard, &member{id: m.self, domain: m.domain})
+	all := append(m.recent(now, m.silence()), &member{id: m.self, domain: m.domain})
 	slices.SortFunc(all, func(a, b *member) int {
 		return cmp.Compare(xxhash.Sum64String(a.id.Address), xxhash.Sum64String(b.id.Address))
 	})
--- a/internal/app/srforward/members_test.go
+++ b/internal/app/srforward/members_test.go
@@ -1,8 +1,6 @@
 package srforward
 
 import (
-	"cmp"
-	"slices"
 	"testing"
 	"time"
 
@@ -20,7 +18,7 @@
 // TestProofIsAskedForWhenTheOthersAlwaysBegin: an instance that is heard before
 // its own turn comes never begins an exchange, and only an answer brings a proof.
 func TestProofIsAskedForWhenTheOthersAlwaysBegin(t *testing.T) {
-	m := newMembers(epoch, id("a"), "d", nil)
+	m := newMembers(id("a"), "d", nil)
 	now := epoch
 	for range 10 {
 		m.hear(now, sr.Gossip{From: id("b")})
@@ -38,7 +36,7 @@
 	n := 0
 	taken := make(map[string]bool)
 	for i, self := range addresses {
-		m := newMembers(epoch, id(self), domains[i], nil)
+		m := newMembers(id(self), domains[i], nil)
 		for j, other := range addresses {
 			if i != j {
 				m.hear(epoch, sr.Gossip{From: id(other), Domain: domains[j]})
@@ -54,11 +52,11 @@
 }
 
 func TestFleetIsTakenAsLargeUntilSomeoneIsHeard(t *testing.T) {
-	m := newMembers(epoch, id("a"), "d", []string{"a", "b"})
+	m := newMembers(id("a"), "d", []string{"a", "b"})
 	assert.Equal(t, m.size(epoch), fleetUnknown)
 	m.hear(epoch, sr.Gossip{From: id("b"), Known: []sr.InstanceID{id("c")}})
 	assert.Equal(t, m.size(epoch), 2)
-	assert.Equal(t, newMembers(epoch, id("a"), "d", []string{"a"}).size(epoch), 1)
+	assert.Equal(t, newMembers(id("a"), "d", []string{"a"}).size(epoch), 1)
 	m.hear(epoch, sr.Gossip{From: id("b"), Leaving: true})
 	m.hear(epoch, sr.Gossip{From: id("c"), Known: []sr.InstanceID{id("b")}})
 	assert.Equal(t, m.size(epoch), 2)
@@ -67,7 +65,7 @@
 // TestSilentMemberIsToldOnce: a member that falls silent, is heard again and
 // falls silent again makes one line each time.
 func TestSilentMemberIsToldOnce(t *testing.T) {
-	m := newMembers(epoch, id("a"), "d", nil)
+	m := newMembers(id("a"), "d", nil)
 	now := epoch
 	for range 2 {
 		assert.Assert(t, m.hear(now, sr.Gossip{From: id("b")}))
@@ -97,41 +95,3 @@
 	assert.DeepEqual(t, l.configure(epoch, routing(2)), map[string]srshare.Limit{"w": {Rate: 2, Burst: 5}})
 	assert.DeepEqual(t, l.configure(epoch, &sr.Routing{}), map[string]srshare.Limit{"w": {}})
 }
-
-// TestOnlyNewMembersAreTold in most exchanges: the whole list is the largest part of
-// one in a large fleet.
-func TestOnlyNewMembersAreTold(t *testing.T) {
-	m := newMembers(epoch, id("self"), "d", nil)
-	now := epoch
-	for _, a := range []string{"a", "b", "c"} {
-		m.hear(now, sr.Gossip{From: id(a)})
-	}
-	sorted := func(list []sr.InstanceID) []sr.InstanceID {
-		slices.SortFunc(list, func(a, b sr.InstanceID) int { return cmp.Compare(a.Address, b.Address) })
-		return list
-	}
-	assert.DeepEqual(t, sorted(m.known(now, "a")), []sr.InstanceID{id("b"), id("c")})
-	now = now.Add(spreadFor + time.Second)
-	assert.Equal(t, len(m.known(now, "a")), 0)
-	// One that joins is told to the others for a while, and gets the whole list.
-	m.hear(now, sr.Gossip{From: id("d")})
-	assert.DeepEqual(t, m.known(now, "a"), []sr.InstanceID{id("d")})
-	assert.DeepEqual(t, sorted(m.known(now, "d")), []sr.InstanceID{id("a"), id("b"), id("c")})
-	now = now.Add(spreadFor + time.Second)
-	assert.Equal(t, len(m.known(now, "d")), 0)
-	// So does one that starts again, and each of them now and then.
-	m.hear(now, sr.Gossip{From: sr.InstanceID{Address: "a", Incarnation: 2}})
-	assert.Equal(t, len(m.known(now, "a")), 3)
-	assert.Equal(t, len(m.known(now.Add(tellEvery), "d")), 3)
-}
-
-// TestNewInstanceLeavesTheRegistryToOthers until it has heard them, or has not for a
-// while.
-func TestNewInstanceLeavesTheRegistryToOthers(t *testing.T) {
-	m := newMembers(epoch, id("a"), "d", []string{"a", "b"})
-	assert.Assert(t, !m.reads(epoch.Add(joinTime/2)))
-	assert.Assert(t, m.reads(epoch.Add(joinTime)))
-	m.hear(epoch, sr.Gossip{From: id("b")})
-	assert.Assert(t, m.reads(epoch))
-	assert.Assert(t, newMembers(epoch, id("a"), "d", []string{"a"}).reads(epoch))
-}
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -25,7 +25,6 @@
 			_ = srtimer.Wait(ctx, syncPause)
 			continue
 		}
-		before := n.view.Revision()
 		err := n.ask(ctx, watches)
 		switch {
 		case ctx.Err() != nil:
@@ -40,8 +39,6 @@
 				n.Log.State("registry-lost", srlog.Error, err.Error(), srlog.Age, n.view.Age(n.Clock()))
 			}
 			_ = srtimer.Wait(ctx, failPause)
-		case n.view.Revision() > before:
-			_ = srtimer.Wait(ctx, batchPause)
 		}
 	}
 }
--- a/internal/app/srforward/timing.go
+++ b/internal/app/srforward/timing.go
@@ -18,12 +18,6 @@
 	listTime = 3 * time.Second
 	// failPause is the time between two questions after one has failed.
 	failPause = 150 * time.Millisecond
-	// joinTime is the time in which an instance that starts hears the others.
-	joinTime = 1500 * time.Millisecond
-	// batchPause is the time between an answer of the registry that brought news and
-	// the next question, so that a burst of registrations takes a few calls; it is
-	// small beside the bounds for configurations and leaving endpoints.
-	batchPause = 100 * time.Millisecond
 	// syncPause is how often an instance that does not watch looks at its proof.
 	syncPause = 100 * time.Millisecond
 	// readers is how many instances watch the registry for all.
@@ -46,12 +40,9 @@
 	aliveFor    = time.Second
 	// memberFor is the time for which a silent member counts towards the fleet.
 	memberFor = 30 * time.Second
-	// spreadFor is the time for which instances tell each other of one that has
-	// joined: a few exchanges with each.
-	spreadFor = 3 * time.Second
-	// tellEvery is the time after which a member is told all others again, which
-	// mends what was lost while links were cut.
-	tellEvery = 10 * time.Second
+	// spreadFor is the time after a change for which instances tell each other
+	// whom they know; every exchange repeats it, so a few would do.
+	spreadFor = 10 * time.Second
 	// presentFor is the time for which a silent member keeps its share of the
 	// endpoints; a member that is replaced is back sooner.
 	presentFor = 5 * time.Second
