--- a/internal/peer/srinstance/fleet.go
+++ b/internal/peer/srinstance/fleet.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/rpc"
-
-	"github.com/pkg/errors"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 )
@@ -18,11 +14,7 @@
 // NewFleetServer returns a Server that passes the calls of forwarding instances
 // on to h.
 func NewFleetServer(ctx context.Context, h sr.FleetHandler) (*Server, error) {
-	s := &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
-	if err := s.rpc.RegisterName(serviceName, &fleetMethods{ctx: ctx, handler: h}); err != nil {
-		return nil, errors.Wrap(err, "srinstance: register")
-	}
-	return s, nil
+	return newServer(&fleetMethods{ctx: ctx, handler: h})
 }
 
 // Fleet returns the forwarding instance at address.
--- a/internal/peer/srinstance/server.go
+++ b/internal/peer/srinstance/server.go
@@ -51,8 +51,13 @@
 
 // NewServer returns a Server that passes calls on to h.
 func NewServer(ctx context.Context, h sr.Handler) (*Server, error) {
+	return newServer(&methods{ctx: ctx, handler: h})
+}
+
+// newServer returns a Server of the calls that methods has.
+func newServer(methods any) (*Server, error) {
 	s := &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
-	if err := s.rpc.RegisterName(serviceName, &methods{ctx: ctx, handler: h}); err != nil {
+	if err := s.rpc.RegisterName(serviceName, methods); err != nil {
 		return nil, errors.Wrap(err, "srinstance: register")
 	}
 	return s, nil
