Say in one place that no answer came, and bring the usage of srforward up to date

try sets Failed and Unknown, which exclude each other, at two places; lost does it once. The usage of the package showed arguments that New does not have. No change of behaviour.

--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	p, err := srforward.New(cfg, load, log)
+//	p, err := srforward.New(cfg, srforward.Options{Wire: wire, Registry: open, Reload: load, Log: log})
 //	err = p.Run(ctx, signals)
 //
 // The instance that reads a request owns it for its whole life. After the first
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -46,6 +46,13 @@
 	silence *stall
 }
 
+// lost notes that no answer came, which says nothing of the endpoint when ctx, the
+// caller's time, is over.
+func (t *try) lost(ctx context.Context) {
+	t.result.Unknown = ctx.Err() != nil
+	t.result.Failed = !t.result.Unknown
+}
+
 // run offers the request to endpoints until it has its final answer.
 func (q *request) run() {
 	q.limits.request(time.Now(), q.service)
@@ -137,13 +144,13 @@
 		return t
 	case errors.Is(err, sr.ErrNotSent):
 		t.outcome = unsent
-		t.result.Failed, t.result.Unknown = q.r.Context().Err() == nil, q.r.Context().Err() != nil
+		t.lost(q.r.Context())
 		q.avoid = append(q.avoid, id)
 		return t
 	case err != nil:
 		q.runs++
 		t.outcome = mayRun
-		t.result.Failed, t.result.Unknown = q.ctx.Err() == nil, q.ctx.Err() != nil
+		t.lost(q.ctx)
 		q.avoid = append(q.avoid, id)
 		return t
 	}
