--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -96,16 +96,20 @@
 		return
 	}
 	if g.AsOf > n.view.Revision() {
-		n.pull(ctx, address)
+		n.pull(ctx, address, g.AsOf)
 		return
 	}
 	n.view.Confirm(requestedAt, g.AsOf, g.Age)
 }
 
-// pull fetches newer registry entries from another instance.
-func (n *Instance) pull(ctx context.Context, address string) {
+// pull fetches newer registry entries from another instance, which has stated the
+// revision newest.
+func (n *Instance) pull(ctx context.Context, address string, newest uint64) {
 	requestedAt := n.Clock()
-	c, err := n.Fleet.FleetPeer(address).Pull(ctx, n.view.Revision())
+	revision, age := n.view.AsOf(requestedAt)
+	c, err := n.Fleet.FleetPeer(address).Pull(ctx, revision)
+	n.Log.State("pull", srlog.Peer, address, srlog.Revision, revision, srlog.Newest, newest, srlog.Age, age,
+		srlog.Count, len(c.Facts), srlog.Total, n.Clock().Sub(requestedAt), srlog.Error, errorText(err))
 	if err != nil {
 		n.stats.count("fleet.failed")
 		return
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -23,6 +23,8 @@
 	// Version is the version of the configuration that was applied.
 	Version  = "version"
 	Revision = "revision"
+	// Newest is the newest revision that another instance has stated.
+	Newest = "newest"
 	// Age is the time since the view was last confirmed to be current.
 	Age = "age"
 	// Waited is the time that the request has waited. Queue counts the requests that
