--- /dev/null
+++ b/internal/app/srforward/dissemination_test.go
@@ -0,0 +1,285 @@
+package srforward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srupstream"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srforwardsettings"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
+)
+
+const (
+	// linkBytesPerSecond is the bandwidth of an instance's link in each direction.
+	linkBytesPerSecond = 10_000_000 / 8
+	// largeConfigStoreBytes is the size of a configuration with 1,500 routes in an
+	// answer of the registry, largeConfigPeerBytes its size between instances.
+	largeConfigStoreBytes = 530_000
+	largeConfigPeerBytes  = 200_000
+	// smallMessageBytes is the size of a message without a configuration.
+	smallMessageBytes = 3_000
+	// segmentBytes is the number of bytes that a transfer sends before others have
+	// their turn.
+	segmentBytes = 16 << 10
+	// networkDelay is the one-way delay of a message.
+	networkDelay = 500 * time.Microsecond
+)
+
+// testLink is one direction of an instance's link. Concurrent transfers share it by
+// taking turns, a segment at a time.
+type testLink struct {
+	mu   sync.Mutex
+	free time.Time
+}
+
+// reserve books the link for size bytes and returns when they have passed.
+func (l *testLink) reserve(size int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(size) / linkBytesPerSecond * float64(time.Second)))
+	return l.free
+}
+
+// carry waits until size bytes have passed all links.
+func carry(ctx context.Context, size int, links ...*testLink) error {
+	for ; size > 0; size -= segmentBytes {
+		until := time.Now()
+		for _, l := range links {
+			if t := l.reserve(min(size, segmentBytes)); t.After(until) {
+				until = t
+			}
+		}
+		if srtimer.Wait(ctx, time.Until(until)) != nil {
+			return errors.Wrap(sr.ErrUnreachable, "test network")
+		}
+	}
+	return srtimer.Wait(ctx, networkDelay)
+}
+
+// testFleet is a fleet of instances with slow links, and the registry that they read.
+type testFleet struct {
+	mu        sync.Mutex
+	facts     []sr.RegistryEntry
+	revision  uint64
+	changed   chan struct{}
+	instances map[string]*Instance
+	up, down  map[string]*testLink
+}
+
+// messageBytes returns the size of an answer with entries.
+func messageBytes(facts []sr.RegistryEntry, configBytes int) int {
+	size := smallMessageBytes
+	for _, e := range facts {
+		if e.Kind == sr.EntryRouting && len(e.Routing.Routes) > 100 {
+			size += configBytes
+		}
+	}
+	return size
+}
+
+// put writes an entry to the registry.
+func (f *testFleet) put(e sr.RegistryEntry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	e.Revision = f.revision
+	kept := f.facts[:0:0]
+	for _, old := range f.facts {
+		if old.Kind != e.Kind || old.Name != e.Name {
+			kept = append(kept, old)
+		}
+	}
+	f.facts = append(kept, e)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *testFleet) after(revision uint64) (sr.Changes, chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := sr.Changes{AsOf: f.revision}
+	for _, e := range f.facts {
+		if e.Revision > revision {
+			out.Facts = append(out.Facts, e)
+		}
+	}
+	return out, f.changed
+}
+
+// testRegistry is the registry as one instance reaches it.
+type testRegistry struct {
+	fleet   *testFleet
+	address string
+}
+
+func (r testRegistry) List(ctx context.Context) (sr.Changes, error) {
+	c, _ := r.fleet.after(0)
+	c.Whole = true
+	return c, carry(ctx, messageBytes(c.Facts, largeConfigStoreBytes), r.fleet.down[r.address])
+}
+
+func (r testRegistry) Changes(ctx context.Context, after uint64, wait time.Duration) (sr.Changes, error) {
+	until := time.After(wait)
+	for {
+		c, changed := r.fleet.after(after)
+		if len(c.Facts) > 0 || wait == 0 {
+			return c, carry(ctx, messageBytes(c.Facts, largeConfigStoreBytes), r.fleet.down[r.address])
+		}
+		select {
+		case <-changed:
+		case <-until:
+			wait = 0
+		case <-ctx.Done():
+			return sr.Changes{}, errors.Wrap(sr.ErrUnreachable, "test network")
+		}
+	}
+}
+
+// testPeers are the connections of one instance to the others.
+type testPeers struct {
+	fleet   *testFleet
+	address string
+}
+
+func (p testPeers) CloseIdleExcept([]string) {}
+
+func (p testPeers) FleetPeer(address string) sr.FleetHandler {
+	return testPeer{testPeers: p, to: address}
+}
+
+type testPeer struct {
+	testPeers
+	to string
+}
+
+// transfer carries a message over the links of both instances.
+func (p testPeer) transfer(ctx context.Context, from, to string, size int) error {
+	return carry(ctx, size, p.fleet.up[from], p.fleet.down[to])
+}
+
+func (p testPeer) Gossip(ctx context.Context, g sr.Gossip) (sr.Gossip, error) {
+	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
+		return sr.Gossip{}, err
+	}
+	answer, err := p.fleet.instances[p.to].Gossip(ctx, g)
+	if err != nil {
+		return answer, err
+	}
+	return answer, p.transfer(ctx, p.to, p.address, smallMessageBytes)
+}
+
+func (p testPeer) Pull(ctx context.Context, after uint64) (sr.Changes, error) {
+	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
+		return sr.Changes{}, err
+	}
+	c, err := p.fleet.instances[p.to].Pull(ctx, after)
+	if err != nil {
+		return c, err
+	}
+	return c, p.transfer(ctx, p.to, p.address, messageBytes(c.Facts, largeConfigPeerBytes))
+}
+
+// newTestFleet returns instances with slow links in four failure domains.
+func newTestFleet(t *testing.T, size int, cfg srforwardsettings.Settings) *testFleet {
+	f := &testFleet{changed: make(chan struct{}), instances: make(map[string]*Instance), up: make(map[string]*testLink), down: make(map[string]*testLink)}
+	log := srlog.New(io.Discard, srlog.Options{Name: "test", Quiet: true})
+	t.Cleanup(log.Close)
+	for i := range size {
+		own := cfg
+		own.Domain = fmt.Sprint("d", i%4)
+		own.Peers = fmt.Sprintf("10.0.%d.%d:1", i%4, i)
+		own.Seeds = []string{"10.0.0.0:1", "10.0.1.1:1", "10.0.2.2:1"}
+		f.up[own.Peers], f.down[own.Peers] = &testLink{}, &testLink{}
+		f.instances[own.Peers] = NewInstance(Deps{
+			Settings: own,
+			Self:     own.ID(uint64(i)),
+			Registry: testRegistry{fleet: f, address: own.Peers},
+			Fleet:    testPeers{fleet: f, address: own.Peers},
+			Upstream: srupstream.New(srupstream.Options{}),
+			Clock:    time.Now,
+			Seed:     uint64(i),
+			Log:      log,
+		})
+	}
+	return f
+}
+
+// run runs the instances until the test ends.
+func (f *testFleet) run(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for _, n := range f.instances {
+		wg.Go(func() { n.sync(ctx) })
+		wg.Go(func() { n.gossip(ctx) })
+		wg.Go(func() { n.sweep(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+}
+
+// behind returns the instances whose view does not satisfy ok.
+func (f *testFleet) behind(ok func(*Instance) bool) []string {
+	var out []string
+	for address, n := range f.instances {
+		if !ok(n) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+func testRouting(version uint64, routes int) sr.RegistryEntry {
+	c := &sr.Routing{Version: version}
+	for i := range routes {
+		c.Routes = append(c.Routes, sr.Route{Name: fmt.Sprint("r", i), Host: "a.example", Prefix: fmt.Sprintf("/%d/", i)})
+	}
+	return sr.RegistryEntry{Kind: sr.EntryRouting, Routing: c}
+}
+
+func testEndpoint(id string, state sr.EndpointState) sr.RegistryEntry {
+	return sr.RegistryEntry{Kind: sr.EntryEndpoint, Name: id, Endpoint: sr.LiveEndpoint{ID: id, Service: "s", State: state, Slots: 8}}
+}
+
+// A configuration of several hundred kilobytes must be in force within its bound at
+// instances with links of 10 Mbit/s, and must not delay the state of endpoints.
+func TestLargeConfigurationReachesInstancesWithSlowLinksInTime(t *testing.T) {
+	const bound = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 69, srforwardsettings.Settings{
+			Memory: 184, Heartbeat: 1200 * time.Millisecond, RevokeTimeout: 5 * time.Second, ConfigTimeout: bound, Drain: bound,
+		})
+		f.put(testRouting(1, 49))
+		f.put(testEndpoint("e-1", sr.EndpointReady))
+		f.run(t)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(f.behind(func(n *Instance) bool { return n.view.State().Usable("e-1", n.Clock()) })), 0)
+		for version := uint64(2); version < 8; version++ {
+			f.put(testRouting(version, 1500))
+			state := sr.EndpointLeaving
+			if version%2 == 1 {
+				state = sr.EndpointReady
+			}
+			f.put(testEndpoint("e-1", state))
+			time.Sleep(bound)
+			late := f.behind(func(n *Instance) bool { return n.view.State().Routing.Version >= version })
+			assert.Check(t, len(late) == 0, "version %d is not in force after %v at %d instances", version, bound, len(late))
+			late = f.behind(func(n *Instance) bool { return n.view.State().Endpoints["e-1"].State == state })
+			assert.Check(t, len(late) == 0, "the state of an endpoint at version %d is unknown after %v at %d instances", version, bound, len(late))
+		}
+	})
+}
