Send large configurations between instances in parts, one pull at a time

Cause: an instance pulled new entries within the rest of a gossip exchange of 400 ms, and started a pull for each exchange with a peer that was ahead, some 50 a second. The configuration is one entry. The concurrent pulls of the same entry shared the link, none ended within its time, each took its connection along, and the query to the registry, which has one second, shared that link too. Entries come in order of revision, so endpoints that leave waited behind the configuration as well (DRAIN).

Ruled out: a longer timeout alone; the pulls would still share the link, and gossip would wait behind them.

Change: a signal starts one pull at a time, apart from gossip and over connections of its own. A configuration of more than 32 kB is left out of the entries, which are applied at once, and fetched compressed in parts, so that a timeout covers a part instead of the whole. An instance sends it to two others at a time and refuses the rest, which try another one that has it. Pull stays on the wire for older instances.

--- a/internal/app/srforward/dissemination_test.go
+++ b/internal/app/srforward/dissemination_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -182,16 +183,37 @@
 }
 
 func (p testPeer) Pull(ctx context.Context, after uint64) (sr.Changes, error) {
+	return p.entries(ctx, after, p.fleet.instances[p.to].Pull)
+}
+
+func (p testPeer) Entries(ctx context.Context, after uint64) (sr.Changes, error) {
+	return p.entries(ctx, after, p.fleet.instances[p.to].Entries)
+}
+
+func (p testPeer) entries(ctx context.Context, after uint64, handler func(context.Context, uint64) (sr.Changes, error)) (sr.Changes, error) {
 	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
 		return sr.Changes{}, err
 	}
-	c, err := p.fleet.instances[p.to].Pull(ctx, after)
+	c, err := handler(ctx, after)
 	if err != nil {
 		return c, err
 	}
 	return c, p.transfer(ctx, p.to, p.address, messageBytes(c.Facts, largeConfigPeerBytes))
 }
 
+// RoutingPart transfers a part of a configuration as if the whole had
+// largeConfigPeerBytes, whatever its size after compression.
+func (p testPeer) RoutingPart(ctx context.Context, r sr.RoutingRequest) (sr.RoutingPart, error) {
+	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
+		return sr.RoutingPart{}, err
+	}
+	part, err := p.fleet.instances[p.to].RoutingPart(ctx, r)
+	if err != nil {
+		return part, err
+	}
+	return part, p.transfer(ctx, p.to, p.address, smallMessageBytes+largeConfigPeerBytes*len(part.Data)/part.Size)
+}
+
 // newTestFleet returns instances with slow links in four failure domains.
 func newTestFleet(t *testing.T, size int, cfg srforwardsettings.Settings) *testFleet {
 	f := &testFleet{changed: make(chan struct{}), instances: make(map[string]*Instance), up: make(map[string]*testLink), down: make(map[string]*testLink)}
@@ -224,6 +246,7 @@
 	for _, n := range f.instances {
 		wg.Go(func() { n.sync(ctx) })
 		wg.Go(func() { n.gossip(ctx) })
+		wg.Go(func() { n.fetch(ctx) })
 		wg.Go(func() { n.sweep(ctx) })
 	}
 	t.Cleanup(func() {
@@ -245,8 +268,9 @@
 
 func testRouting(version uint64, routes int) sr.RegistryEntry {
 	c := &sr.Routing{Version: version}
-	for i := range routes {
-		c.Routes = append(c.Routes, sr.Route{Name: fmt.Sprint("r", i), Host: "a.example", Prefix: fmt.Sprintf("/%d/", i)})
+	r := rand.New(rand.NewPCG(1, 1))
+	for range routes {
+		c.Routes = append(c.Routes, sr.Route{Name: fmt.Sprintf("r-%x", r.Uint64()), Host: "a.example", Prefix: fmt.Sprintf("/%x/", r.Uint64())})
 	}
 	return sr.RegistryEntry{Kind: sr.EntryRouting, Routing: c}
 }
--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -18,11 +18,6 @@
 	return n.localGossip(), nil
 }
 
-// Pull implements sr.FleetHandler.
-func (n *Instance) Pull(_ context.Context, after uint64) (sr.Changes, error) {
-	return n.view.Since(after, n.Clock()), nil
-}
-
 // localGossip returns the state that this instance sends to the others.
 func (n *Instance) localGossip() sr.Gossip {
 	now := time.Now()
@@ -51,6 +46,9 @@
 		return
 	}
 	n.limits.receive(now, g)
+	if g.AsOf > n.view.Revision() {
+		n.transfers.request()
+	}
 }
 
 // updateFleet logs the members that fell silent and passes the size of the fleet on
@@ -81,7 +79,8 @@
 }
 
 // exchange sends this instance's gossip to another one and receives its gossip. The
-// answer confirms the view if the other instance has no newer revision.
+// answer confirms the view if the other instance has no newer revision; a newer one is
+// pulled apart from the exchange (fetch.go).
 func (n *Instance) exchange(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
@@ -95,28 +94,9 @@
 	if g.Leaving {
 		return
 	}
-	if g.AsOf > n.view.Revision() {
-		n.pull(ctx, address, g.AsOf)
-		return
-	}
 	n.view.Confirm(requestedAt, g.AsOf, g.Age)
 }
 
-// pull fetches newer registry entries from another instance, which has stated the
-// revision newest.
-func (n *Instance) pull(ctx context.Context, address string, newest uint64) {
-	requestedAt := n.Clock()
-	revision, age := n.view.AsOf(requestedAt)
-	c, err := n.Fleet.FleetPeer(address).Pull(ctx, revision)
-	n.Log.State("pull", srlog.Peer, address, srlog.Revision, revision, srlog.Newest, newest, srlog.Age, age,
-		srlog.Count, len(c.Facts), srlog.Total, n.Clock().Sub(requestedAt), srlog.Error, errorText(err))
-	if err != nil {
-		n.stats.count("fleet.failed")
-		return
-	}
-	n.applyChanges(requestedAt, c, address)
-}
-
 // announceLeaving notifies the members that this instance shuts down.
 func (n *Instance) announceLeaving(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -58,6 +58,7 @@
 	bodyMemory     *bodyMemory
 	random         *random
 	clientTimeouts *clientTimeouts
+	transfers      *transfers
 	// running counts the client requests in flight.
 	running atomic.Int64
 	// draining is set at the stop signal. refusing is set later, once the balancer
@@ -83,6 +84,7 @@
 		bodyMemory:     newBodyMemory(int64(float64(d.Settings.Memory) * bodyMemoryRatio * (1 << 20))),
 		random:         newRandom(d.Seed),
 		clientTimeouts: newClientTimeouts(),
+		transfers:      newTransfers(),
 	}
 	n.limits = newLimits(d.Settings)
 	n.queues = newQueues(d.Seed, d.Settings.Domain, d.Log)
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -38,6 +38,8 @@
 	// knownSince is when the member became known.
 	knownSince time.Time
 	usage      sr.Usage
+	// revision is the registry revision that the member has stated.
+	revision uint64
 	// silent is set once the member has been reported as silent.
 	silent bool
 }
@@ -89,7 +91,7 @@
 	}
 	changed = e.silent || joined
 	e.id, e.domain, e.lastContact, e.silent = g.From, g.Domain, now, false
-	e.usage = g.Usage
+	e.usage, e.revision = g.Usage, g.AsOf
 	for _, id := range g.Known {
 		m.addKnown(now, id)
 	}
@@ -245,6 +247,29 @@
 	return n
 }
 
+// ahead returns the addresses of the members that have stated a newer revision than
+// revision, in random order and those of the own failure domain first, and the newest
+// revision that one of them has stated.
+func (m *members) ahead(now time.Time, revision uint64, random *random) (list []string, newest uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var others []string
+	for _, e := range m.recentMembers(now, m.silenceTimeoutLocked()) {
+		switch {
+		case e.revision <= revision:
+			continue
+		case e.domain == m.domain:
+			list = append(list, e.id.Address)
+		default:
+			others = append(others, e.id.Address)
+		}
+		newest = max(newest, e.revision)
+	}
+	random.shuffle(list)
+	random.shuffle(others)
+	return append(list, others...), newest
+}
+
 // inFlight returns the requests that the other instances have in flight, by
 // endpoint.
 func (m *members) inFlight(now time.Time) map[string]int {
--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -63,7 +63,7 @@
 	opts         Options
 	log          *srlog.Log
 	instance     *Instance
-	peers        *srinstance.Peers
+	peers        *srinstance.Fleet
 	rpc          *srinstance.Server
 	clients      *clients
 	servers      []*http.Server
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	p := &Process{cfg: cfg, opts: o, log: o.Log, clients: newClients(o.Log)}
-	p.peers = srinstance.New(dialer.DialContext, gossipTimeout)
+	p.peers = srinstance.NewFleet(dialer.DialContext, gossipTimeout)
 	p.instance = NewInstance(Deps{
 		Settings: cfg,
 		Self:     cfg.ID(incarnation),
@@ -167,6 +167,7 @@
 	}
 	wg.Go(func() { p.instance.sync(ctx) })
 	wg.Go(func() { p.instance.gossip(ctx) })
+	wg.Go(func() { p.instance.fetch(ctx) })
 	wg.Go(func() { p.instance.sweep(ctx) })
 	wg.Go(func() { p.sweepClients(ctx) })
 	p.log.State("start", srlog.Domain, p.cfg.Domain, srlog.Address, p.cfg.Clients, srlog.Peer, p.cfg.Peers)
--- a/internal/app/srforward/random.go
+++ b/internal/app/srforward/random.go
@@ -21,3 +21,10 @@
 	defer r.mu.Unlock()
 	return r.r.IntN(n)
 }
+
+// shuffle puts a list in random order.
+func (r *random) shuffle(list []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.r.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -10,6 +10,7 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srview"
 )
 
 // sourceRegistry is the name of the registry in log lines on the source of entries.
@@ -87,7 +88,11 @@
 
 // applyChanges applies entries to the view and logs what they changed.
 func (n *Instance) applyChanges(requestedAt time.Time, c sr.Changes, source string) {
-	update := n.view.Apply(requestedAt, n.Clock(), c)
+	n.reportUpdate(n.view.Apply(requestedAt, n.Clock(), c), source)
+}
+
+// reportUpdate logs a change of the view and passes it on to the queues and limits.
+func (n *Instance) reportUpdate(update srview.Update, source string) {
 	if update.Regained > 0 {
 		n.Log.State("view-regained", srlog.Source, source, srlog.After, update.Regained)
 	}
--- a/internal/peer/srinstance/client.go
+++ b/internal/peer/srinstance/client.go
@@ -43,7 +43,7 @@
 
 // immediateMethods lists the methods that the peer answers without waiting. When such
 // a call times out, its connection is treated as broken and closed.
-var immediateMethods = []string{heartbeatMethod, gossipMethod, pullMethod}
+var immediateMethods = []string{heartbeatMethod, gossipMethod, pullMethod, entriesMethod, routingPartMethod}
 
 // errNotConnected means that no part of the call was sent to the peer.
 var errNotConnected = stderrors.Join(sr.ErrUnreachable, sr.ErrNotSent)
--- a/internal/peer/srinstance/fleet.go
+++ b/internal/peer/srinstance/fleet.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 )
 
 const (
-	gossipMethod = "Gossip"
-	pullMethod   = "Pull"
+	gossipMethod      = "Gossip"
+	pullMethod        = "Pull"
+	entriesMethod     = "Entries"
+	routingPartMethod = "RoutingPart"
 )
 
 // NewFleetServer returns a Server that passes the calls of other forwarding
@@ -17,15 +20,58 @@
 	return newServer(&fleetMethods{ctx: ctx, handler: h})
 }
 
+// Fleet holds the clients of the other forwarding instances. Registry entries are
+// transferred over connections of their own: a gossip exchange that times out closes its
+// connection, and must not wait behind a long transfer. It is safe for concurrent use.
+type Fleet struct {
+	exchanges *Peers
+	transfers *Peers
+}
+
+// NewFleet returns a Fleet that opens connections with dial, each within
+// connectTimeout.
+func NewFleet(dial DialFunc, connectTimeout time.Duration) *Fleet {
+	return &Fleet{exchanges: New(dial, connectTimeout), transfers: New(dial, connectTimeout)}
+}
+
 // FleetPeer returns a client of the forwarding instance at address.
-func (p *Peers) FleetPeer(address string) sr.FleetHandler { return p.client(address) }
+func (f *Fleet) FleetPeer(address string) sr.FleetHandler {
+	return fleetPeer{fleet: f, address: address}
+}
 
-func (c *client) Gossip(ctx context.Context, g sr.Gossip) (sr.Gossip, error) {
-	return call[sr.Gossip, sr.Gossip](ctx, c, gossipMethod, g)
+// CloseIdleExcept closes the idle connections to all addresses that are not in
+// addresses, and those of transfers to any address.
+func (f *Fleet) CloseIdleExcept(addresses []string) {
+	f.exchanges.CloseIdleExcept(addresses)
+	f.transfers.CloseIdleExcept(nil)
 }
 
-func (c *client) Pull(ctx context.Context, after uint64) (sr.Changes, error) {
-	return call[uint64, sr.Changes](ctx, c, pullMethod, after)
+// Close closes every connection. Later calls fail.
+func (f *Fleet) Close() {
+	f.exchanges.Close()
+	f.transfers.Close()
+}
+
+// fleetPeer is the client of one forwarding instance.
+type fleetPeer struct {
+	fleet   *Fleet
+	address string
+}
+
+func (p fleetPeer) Gossip(ctx context.Context, g sr.Gossip) (sr.Gossip, error) {
+	return call[sr.Gossip, sr.Gossip](ctx, p.fleet.exchanges.client(p.address), gossipMethod, g)
+}
+
+func (p fleetPeer) Pull(ctx context.Context, after uint64) (sr.Changes, error) {
+	return call[uint64, sr.Changes](ctx, p.fleet.transfers.client(p.address), pullMethod, after)
+}
+
+func (p fleetPeer) Entries(ctx context.Context, after uint64) (sr.Changes, error) {
+	return call[uint64, sr.Changes](ctx, p.fleet.transfers.client(p.address), entriesMethod, after)
+}
+
+func (p fleetPeer) RoutingPart(ctx context.Context, r sr.RoutingRequest) (sr.RoutingPart, error) {
+	return call[sr.RoutingRequest, sr.RoutingPart](ctx, p.fleet.transfers.client(p.address), routingPartMethod, r)
 }
 
 // fleetMethods adapts an sr.FleetHandler to the method signature of net/rpc.
@@ -43,3 +89,13 @@
 func (m *fleetMethods) Pull(args Args[uint64], reply *Reply[sr.Changes]) error {
 	return serveCall(m.ctx, args, reply, m.handler.Pull)
 }
+
+// Entries is Pull without a configuration that is transferred in parts.
+func (m *fleetMethods) Entries(args Args[uint64], reply *Reply[sr.Changes]) error {
+	return serveCall(m.ctx, args, reply, m.handler.Entries)
+}
+
+// RoutingPart returns a part of the encoded configuration.
+func (m *fleetMethods) RoutingPart(args Args[sr.RoutingRequest], reply *Reply[sr.RoutingPart]) error {
+	return serveCall(m.ctx, args, reply, m.handler.RoutingPart)
+}
--- a/internal/state/srview/view.go
+++ b/internal/state/srview/view.go
@@ -197,6 +197,23 @@
 	return update
 }
 
+// ApplyEarly applies entries of an answer whose other entries are still to come. The
+// revision and the age of the view stay as they are.
+func (v *View) ApplyEarly(now time.Time, facts []sr.RegistryEntry) Update {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	update := Update{}
+	for _, e := range facts {
+		if v.store(e, now, false) {
+			update.Facts = append(update.Facts, e)
+		}
+	}
+	if len(update.Facts) > 0 {
+		v.publish()
+	}
+	return update
+}
+
 // Confirm records the statement of another instance, requested at sentAt, that its
 // view at revision asOf was confirmed to be current age ago. It is ignored when
 // this view is at a lower revision.
@@ -214,6 +231,14 @@
 	}
 }
 
+// RoutingEntry returns the entry of the configuration, if there is one.
+func (v *View) RoutingEntry() (sr.RegistryEntry, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	stored, ok := v.entries[entryKey{kind: sr.EntryRouting}]
+	return stored.entry, ok && stored.entry.Routing != nil
+}
+
 // Since returns the entries after a revision, or a full listing when after is 0 or
 // older than the removals that are still kept.
 func (v *View) Since(after uint64, now time.Time) sr.Changes {
--- a/live.go
+++ b/live.go
@@ -73,6 +73,29 @@
 	// Age is how old the data was when the request for it arrived: 0 from the
 	// registry itself, more from an instance that relays it.
 	Age time.Duration
+	// RoutingAt is the revision of a configuration that belongs to the entries but is
+	// transferred apart because of its size, 0 when there is none.
+	RoutingAt uint64
+}
+
+// RoutingRequest asks an instance for a part of its encoded configuration.
+type RoutingRequest struct {
+	// From is the address of the instance that asks.
+	From string
+	// Revision is the revision of the configuration whose part at Offset, in bytes, is
+	// requested.
+	Revision uint64
+	Offset   int
+}
+
+// RoutingPart is a part of an encoded configuration.
+type RoutingPart struct {
+	// Revision is the revision of the configuration. When it is not the requested one,
+	// the part is the first one of a newer configuration.
+	Revision uint64
+	// Size is the size of the whole encoded configuration in bytes.
+	Size int
+	Data []byte
 }
 
 // Registry is the client of the store that holds the operators' configuration,
@@ -112,6 +135,13 @@
 // FleetHandler serves the calls of the other forwarding instances.
 type FleetHandler interface {
 	Gossip(ctx context.Context, g Gossip) (Gossip, error)
-	// Pull returns registry entries after a revision, a full listing for 0.
+	// Pull returns registry entries after a revision, a full listing for 0. Only
+	// instances of earlier versions call it.
 	Pull(ctx context.Context, after uint64) (Changes, error)
+	// Entries is Pull without a configuration that is transferred in parts.
+	Entries(ctx context.Context, after uint64) (Changes, error)
+	// RoutingPart returns a part of the instance's configuration. It returns
+	// ErrOverloaded while the instance transfers it to several others, and ErrMissing
+	// when the requested configuration is newer than its own.
+	RoutingPart(ctx context.Context, r RoutingRequest) (RoutingPart, error)
 }
