Pass on the deferral of a removal instead of a live endpoint

Cause: after an outage of the registry an instance keeps a removed endpoint for two seconds, stored as live with the revision of its removal. An instance that pulled from it in that time stored a live endpoint at that revision. The removal itself then had the same revision and was ignored, so the endpoint stayed usable until it registered again or a full listing arrived.

Evidence: TestDeferredRemovalIsNotPassedOnAsLive failed (usable at 7 s, removed by the registry at 5 s, deferral of 2 s).

Change: an entry carries the rest of the deferral, and the receiver removes the endpoint when it is over.

--- a/internal/state/srview/view.go
+++ b/internal/state/srview/view.go
@@ -249,7 +249,11 @@
 		if out.Whole && stored.entry.Gone || !out.Whole && stored.entry.Revision <= after {
 			continue
 		}
-		out.Facts = append(out.Facts, stored.entry)
+		e := stored.entry
+		if !stored.removeAt.IsZero() {
+			e.RemoveIn = max(stored.removeAt.Sub(now), time.Nanosecond)
+		}
+		out.Facts = append(out.Facts, e)
 	}
 	slices.SortFunc(out.Facts, func(a, b sr.RegistryEntry) int { return cmp.Compare(a.Revision, b.Revision) })
 	return out
@@ -280,7 +284,7 @@
 // store stores an entry and reports whether it changed the view. The removal of an
 // endpoint after an outage is deferred by Options.RenewTimeout, because the
 // registration may only have expired. While it is deferred, an entry of the same
-// revision is stored too.
+// revision is stored too. Other instances receive the rest of that time.
 func (v *View) store(e sr.RegistryEntry, now time.Time, afterOutage bool) bool {
 	key := entryKey{kind: e.Kind, name: e.Name}
 	old, ok := v.entries[key]
@@ -299,7 +303,11 @@
 	if e.Invalid != "" && e.Kind == sr.EntryEndpoint {
 		e.Gone = true
 	}
-	v.entries[key] = storedEntry{entry: e, receivedAt: now}
+	stored := storedEntry{entry: e, receivedAt: now}
+	if e.RemoveIn > 0 {
+		stored.removeAt, stored.entry.RemoveIn = now.Add(e.RemoveIn), 0
+	}
+	v.entries[key] = stored
 	return true
 }
 
--- a/internal/state/srview/view_test.go
+++ b/internal/state/srview/view_test.go
@@ -145,3 +145,21 @@
 		assert.DeepEqual(t, copied.State().Services, source.State().Services)
 	})
 }
+
+// TestDeferredRemovalIsNotPassedOnAsLive checks that an instance that received an
+// endpoint from another one, which deferred its removal, removes it too.
+func TestDeferredRemovalIsNotPassedOnAsLive(t *testing.T) {
+	source, copied := newView(), newView()
+	all := sr.Changes{AsOf: 5, Whole: true, Facts: []sr.RegistryEntry{ready("e", 1), ready("f", 2)}}
+	apply(source, 0, all)
+	apply(copied, 0, all)
+	apply(source, 5*time.Second, sr.Changes{AsOf: 9, Facts: []sr.RegistryEntry{gone("e", 9)}})
+	apply(copied, 5*time.Second, source.Since(copied.Revision(), at(5*time.Second)))
+	assert.Assert(t, source.State().Usable("e", at(6*time.Second)))
+	assert.Assert(t, copied.State().Usable("e", at(6*time.Second)))
+	assert.Equal(t, source.State().Usable("e", at(7*time.Second)), false)
+	assert.Equal(t, copied.State().Usable("e", at(7*time.Second)), false)
+	copied.Sweep(at(7 * time.Second))
+	_, known := copied.State().Endpoints["e"]
+	assert.Assert(t, !known)
+}
--- a/live.go
+++ b/live.go
@@ -57,6 +57,10 @@
 	// endpoint with an invalid registration is not used. An invalid configuration
 	// leaves the previous one in force.
 	Invalid string
+	// RemoveIn is the time after which an endpoint is removed unless it registers again,
+	// because its registration was missing after an outage of the registry. It is 0 for
+	// all others.
+	RemoveIn time.Duration
 	// Routing is the configuration, for EntryRouting.
 	Routing *Routing
 	// Endpoint is the registration, for EntryEndpoint.
