Keep busy instances from being asked at every turn

Cause: the first version of the pull asked a busy instance for entries and parts every 50 ms, and an instance took a transfer for ended after 300 ms, while a part under way on a congested link takes longer.

Change: one pull fetches the entries once and tries up to four instances for the parts; the delay between pulls doubles from 50 to 400 ms, drawn at random. A transfer counts until a call for its next part would have timed out. Parts are 16 kB.

--- a/internal/app/srforward/fetch.go
+++ b/internal/app/srforward/fetch.go
@@ -138,54 +138,71 @@
 			return
 		case <-n.transfers.requested:
 		}
+		delay := minTransferRetryDelay
 		for ctx.Err() == nil {
-			list, newest := n.members.ahead(time.Now(), n.view.Revision(), n.random)
+			revision := n.view.Revision()
+			list, newest := n.members.ahead(time.Now(), revision, n.random)
 			if len(list) == 0 {
 				break
 			}
-			if !n.pullFromAny(ctx, list, newest) {
-				_ = srtimer.Wait(ctx, transferRetryDelay)
+			n.pull(ctx, list[:min(len(list), maxTransferSources)], newest)
+			if n.view.Revision() > revision {
+				delay = minTransferRetryDelay
+				continue
 			}
+			_ = srtimer.Wait(ctx, delay/2+time.Duration(n.random.intN(int(delay))))
+			delay = min(2*delay, maxTransferRetryDelay)
 		}
 	}
 }
 
-// pullFromAny pulls from the first instance of a list that has capacity, and reports
-// whether the view has advanced.
-func (n *Instance) pullFromAny(ctx context.Context, list []string, newest uint64) bool {
-	for _, address := range list {
-		requestedAt := n.Clock()
-		revision, age := n.view.AsOf(requestedAt)
-		c, err := n.pull(ctx, address, revision)
-		n.Log.State("pull", srlog.Peer, address, srlog.Revision, revision, srlog.Newest, newest, srlog.Age, age,
-			srlog.Count, len(c.Facts), srlog.Total, n.Clock().Sub(requestedAt), srlog.Error, errorText(err))
+// pull fetches the entries after the own revision from the first of several instances
+// that answers. The parts of a long configuration may come from another one of them. The
+// other entries are applied before the parts are fetched.
+func (n *Instance) pull(ctx context.Context, from []string, newest uint64) {
+	requestedAt := n.Clock()
+	revision, age := n.view.AsOf(requestedAt)
+	c, address, err := n.pullEntries(ctx, from, revision)
+	if err == nil && c.RoutingAt > 0 {
+		n.reportUpdate(n.view.ApplyEarly(n.Clock(), c.Facts), address)
+		var e sr.RegistryEntry
+		e, address, err = n.pullRouting(ctx, from, c.RoutingAt)
+		c.Facts = append(c.Facts, e)
+	}
+	n.Log.State("pull", srlog.Peer, address, srlog.Revision, revision, srlog.Newest, newest, srlog.Age, age,
+		srlog.Count, len(c.Facts), srlog.Total, n.Clock().Sub(requestedAt), srlog.Error, errorText(err))
+	if err == nil {
+		n.applyChanges(requestedAt, c, address)
+	}
+}
+
+// pullEntries returns the entries after a revision from the first instance that answers,
+// with its address.
+func (n *Instance) pullEntries(ctx context.Context, from []string, after uint64) (c sr.Changes, address string, err error) {
+	for _, address = range from {
+		if c, err = n.callEntries(ctx, address, after); err == nil {
+			return c, address, nil
+		}
+		n.stats.count("fleet.failed")
+	}
+	return c, address, err
+}
+
+// pullRouting returns the configuration at a revision, or a newer one, from the first
+// instance that has capacity, with its address.
+func (n *Instance) pullRouting(ctx context.Context, from []string, revision uint64) (e sr.RegistryEntry, address string, err error) {
+	for _, address = range from {
+		e, err = n.pullParts(ctx, address, revision)
 		switch {
 		case err == nil:
-			n.applyChanges(requestedAt, c, address)
-			return n.view.Revision() > revision
+			return e, address, nil
 		case errors.Is(err, sr.ErrOverloaded):
 			n.stats.count("fleet.busy")
 		default:
 			n.stats.count("fleet.failed")
 		}
 	}
-	return false
-}
-
-// pull fetches the entries after a revision from an instance, and its configuration in
-// parts when that is long. The other entries are applied before the parts are fetched.
-func (n *Instance) pull(ctx context.Context, address string, after uint64) (sr.Changes, error) {
-	c, err := n.callEntries(ctx, address, after)
-	if err != nil || c.RoutingAt == 0 {
-		return c, err
-	}
-	n.reportUpdate(n.view.ApplyEarly(n.Clock(), c.Facts), address)
-	e, err := n.pullRouting(ctx, address, c.RoutingAt)
-	if err != nil {
-		return c, err
-	}
-	c.Facts, c.RoutingAt = append(c.Facts, e), 0
-	return c, nil
+	return e, address, err
 }
 
 func (n *Instance) callEntries(ctx context.Context, address string, after uint64) (sr.Changes, error) {
@@ -194,8 +211,8 @@
 	return n.Fleet.FleetPeer(address).Entries(ctx, after)
 }
 
-// pullRouting fetches the parts of a configuration.
-func (n *Instance) pullRouting(ctx context.Context, address string, revision uint64) (sr.RegistryEntry, error) {
+// pullParts fetches the parts of a configuration from one instance.
+func (n *Instance) pullParts(ctx context.Context, address string, revision uint64) (sr.RegistryEntry, error) {
 	var data []byte
 	for {
 		p, err := n.callRoutingPart(ctx, address, sr.RoutingRequest{From: n.Self.Address, Revision: revision, Offset: len(data)})
--- a/internal/app/srforward/timing.go
+++ b/internal/app/srforward/timing.go
@@ -39,19 +39,23 @@
 	// transferTimeout bounds one call for registry entries, of which a part of a
 	// configuration is the longest.
 	transferTimeout = time.Second
-	// transferRetryDelay is the time before the next attempt to pull registry entries
-	// after all instances that have them were busy or did not answer.
-	transferRetryDelay = 50 * time.Millisecond
+	// The time before the next pull of registry entries, after the instances that have
+	// them were busy or did not answer, doubles from minTransferRetryDelay to
+	// maxTransferRetryDelay.
+	minTransferRetryDelay = 50 * time.Millisecond
+	maxTransferRetryDelay = 400 * time.Millisecond
+	// maxTransferSources is the number of instances that one pull tries.
+	maxTransferSources = 4
 	// maxTransfers is the number of instances to which an instance transfers a
 	// configuration at once. With few, each transfer ends soon, and those that have it
 	// pass it on.
 	maxTransfers = 2
 	// transferIdle is the time without a request after which a transfer no longer
-	// counts.
-	transferIdle = 300 * time.Millisecond
+	// counts. The request for a part that is on its way has not timed out before.
+	transferIdle = transferTimeout
 	// routingPartBytes is the size of a part of a configuration. A larger configuration
 	// is transferred apart from the other entries.
-	routingPartBytes = 32 << 10
+	routingPartBytes = 16 << 10
 	// silentInterval is the least interval between two exchanges with a silent
 	// member.
 	silentInterval = time.Second
