Defer removals only after queries to the registry have failed

Cause: an instance that had read nothing for 2.4 s took that for an outage of the registry and kept removed endpoints for two more seconds. An instance that is merely slow, was suspended, or gets its entries from others late, has seen no outage; with 2.4 s before and 2 s after, its requests reach an endpoint more than 3 s after the removal.

Evidence: TestRemovalIsNotDeferredWithoutAnOutage failed.

Change: an outage needs a failed query since the last answer, of this instance or of another that relays a recent one, and relayed removals take effect as the relaying instance holds them. TestExpiredRegistrationsAreKeptAfterAnOutage now has the failed query that an outage implies; it checks as much as before.

--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -36,6 +36,7 @@
 			lostAt = time.Time{}
 		case err != nil:
 			n.stats.count("registry.failed")
+			n.view.RecordFailure()
 			if lostAt.IsZero() {
 				lostAt = time.Now()
 				n.Log.State("registry-lost", srlog.Error, err.Error(), srlog.Age, n.view.Age(n.Clock()))
--- a/internal/state/srview/view.go
+++ b/internal/state/srview/view.go
@@ -34,8 +34,8 @@
 
 // Options configure a View.
 type Options struct {
-	// Outage is the time without an answer of the registry after which
-	// registrations may have expired although their endpoints are alive.
+	// Outage is the time without an answer of the registry, in which a query has failed,
+	// after which registrations may have expired although their endpoints are alive.
 	Outage time.Duration
 	// RenewTimeout is the time after an outage within which live endpoints renew such
 	// registrations.
@@ -109,6 +109,8 @@
 	confirmedAt time.Time
 	// answeredAt is when the last answer was received.
 	answeredAt time.Time
+	// failed is set when a query to the registry has failed since the last answer.
+	failed bool
 }
 
 type entryKey struct {
@@ -170,7 +172,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	update := Update{}
-	if !v.answeredAt.IsZero() && now.Sub(v.answeredAt) > v.opts.Outage {
+	if v.failed && !c.Relayed && now.Sub(v.answeredAt) > v.opts.Outage && !v.answeredAt.IsZero() {
 		update.Regained = now.Sub(v.answeredAt)
 	}
 	if c.Whole && c.AsOf < v.revision {
@@ -178,7 +180,9 @@
 		return update
 	}
 	afterOutage := update.Regained > 0
-	v.answeredAt = now
+	if !c.Relayed || c.Age < v.opts.Outage {
+		v.answeredAt, v.failed = now, false
+	}
 	for _, e := range c.Facts {
 		if v.store(e, now, afterOutage) {
 			update.Facts = append(update.Facts, e)
@@ -214,6 +218,13 @@
 	return update
 }
 
+// RecordFailure records that a query to the registry got no answer.
+func (v *View) RecordFailure() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.failed = true
+}
+
 // Confirm records the statement of another instance, requested at sentAt, that its
 // view at revision asOf was confirmed to be current age ago. It is ignored when
 // this view is at a lower revision.
@@ -227,7 +238,7 @@
 		v.confirmedAt = confirmed
 	}
 	if sentAt.After(v.answeredAt) && age < v.opts.Outage {
-		v.answeredAt = sentAt
+		v.answeredAt, v.failed = sentAt, false
 	}
 }
 
@@ -244,7 +255,7 @@
 func (v *View) Since(after uint64, now time.Time) sr.Changes {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := sr.Changes{AsOf: v.revision, Age: v.age(now), Whole: after == 0 || after < v.forgotten}
+	out := sr.Changes{AsOf: v.revision, Age: v.age(now), Relayed: true, Whole: after == 0 || after < v.forgotten}
 	for _, stored := range v.entries {
 		if out.Whole && stored.entry.Gone || !out.Whole && stored.entry.Revision <= after {
 			continue
--- a/internal/state/srview/view_test.go
+++ b/internal/state/srview/view_test.go
@@ -81,6 +81,7 @@
 func TestExpiredRegistrationsAreKeptAfterAnOutage(t *testing.T) {
 	v := newView()
 	apply(v, 0, sr.Changes{AsOf: 5, Whole: true, Facts: []sr.RegistryEntry{ready("back", 1), ready("lost", 2)}})
+	v.RecordFailure()
 	update := apply(v, 5*time.Second, sr.Changes{AsOf: 9, Whole: true})
 	assert.Equal(t, update.Regained, 5*time.Second)
 	assert.Assert(t, v.State().Usable("back", at(6*time.Second)))
@@ -153,6 +154,7 @@
 	all := sr.Changes{AsOf: 5, Whole: true, Facts: []sr.RegistryEntry{ready("e", 1), ready("f", 2)}}
 	apply(source, 0, all)
 	apply(copied, 0, all)
+	source.RecordFailure()
 	apply(source, 5*time.Second, sr.Changes{AsOf: 9, Facts: []sr.RegistryEntry{gone("e", 9)}})
 	apply(copied, 5*time.Second, source.Since(copied.Revision(), at(5*time.Second)))
 	assert.Assert(t, source.State().Usable("e", at(6*time.Second)))
@@ -163,3 +165,16 @@
 	_, known := copied.State().Endpoints["e"]
 	assert.Assert(t, !known)
 }
+
+// TestRemovalIsNotDeferredWithoutAnOutage checks that an instance that did not read the
+// registry for long, although the registry answered, removes an endpoint at once.
+func TestRemovalIsNotDeferredWithoutAnOutage(t *testing.T) {
+	v := newView()
+	apply(v, 0, sr.Changes{AsOf: 5, Whole: true, Facts: []sr.RegistryEntry{ready("e", 1), ready("f", 2)}})
+	apply(v, 5*time.Second, sr.Changes{AsOf: 9, Facts: []sr.RegistryEntry{gone("e", 9)}})
+	assert.Equal(t, v.State().Usable("e", at(5*time.Second)), false)
+	// Its own queries fail, but another instance has read the registry.
+	v.RecordFailure()
+	apply(v, 10*time.Second, sr.Changes{AsOf: 12, Relayed: true, Facts: []sr.RegistryEntry{gone("f", 12)}})
+	assert.Equal(t, v.State().Usable("f", at(10*time.Second)), false)
+}
--- a/live.go
+++ b/live.go
@@ -77,6 +77,8 @@
 	// Age is how old the data was when the request for it arrived: 0 from the
 	// registry itself, more from an instance that relays it.
 	Age time.Duration
+	// Relayed marks the answer of an instance that relays the registry's entries.
+	Relayed bool
 	// RoutingAt is the revision of a configuration that belongs to the entries but is
 	// transferred apart because of its size, 0 when there is none.
 	RoutingAt uint64
