Read a slow answer of the registry as long as it makes progress

Cause: a query for changes had one second for the whole answer. The configuration has some 500 kB in an answer of the store, which takes longer over a link that carries requests too, and each retry began again.

--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -84,7 +84,7 @@
 	dialer := newDialer()
 	registry, err := o.Registry(cfg.Registry, srconn.Options{
 		Dial:     dialer.DialContext,
-		Timeouts: srconn.Timeouts{Dial: registryDialTimeout, Write: registryTimeout, Idle: listTimeout},
+		Timeouts: srconn.Timeouts{Dial: registryDialTimeout, Write: registryWriteTimeout, Idle: maxRegistryAnswer},
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "srforward")
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -58,7 +58,7 @@
 	if watches {
 		wait = n.Settings.WatchTimeout()
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+registryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+maxRegistryAnswer)
 	defer cancel()
 	requestedAt := n.Clock()
 	n.stats.count("registry.changes")
@@ -75,7 +75,7 @@
 }
 
 func (n *Instance) listRegistry(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxRegistryAnswer)
 	defer cancel()
 	requestedAt := n.Clock()
 	n.stats.count("registry.list")
--- a/internal/app/srforward/timing.go
+++ b/internal/app/srforward/timing.go
@@ -15,10 +15,11 @@
 	// route or key asks the client to retry, since a newer configuration may have it.
 	minStaleAge = time.Second
 
-	// registryTimeout bounds a registry query beyond the time it waits for changes.
-	registryTimeout = time.Second
-	// listTimeout bounds a full listing.
-	listTimeout = 3 * time.Second
+	// registryWriteTimeout bounds one write to the registry.
+	registryWriteTimeout = time.Second
+	// maxRegistryAnswer bounds the answer to a registry query, beyond the time it waits
+	// for changes. An answer that makes no progress is given up sooner.
+	maxRegistryAnswer = 5 * time.Second
 	// registryRetryDelay is the time before the next query after one has failed.
 	registryRetryDelay = 150 * time.Millisecond
 	// syncInterval is how often an instance that does not watch the registry checks
