--- a/internal/peer/srconn/body.go
+++ b/internal/peer/srconn/body.go
@@ -20,6 +20,9 @@
 	maxDrainBytes = 4 << 10
 )
 
+// ErrBodyTooLong means that a body is longer than its limit.
+var ErrBodyTooLong = errors.New("body is too long")
+
 // URL returns the URL of a path at a peer. The address must be an IP address with a
 // port.
 func URL(address, path string) (string, error) {
@@ -29,14 +32,15 @@
 	return "http://" + address + path, nil
 }
 
-// ReadBody reads a whole body of at most limit bytes.
+// ReadBody reads a whole body of at most limit bytes. It returns ErrBodyTooLong for a
+// longer one.
 func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "srconn: read body")
 	}
 	if int64(len(body)) > limit {
-		return nil, errors.Errorf("srconn: body is longer than %d bytes", limit)
+		return nil, errors.Wrapf(ErrBodyTooLong, "srconn: more than %d bytes", limit)
 	}
 	return body, nil
 }
