Refuse requests by a view that is too old when another instance has a newer one

Cause: only the bound for removed keys was compared with the age of the view. An instance that cannot get newer entries, for whatever reason, went on to use its old configuration and its old endpoints.

Ruled out: the age alone. While the registry is out of reach for all, every view is old, and refusing then would end the service.

Change: a view counts as superseded once it is older than nine tenths of the shorter bound, and another instance has had a newer revision for a third of it. The instance is then not ready, refuses requests with 503, and sends nothing that waited. Two log lines mark the start and the end.

Evidence: TestSupersededViewIsNotUsedBeyondTheBounds failed (the leaving endpoint was usable) and passes. It also checks that an instance that knows of nothing newer goes on.

--- a/internal/app/srforward/dissemination_test.go
+++ b/internal/app/srforward/dissemination_test.go
@@ -78,6 +78,8 @@
 	changed   chan struct{}
 	instances map[string]*Instance
 	up, down  map[string]*testLink
+	// cutOff is the address of an instance that receives gossip but no entries.
+	cutOff string
 }
 
 // messageBytes returns the size of an answer with entries.
@@ -133,6 +135,9 @@
 }
 
 func (r testRegistry) Changes(ctx context.Context, after uint64, wait time.Duration) (sr.Changes, error) {
+	if r.fleet.cutOff == r.address {
+		return sr.Changes{}, errors.Wrap(sr.ErrUnreachable, "test network")
+	}
 	until := time.After(wait)
 	for {
 		c, changed := r.fleet.after(after)
@@ -191,6 +196,9 @@
 }
 
 func (p testPeer) entries(ctx context.Context, after uint64, handler func(context.Context, uint64) (sr.Changes, error)) (sr.Changes, error) {
+	if p.fleet.cutOff == p.address {
+		return sr.Changes{}, errors.Wrap(sr.ErrUnreachable, "test network")
+	}
 	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
 		return sr.Changes{}, err
 	}
@@ -305,3 +313,32 @@
 		}
 	})
 }
+
+// An instance that knows of a newer revision, and cannot get it, must not go on with its
+// old view for longer than the bounds allow. One that knows of none must go on.
+func TestSupersededViewIsNotUsedBeyondTheBounds(t *testing.T) {
+	const bound = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 7, srforwardsettings.Settings{Memory: 184, Heartbeat: 1200 * time.Millisecond, ConfigTimeout: bound, Drain: bound})
+		f.put(testRouting(1, 49))
+		f.put(testEndpoint("e-1", sr.EndpointReady))
+		f.run(t)
+		time.Sleep(10 * time.Second)
+		const address = "10.0.3.3:1"
+		f.cutOff = address
+		n := f.instances[address]
+		q := &request{Instance: n}
+		for range 2 {
+			time.Sleep(bound)
+			assert.Assert(t, n.Ready())
+			assert.NilError(t, q.checkUsable("e-1")())
+		}
+		f.put(testEndpoint("e-1", sr.EndpointLeaving))
+		time.Sleep(bound)
+		assert.Assert(t, errors.Is(q.checkUsable("e-1")(), errUnusable))
+		assert.Assert(t, !n.Ready())
+		f.cutOff = ""
+		time.Sleep(bound)
+		assert.Assert(t, n.Ready())
+	})
+}
--- a/internal/app/srforward/fetch.go
+++ b/internal/app/srforward/fetch.go
@@ -19,6 +19,9 @@
 	requested chan struct{}
 
 	mu sync.Mutex
+	// behindSince is when another instance first stated a newer revision than that of
+	// the view, zero when none has.
+	behindSince time.Time
 	// active holds the time of the last request of each instance to which the
 	// configuration is being transferred, by address.
 	active map[string]time.Time
@@ -32,13 +35,35 @@
 }
 
 // request orders a pull, unless one is ordered already.
-func (t *transfers) request() {
+func (t *transfers) request(now time.Time) {
+	t.mu.Lock()
+	if t.behindSince.IsZero() {
+		t.behindSince = now
+	}
+	t.mu.Unlock()
 	select {
 	case t.requested <- struct{}{}:
 	default:
 	}
 }
 
+// caughtUp records that no other instance has a newer revision.
+func (t *transfers) caughtUp() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.behindSince = time.Time{}
+}
+
+// behindFor returns for how long another instance has had a newer revision.
+func (t *transfers) behindFor(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.behindSince.IsZero() {
+		return 0
+	}
+	return now.Sub(t.behindSince)
+}
+
 // admit reports whether the configuration may be transferred to an instance now.
 func (t *transfers) admit(now time.Time, address string) bool {
 	t.mu.Lock()
@@ -143,6 +168,7 @@
 			revision := n.view.Revision()
 			list, newest := n.members.ahead(time.Now(), revision, n.random)
 			if len(list) == 0 {
+				n.transfers.caughtUp()
 				break
 			}
 			n.pull(ctx, list[:min(len(list), maxTransferSources)], newest)
--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -47,7 +47,7 @@
 	}
 	n.limits.receive(now, g)
 	if g.AsOf > n.view.Revision() {
-		n.transfers.request()
+		n.transfers.request(now)
 	}
 }
 
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -17,6 +17,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
@@ -65,6 +66,8 @@
 	// has had time to notice, and makes the instance refuse new requests.
 	draining atomic.Bool
 	refusing atomic.Bool
+	// wasSuperseded is the last logged state of superseded.
+	wasSuperseded atomic.Bool
 }
 
 // bodyMemoryRatio is the fraction of the process's memory that request bodies may
@@ -96,7 +99,7 @@
 	if n.draining.Load() || n.view.State().Routing == nil {
 		return false
 	}
-	return n.keysCurrent()
+	return n.keysCurrent() && !n.superseded()
 }
 
 // keysCurrent reports whether requests with keys may be served. A removed key may be
@@ -113,3 +116,34 @@
 func (n *Instance) configCurrent() bool {
 	return n.view.Age(n.Clock()) < max(n.Settings.ConfigTimeout, minStaleAge)
 }
+
+const (
+	// A view is superseded from the shortest bound on its age, less that bound divided
+	// by supersededMarginDivisor, if a newer revision has been known for the bound
+	// divided by supersededDelayDivisor. The delay leaves time to pull that revision,
+	// such as after an outage of the registry, in which all views grow old.
+	supersededMarginDivisor = 10
+	supersededDelayDivisor  = 3
+)
+
+// superseded reports whether the view must no longer decide on requests: it is too old
+// for the bounds on configurations and leaving endpoints, and another instance has a
+// newer one. Without such an instance the registry is out of reach for all, and the view
+// remains in use.
+func (n *Instance) superseded() bool {
+	bound := min(n.Settings.ConfigTimeout, n.Settings.Drain)
+	return n.view.Age(n.Clock()) >= bound-bound/supersededMarginDivisor &&
+		n.transfers.behindFor(time.Now()) >= bound/supersededDelayDivisor
+}
+
+// logSuperseded logs when the view becomes superseded, and when it is current again.
+func (n *Instance) logSuperseded() {
+	is := n.superseded()
+	if n.wasSuperseded.Swap(is) == is {
+		return
+	}
+	revision, age := n.view.AsOf(n.Clock())
+	_, newest := n.members.ahead(time.Now(), revision, n.random)
+	n.Log.State(choose(is, "view-superseded", "view-current"), srlog.Revision, revision, srlog.Newest, newest, srlog.Age, age,
+		srlog.Behind, n.transfers.behindFor(time.Now()))
+}
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -72,7 +72,8 @@
 	reasonNoRouting  = "no-routing"
 	reasonNoRoute    = "no-route"
 	reasonNoKey      = "no-key"
-	// reasonStaleView: a newer configuration may have the route or the key.
+	// reasonStaleView: a newer configuration may have the route or the key, or another
+	// instance has a newer view and this one is too old to decide.
 	reasonStaleView = "stale-view"
 	// reasonUnconfirmedKey: the key may have been removed since the view was last
 	// confirmed.
@@ -123,6 +124,8 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, retryAfter: shortRetryAfter}
 	case st.Routing == nil:
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonNoRouting, retryAfter: shortRetryAfter}
+	case q.superseded():
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonStaleView, retryAfter: shortRetryAfter}
 	}
 	if maxHeader := st.Routing.Limits.Header; maxHeader > 0 && headerSize(q.r) > maxHeader {
 		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaderSize}
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -13,9 +13,9 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
 )
 
-// errUnusable means that the endpoint or the key was no longer usable when the
+// errUnusable means that the endpoint, the key or the view was no longer usable when the
 // request was about to be sent.
-var errUnusable = errors.New("endpoint or key is no longer usable")
+var errUnusable = errors.New("no longer usable")
 
 // outcome is the result of one attempt.
 type outcome uint8
@@ -216,14 +216,17 @@
 }
 
 // checkUsable returns a function that checks, right before the first byte is sent,
-// whether the endpoint and the key are still usable. Both may have changed while the
-// request waited or the process was suspended.
+// whether the endpoint, the view and the key are still usable. They may have changed while
+// the request waited or the process was suspended.
 func (q *request) checkUsable(id string) func() error {
 	return func() error {
 		st := q.view.State()
 		if !st.Usable(id, q.Clock()) {
 			return errors.Wrap(errUnusable, "endpoint")
 		}
+		if q.superseded() {
+			return errors.Wrap(errUnusable, "view")
+		}
 		if !q.keyed {
 			return nil
 		}
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -168,6 +168,7 @@
 		n.view.Sweep(n.Clock())
 		n.members.sweep(time.Now())
 		n.configure()
+		n.logSuperseded()
 		n.pruneConnections()
 	}
 }
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -25,6 +25,8 @@
 	Revision = "revision"
 	// Newest is the newest revision that another instance has stated.
 	Newest = "newest"
+	// Behind is the time since another instance first stated a newer revision.
+	Behind = "behind"
 	// Age is the time since the view was last confirmed to be current.
 	Age = "age"
 	// Waited is the time that the request has waited. Queue counts the requests that
