Confirm the view within the bound for configurations too

Cause: the age from which an instance queries the registry followed the bounds for leaving endpoints and removed keys only.

Change: the shorter of the two bounds counts, also for a superseded view. A bound of 0 does not count.

Evidence: TestQueryIsDueWithinEachBound failed for a configuration bound of half the other one.

--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -118,8 +118,8 @@
 }
 
 const (
-	// A view is superseded from the shortest bound on its age, less that bound divided
-	// by supersededMarginDivisor, if a newer revision has been known for the bound
+	// A view is superseded from the bound on its age, less that bound divided by
+	// supersededMarginDivisor, if a newer revision has been known for the bound
 	// divided by supersededDelayDivisor. The delay leaves time to pull that revision,
 	// such as after an outage of the registry, in which all views grow old.
 	supersededMarginDivisor = 10
@@ -131,8 +131,8 @@
 // newer one. Without such an instance the registry is out of reach for all, and the view
 // remains in use.
 func (n *Instance) superseded() bool {
-	bound := min(n.Settings.ConfigTimeout, n.Settings.Drain)
-	return n.view.Age(n.Clock()) >= bound-bound/supersededMarginDivisor &&
+	bound := n.Settings.ViewBound()
+	return bound > 0 && n.view.Age(n.Clock()) >= bound-bound/supersededMarginDivisor &&
 		n.transfers.behindFor(time.Now()) >= bound/supersededDelayDivisor
 }
 
--- a/internal/state/srforwardsettings/settings.go
+++ b/internal/state/srforwardsettings/settings.go
@@ -97,11 +97,11 @@
 func (s Settings) Outage() time.Duration { return 2 * s.Heartbeat }
 
 const (
-	// queryDrainFraction and queryRevokeFraction are the fractions of the bounds for
-	// leaving endpoints and removed keys after which an instance whose view was not
+	// queryViewFraction and queryRevokeFraction are the fractions of ViewBound and of the
+	// bound for removed keys after which an instance whose view was not
 	// confirmed to be current reads the registry itself. The remainder of the bound
 	// is for the answer and for notifying the other instances.
-	queryDrainFraction  = 0.75
+	queryViewFraction   = 0.75
 	queryRevokeFraction = 0.4
 	// watchRevokeFraction is the fraction of the bound for removed keys for which a
 	// request for changes may wait at the registry. An answer confirms the view only
@@ -112,10 +112,19 @@
 	maxWatch = 1200 * time.Millisecond
 )
 
+// ViewBound returns the shorter of the times within which a configuration and the state
+// of an endpoint have to be in force; one that is 0 does not count.
+func (s Settings) ViewBound() time.Duration {
+	if s.Drain == 0 || s.ConfigTimeout == 0 {
+		return max(s.Drain, s.ConfigTimeout)
+	}
+	return min(s.Drain, s.ConfigTimeout)
+}
+
 // QueryAfter returns the age of the view from which an instance that does not watch the
 // registry reads it.
 func (s Settings) QueryAfter() time.Duration {
-	after := fraction(s.Drain, queryDrainFraction)
+	after := fraction(s.ViewBound(), queryViewFraction)
 	if s.RevokeTimeout > 0 {
 		after = min(after, fraction(s.RevokeTimeout, queryRevokeFraction))
 	}
--- a/internal/state/srforwardsettings/settings_test.go
+++ b/internal/state/srforwardsettings/settings_test.go
@@ -70,3 +70,15 @@
 		"file is read again every two seconds and on SIGHUP.\n" +
 		srini.Markdown(keys(&s))
 }
+
+// A view must be confirmed within the shortest of the bounds that depend on it.
+func TestQueryIsDueWithinEachBound(t *testing.T) {
+	s := Settings{Drain: 4 * time.Second, ConfigTimeout: 4 * time.Second}
+	assert.Equal(t, s.QueryAfter(), 3*time.Second)
+	s.ConfigTimeout = 2 * time.Second
+	assert.Equal(t, s.QueryAfter(), 1500*time.Millisecond)
+	s.Drain = time.Second
+	assert.Equal(t, s.QueryAfter(), 750*time.Millisecond)
+	s.RevokeTimeout = time.Second
+	assert.Equal(t, s.QueryAfter(), 400*time.Millisecond)
+}
