Report a configuration that cannot be parsed

An invalid configuration left the previous one in force without a log line or count, so logs could not tell it from one that had not arrived. TestInvalidConfigurationIsReported failed and passes.

--- a/internal/state/srview/view.go
+++ b/internal/state/srview/view.go
@@ -88,7 +88,8 @@
 
 // Update is the change of a View by one answer, for logs.
 type Update struct {
-	// Facts are the entries that the answer changed.
+	// Facts are the entries that the answer changed, and a new configuration that is
+	// invalid and leaves the previous one in force.
 	Facts []sr.RegistryEntry
 	// Regained is the length of the outage that the answer ended, 0 for none.
 	Regained time.Duration
@@ -184,7 +185,8 @@
 		v.answeredAt, v.failed = now, false
 	}
 	for _, e := range c.Facts {
-		if v.store(e, now, afterOutage) {
+		invalid := e.Kind == sr.EntryRouting && e.Invalid != "" && e.Revision > v.revision
+		if v.store(e, now, afterOutage) || invalid {
 			update.Facts = append(update.Facts, e)
 		}
 	}
--- a/internal/state/srview/view_test.go
+++ b/internal/state/srview/view_test.go
@@ -49,6 +49,19 @@
 	assert.Equal(t, v.Revision(), uint64(6))
 }
 
+// TestInvalidConfigurationIsReported checks that a configuration that cannot be parsed
+// leaves the previous one in force, and is reported once.
+func TestInvalidConfigurationIsReported(t *testing.T) {
+	v := newView()
+	apply(v, 0, sr.Changes{AsOf: 5, Whole: true, Facts: []sr.RegistryEntry{routing(7, 5, "k")}})
+	bad := sr.RegistryEntry{Kind: sr.EntryRouting, Revision: 6, Invalid: "no prefix"}
+	update := apply(v, time.Second, sr.Changes{AsOf: 6, Facts: []sr.RegistryEntry{bad}})
+	assert.DeepEqual(t, update.Facts, []sr.RegistryEntry{bad})
+	assert.Equal(t, v.State().Routing.Version, uint64(7))
+	update = apply(v, 2*time.Second, sr.Changes{AsOf: 6, Facts: []sr.RegistryEntry{bad}})
+	assert.Equal(t, len(update.Facts), 0)
+}
+
 func TestLeavingEvacuatedAndGoneEndpointsAreNotUsable(t *testing.T) {
 	v := newView()
 	leaving := ready("l", 2)
