Log the parts of prompts, and whether broken connections mean a crash

Logs could not tell which parts the requests at a crashed endpoint had in common, nor a crash from single connections that were reset. An admitted line now names the parts that other requests may share. After a connection breaks before an answer has gone on, the instance tries to connect to the endpoint once; one line says whether it refused and which requests were affected.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -58,6 +58,7 @@
 	t.result.Pace = time.Since(sent)
 	switch {
 	case err != nil:
+		t.broken = true
 		t.outcome, t.err, t.result.Failed = outcomeMayRun, errors.Wrap(err, "read body"), q.ctx.Err() == nil
 		q.avoid = append(q.avoid, t.endpoint)
 		return t
@@ -73,7 +74,7 @@
 		t.outcome, t.err = outcomeMayRun, errors.Errorf("status %d instead of the rest of a stream", a.Status)
 		return t
 	}
-	t.outcome = outcomeEnded
+	t.outcome, t.sound = outcomeEnded, true
 	if complete {
 		q.writeAnswer(a, body, t.endpoint)
 		return t
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -60,6 +60,7 @@
 	random         *random
 	clientTimeouts *clientTimeouts
 	transfers      *transfers
+	crashes        *crashWatch
 	// running counts the client requests in flight.
 	running atomic.Int64
 	// draining is set at the stop signal. refusing is set later, once the balancer
@@ -88,6 +89,7 @@
 		random:         newRandom(d.Seed),
 		clientTimeouts: newClientTimeouts(),
 		transfers:      newTransfers(),
+		crashes:        newCrashWatch(),
 	}
 	n.limits = newLimits(d.Settings)
 	n.queues = newQueues(d.Seed, d.Settings.Domain, d.Log)
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -143,7 +143,7 @@
 	q.Log.Served("admitted",
 		srlog.Request, q.inbound.ID, srlog.Route, q.route.Name, srlog.Rank, q.route.Rank, srlog.Service, q.service, srlog.Workspace, q.workspace.Name,
 		srlog.Cost, q.cost, srlog.Waited, time.Since(q.start), srlog.Left, time.Until(q.deadline),
-		srlog.Version, q.version, srlog.Age, q.view.Age(q.Clock()))
+		srlog.Parts, formatParts(q.sharedParts()), srlog.Version, q.version, srlog.Age, q.view.Age(q.Clock()))
 }
 
 // resolve determines the route, the service and the workspace.
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -46,6 +46,11 @@
 	err    error
 	// stall detects an endpoint that hangs.
 	stall *stallTimer
+	peer  srupstream.Peer
+	// broken is set when the connection ended before the answer, sound once the answer
+	// has gone on for soundAfter or has ended.
+	broken bool
+	sound  bool
 }
 
 // markUnanswered records that no answer arrived. That counts as a failure of the
@@ -73,6 +78,7 @@
 		q.logPlaced(d)
 		t := q.attempt(d.Endpoint)
 		queue.release(d.Endpoint, t.result)
+		q.watchForCrash(t)
 		switch t.outcome {
 		case outcomeEnded:
 			return
@@ -138,8 +144,9 @@
 	defer cancel()
 	stall := q.watchForStall(id, cancel)
 	defer stall.disarm()
-	a, err := q.Upstream.Send(ctx, srupstream.Peer{ID: id, Address: e.Address, Born: e.Born}, q.upstreamRequest(id), q.checkAndLog(id))
-	t := attempt{endpoint: id, err: err, stall: stall, result: srdispatch.Result{Prompt: q.inbound.Prompt}}
+	peer := srupstream.Peer{ID: id, Address: e.Address, Born: e.Born}
+	a, err := q.Upstream.Send(ctx, peer, q.upstreamRequest(id), q.checkAndLog(id))
+	t := attempt{endpoint: id, err: err, stall: stall, peer: peer, result: srdispatch.Result{Prompt: q.inbound.Prompt}}
 	switch {
 	case errors.Is(err, errUnusable):
 		t.outcome, t.result.Unsent = outcomeUnsent, true
@@ -153,7 +160,7 @@
 		return t
 	case err != nil:
 		q.possibleRuns++
-		t.outcome = outcomeMayRun
+		t.outcome, t.broken = outcomeMayRun, true
 		t.markUnanswered(q.ctx)
 		q.avoid = append(q.avoid, id)
 		return t
--- a/internal/app/srforward/stall.go
+++ b/internal/app/srforward/stall.go
@@ -20,6 +20,8 @@
 	timer    *time.Timer
 	armedAt  time.Time
 	disarmed bool
+	// stalled is set once onStall has been called.
+	stalled bool
 }
 
 // newStallTimer returns a stallTimer that is armed.
@@ -67,5 +69,13 @@
 		s.timer.Reset(s.timeout)
 		return elapsed, false
 	}
+	s.stalled = true
 	return elapsed, true
 }
+
+// hasStalled reports whether the timeout has passed at any time.
+func (s *stallTimer) hasStalled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stalled
+}
--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -42,6 +42,7 @@
 				t.result.Prompt = 0
 				q.queues.get(q.service).answerStarted(t.endpoint, q.inbound.Prompt, first.Sub(sent))
 			}
+			t.sound = t.sound || time.Since(first) >= soundAfter
 			if werr := q.writeEvent(a, event); werr != nil {
 				t.outcome, t.err = outcomeEnded, q.clientWriteFailed(werr)
 				return t
@@ -54,8 +55,10 @@
 			t.result.Pace = time.Since(first) / time.Duration(n-1)
 		}
 		if err == io.EOF {
+			t.sound = true
 			return q.endStream(t, a)
 		}
+		t.broken = !errors.Is(err, errEventSize)
 		t.outcome, t.err = outcomeMayRun, errors.Wrap(err, "read stream")
 		t.result.Failed = q.ctx.Err() == nil
 		q.avoid = append(q.avoid, t.endpoint)
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -9,7 +9,10 @@
 	Request = "request"
 	Route   = "route"
 	// Rank is the urgency of a route, 0 for the most urgent.
-	Rank      = "rank"
+	Rank = "rank"
+	// Parts are the IDs of the parts of a prompt without the last one, Part is one of them.
+	Parts     = "parts"
+	Part      = "part"
 	Service   = "service"
 	Workspace = "workspace"
 	Endpoint  = "endpoint"
--- a/internal/peer/srupstream/pool.go
+++ b/internal/peer/srupstream/pool.go
@@ -16,9 +16,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -158,7 +160,7 @@
 	defer cancel()
 	nc, err := p.opts.Dial(ctx, "tcp", peer.Address)
 	if err != nil {
-		return nil, errors.Wrapf(sr.ErrNotSent, "srupstream: connect to %s: %v", peer.Address, err)
+		return nil, fmt.Errorf("srupstream: connect to %s: %w: %w", peer.Address, err, sr.ErrNotSent)
 	}
 	p.mu.Lock()
 	p.opened++
@@ -169,3 +171,14 @@
 	c.reusableUntil = time.Now().Add(maxIdleTime)
 	return c, nil
 }
+
+// Refuses reports whether a peer refuses connections, as one that has crashed does. A
+// connection that it accepts is kept for reuse. A peer that does not answer does not
+// count as refusing.
+func (p *Pool) Refuses(ctx context.Context, peer Peer) bool {
+	c, err := p.dial(ctx, peer)
+	if err == nil {
+		p.putIdle(c)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/peer/srupstream/pool_test.go
+++ b/internal/peer/srupstream/pool_test.go
@@ -31,3 +31,16 @@
 	}
 	assert.Equal(t, p.Opened(), int64(1))
 }
+
+func TestCrashedPeerRefuses(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := srupstream.New(srupstream.Options{Dial: new(net.Dialer).DialContext})
+	defer p.Close()
+	peer := srupstream.Peer{ID: "e", Address: l.Addr().String()}
+	assert.Assert(t, !p.Refuses(t.Context(), peer))
+	l.Close()
+	assert.Assert(t, p.Refuses(t.Context(), peer))
+	_, err = p.Send(t.Context(), srupstream.Peer{ID: "f", Address: peer.Address}, srupstream.Request{}, func() error { return nil })
+	assert.Assert(t, errors.Is(err, sr.ErrNotSent))
+}
