Do not end a stream as complete inside an event

Cause: a stream without a length and chunks ends with its connection. What had been read of its last event was passed on, and the answer ended as complete, so a client could not tell that the endpoint had broken off.

Change: such an end inside an event, or before the first one, counts as broken off. The stream is resumed elsewhere when it may be, and otherwise cut.

Evidence: TestStreamWithoutLengthIsCompleteOnlyAfterAnEvent failed inside an event and inside a line, and passes.

--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -36,7 +36,12 @@
 		}
 		event, err := readEvent(r)
 		t.stall.disarm()
-		if len(event) > 0 && (err == nil || err == io.EOF) {
+		if err == io.EOF && (len(bytes.TrimSpace(event)) > 0 || !a.Framed && !q.headerSent) {
+			// The end of the connection may be the end of the stream, but not inside an
+			// event or before the first one.
+			err = io.ErrUnexpectedEOF
+		}
+		if err == nil {
 			if first.IsZero() {
 				first = time.Now()
 				t.result.Prompt = 0
@@ -47,8 +52,6 @@
 				t.outcome, t.err = outcomeEnded, q.clientWriteFailed(werr)
 				return t
 			}
-		}
-		if err == nil {
 			continue
 		}
 		if n := q.eventsSent - before; n > 1 {
--- a/internal/policy/srsuspect/replay_test.go
+++ b/internal/policy/srsuspect/replay_test.go
@@ -40,7 +40,7 @@
 	// gossip is the interval at which instances exchange reports.
 	gossip time.Duration
 	// perSecond is the rate of requests, crashingShare the share of those with a crashing part.
-	perSecond   float64
+	perSecond     float64
 	crashingShare float64
 	// first is the number of different first parts; middle that of the parts after them,
 	// 0 for none.
@@ -60,7 +60,7 @@
 type running struct {
 	instance int
 	parts    []string
-	crashing   bool
+	crashing bool
 	startsAt time.Duration
 	soundAt  time.Duration
 }
