Do not count an error answer as a sound one

Cause: an answer with an error status cleared the parts of its prompt, so an endpoint that fails requests with 500 would have cleared a part that crashes others. Only a status below 400 clears a part now.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -74,7 +74,7 @@
 		t.outcome, t.err = outcomeMayRun, errors.Errorf("status %d instead of the rest of a stream", a.Status)
 		return t
 	}
-	t.outcome, t.sound = outcomeEnded, true
+	t.outcome, t.sound = outcomeEnded, a.Status < http.StatusBadRequest
 	if complete {
 		q.writeAnswer(a, body, t.endpoint)
 		return t
