Let a suspicion age although instances repeat it to each other

Cause: an instance took over the age of a suspicion from a report when it was more than 150 ms younger than its own. The age grows by the delay of a message on its way, so two instances with a delay above that kept it young for good.

Change: only a difference of a second or more means another crash. A crash counts for a minute instead of 30 s, so that a part that crashes an endpoint every 15 s is found.

Evidence: TestRepeatedReportsDoNotExtendASuspicion failed.

--- a/internal/policy/srsuspect/suspects.go
+++ b/internal/policy/srsuspect/suspects.go
@@ -45,7 +45,7 @@
 	// crash. An endpoint is not back sooner.
 	sameCrash = time.Second
 	// crashRetention is how long a crash counts.
-	crashRetention = 30 * time.Second
+	crashRetention = time.Minute
 	// maxCrashes limits the crashes that are kept, maxRequests the requests of each and
 	// maxParts the parts of each request.
 	maxCrashes  = 256
@@ -318,17 +318,17 @@
 // explainedByOthers reports whether a part was at kept crashes, and another suspected part
 // at each of them.
 func (s *Suspects) explainedByOthers(part string) bool {
-	any := false
+	present := false
 	for _, c := range s.crashes {
 		if !hasPart(c.requests, part) {
 			continue
 		}
-		any = true
+		present = true
 		if !hasPartThat(c.requests, func(p string) bool { return p != part && s.suspected(p) }) {
 			return false
 		}
 	}
-	return any
+	return present
 }
 
 // extendSuspicions records the crashes at which a suspected part was.
@@ -562,7 +562,8 @@
 	k, ok := s.suspects[p.ID]
 	if ok && k.crashes > 0 {
 		k.crashes, k.rounds = max(k.crashes, p.Crashes), max(k.rounds, p.Rounds)
-		if last.Sub(k.last) > crashSpacing {
+		// The age of a report grows on its way, so a small difference is the same crash.
+		if last.Sub(k.last) > sameCrash {
 			k.last = last
 		}
 		return Change{}, false
--- a/internal/policy/srsuspect/suspects_test.go
+++ b/internal/policy/srsuspect/suspects_test.go
@@ -89,6 +89,19 @@
 	assert.Equal(t, v.Age, 28*time.Second)
 }
 
+// Instances repeat a suspicion to each other. Its age must not shrink by the delay of the
+// messages, or it would never end.
+func TestRepeatedReportsDoNotExtendASuspicion(t *testing.T) {
+	first, second := newSuspects(0), newSuspects(1)
+	crashes(first, 0, 3, "a")
+	const delay = 400 * time.Millisecond
+	for d := 2 * time.Second; d < time.Minute; d += 2 * delay {
+		second.Receive(at(d+delay), first.Report(at(d)))
+		first.Receive(at(d+2*delay), second.Report(at(d+delay)))
+	}
+	assert.Assert(t, !first.Check(at(2*time.Second+time.Minute), []string{"a"}).Blocked)
+}
+
 // What is known must stay bounded, and be forgotten.
 func TestKnowledgeIsBoundedAndForgotten(t *testing.T) {
 	s := newSuspects(0)
