Name each metric of suspected parts literally, and guard a field of a test

The page of metrics is checked against literal names, which the two counters lacked, and the race detector found a field that a test changes while instances read it.

--- a/internal/app/srforward/crash.go
+++ b/internal/app/srforward/crash.go
@@ -155,7 +155,11 @@
 // address of the instance whose report changed them, "" for this one.
 func (n *Instance) logSuspects(list []srsuspect.Change, source string) {
 	for _, c := range list {
-		n.stats.count(choose(c.Suspected, "part.suspected", "part.cleared"))
+		if c.Suspected {
+			n.stats.count("part.suspected")
+		} else {
+			n.stats.count("part.cleared")
+		}
 		n.Log.State(choose(c.Suspected, "part-suspected", "part-cleared"), srlog.Part, c.Part, srlog.Crashes, c.Crashes, srlog.Source, source)
 	}
 }
--- a/internal/app/srforward/dissemination_test.go
+++ b/internal/app/srforward/dissemination_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,7 +80,7 @@
 	instances map[string]*Instance
 	up, down  map[string]*testLink
 	// cutOff is the address of an instance that receives gossip but no entries.
-	cutOff string
+	cutOff atomic.Value
 }
 
 // messageBytes returns the size of an answer with entries.
@@ -135,7 +136,7 @@
 }
 
 func (r testRegistry) Changes(ctx context.Context, after uint64, wait time.Duration) (sr.Changes, error) {
-	if r.fleet.cutOff == r.address {
+	if r.fleet.cutOff.Load() == r.address {
 		return sr.Changes{}, errors.Wrap(sr.ErrUnreachable, "test network")
 	}
 	until := time.After(wait)
@@ -196,7 +197,7 @@
 }
 
 func (p testPeer) entries(ctx context.Context, after uint64, handler func(context.Context, uint64) (sr.Changes, error)) (sr.Changes, error) {
-	if p.fleet.cutOff == p.address {
+	if p.fleet.cutOff.Load() == p.address {
 		return sr.Changes{}, errors.Wrap(sr.ErrUnreachable, "test network")
 	}
 	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
@@ -325,7 +326,7 @@
 		f.run(t)
 		time.Sleep(10 * time.Second)
 		const address = "10.0.3.3:1"
-		f.cutOff = address
+		f.cutOff.Store(address)
 		n := f.instances[address]
 		q := &request{Instance: n}
 		for range 2 {
@@ -337,7 +338,7 @@
 		time.Sleep(bound)
 		assert.Assert(t, errors.Is(q.checkUsable("e-1")(), errUnusable))
 		assert.Assert(t, !n.Ready())
-		f.cutOff = ""
+		f.cutOff.Store("")
 		time.Sleep(bound)
 		assert.Assert(t, n.Ready())
 	})
