Log how answers are framed and how they end

Callers got answers that an endpoint had broken off as complete ones, and the logs of the four hypotheses looked the same: neither the framing of an answer nor how it ended was logged, and a request whose only attempt failed had no line with the error.

Change: the lines ended, again and broken-off have framing (length, chunks, close) and end (complete, closed, broken); attempt-failed is the line of a last attempt that failed before the client had received anything. copyAnswer distinguishes an endpoint that breaks off from a client that does. No decision changes.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -26,10 +26,12 @@
 	errNotFromEndpoint = errors.New("answer was not produced by the endpoint")
 	errServerError     = errors.New("endpoint answered with a server error")
 	errRejected        = errors.New("endpoint rejected the request without running it")
+	errReadAnswer      = errors.New("read from endpoint")
 )
 
 // handleAnswer evaluates the header of an answer and passes on the rest.
 func (q *request) handleAnswer(t attempt, a *srupstream.Answer, sent time.Time) attempt {
+	t.framing = a.Framing
 	switch {
 	case a.Reply.NotRun:
 		t.outcome, t.err = outcomeNotRun, errors.Wrapf(errRejected, "status %d", a.Status)
@@ -56,9 +58,12 @@
 	t.stall.disarm()
 	complete := err == nil && len(body) < maxBufferedBody
 	t.result.Pace = time.Since(sent)
+	if complete {
+		t.end = endOf(a)
+	}
 	switch {
 	case err != nil:
-		t.broken = true
+		t.end, t.broken = endBroken, true
 		t.outcome, t.err, t.result.Failed = outcomeMayRun, errors.Wrap(err, "read body"), q.ctx.Err() == nil
 		q.avoid = append(q.avoid, t.endpoint)
 		return t
@@ -76,17 +81,14 @@
 	}
 	t.outcome, t.sound = outcomeEnded, a.Status < http.StatusBadRequest
 	if complete {
-		q.writeAnswer(a, body, t.endpoint)
+		q.writeAnswer(t, a, body)
 		return t
 	}
-	if err := q.copyAnswer(a, body, t.endpoint); err != nil {
-		t.outcome, t.err = outcomeCut, err
-	}
-	return t
+	return q.copyAnswer(t, a, body)
 }
 
 // writeAnswer writes an answer whose body is complete.
-func (q *request) writeAnswer(a *srupstream.Answer, body []byte, endpoint string) {
+func (q *request) writeAnswer(t attempt, a *srupstream.Answer, body []byte) {
 	q.copyHeader(a)
 	if q.r.Method != http.MethodHead {
 		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -94,19 +96,35 @@
 	q.w.WriteHeader(a.Status)
 	q.headerSent = true
 	_, err := q.w.Write(body)
-	q.recordAnswer(a.Status, endpoint, err)
+	q.recordAnswer(t, a.Status, err)
 }
 
 // copyAnswer writes an answer of which only the start of the body has been read.
-func (q *request) copyAnswer(a *srupstream.Answer, body []byte, endpoint string) error {
+func (q *request) copyAnswer(t attempt, a *srupstream.Answer, body []byte) attempt {
 	q.copyHeader(a)
 	if a.Length >= 0 {
 		q.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	q.w.WriteHeader(a.Status)
 	q.headerSent = true
+	err := q.copyBody(a.Body, body)
+	switch {
+	case errors.Is(err, errReadAnswer):
+		t.outcome, t.end, t.err = outcomeCut, endBroken, err
+	case err != nil:
+		t.outcome, t.err = outcomeCut, err
+	default:
+		t.end = endOf(a)
+		q.recordAnswer(t, a.Status, nil)
+	}
+	return t
+}
+
+// copyBody writes the start of a body, which was read before, and the rest of it. It
+// returns errReadAnswer if the endpoint breaks off.
+func (q *request) copyBody(rest io.Reader, start []byte) error {
 	control := http.NewResponseController(q.w)
-	part := make([]byte, copyBufferSize)
+	part, body := make([]byte, copyBufferSize), start
 	for {
 		if err := control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return errors.Wrap(err, "set write deadline of client")
@@ -114,14 +132,13 @@
 		if _, err := q.w.Write(body); err != nil {
 			return errors.Wrap(err, "write to client")
 		}
-		n, err := a.Body.Read(part)
+		n, err := rest.Read(part)
 		body = part[:n]
 		if err == io.EOF && n == 0 {
-			q.recordAnswer(a.Status, endpoint, nil)
 			return nil
 		}
 		if err != nil && err != io.EOF {
-			return errors.Wrap(err, "read from endpoint")
+			return errors.Wrap(errReadAnswer, err.Error())
 		}
 	}
 }
@@ -137,7 +154,7 @@
 }
 
 // recordAnswer counts and logs a final answer.
-func (q *request) recordAnswer(status int, endpoint string, err error) {
+func (q *request) recordAnswer(t attempt, status int, err error) {
 	q.stats.count("ended." + strconv.Itoa(status))
 	total := time.Since(q.start)
 	q.stats.observe("total."+kindName(q.route.Kind), total)
@@ -145,7 +162,8 @@
 	if status >= http.StatusBadRequest || err != nil {
 		line = q.Log.Failed
 	}
-	line("ended", srlog.Request, q.inbound.ID, srlog.Route, q.route.Name, srlog.Endpoint, endpoint, srlog.Status, status, srlog.Attempt, q.attempts, srlog.Events, q.eventsSent, srlog.First, q.firstByte, srlog.Total, total, srlog.Error, errorText(err))
+	line("ended", srlog.Request, q.inbound.ID, srlog.Route, q.route.Name, srlog.Endpoint, t.endpoint, srlog.Status, status, srlog.Attempt, q.attempts, srlog.Events, q.eventsSent,
+		srlog.Framing, t.framing.String(), srlog.End, t.end.String(), srlog.First, q.firstByte, srlog.Total, total, srlog.Error, errorText(err))
 }
 
 func kindName(k sr.RouteKind) string {
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -55,6 +55,36 @@
 	// has gone on for soundAfter or has ended.
 	broken bool
 	sound  bool
+	// framing and end tell how the endpoint's answer is framed and how it ended.
+	framing srupstream.Framing
+	end     answerEnd
+}
+
+// answerEnd is how an endpoint's answer ended.
+type answerEnd uint8
+
+const (
+	// endComplete: the length or the last chunk shows that the answer is complete.
+	endComplete answerEnd = iota + 1
+	// endClosed: the connection was closed, and nothing shows whether the answer is
+	// complete.
+	endClosed
+	// endBroken: the answer is known to be incomplete.
+	endBroken
+)
+
+// endOf returns the end of an answer whose body was read up to io.EOF.
+func endOf(a *srupstream.Answer) answerEnd {
+	if a.Framing == srupstream.FramingClose {
+		return endClosed
+	}
+	return endComplete
+}
+
+// String returns the name of the end in logs, "" for none.
+func (e answerEnd) String() string {
+	names := []string{"", "complete", "closed", "broken"}
+	return names[e]
 }
 
 // markUnanswered records that no answer arrived. That counts as a failure of the
@@ -87,7 +117,7 @@
 		case outcomeEnded:
 			return
 		case outcomeCut:
-			q.abort(reasonBroken, t.endpoint, t.err)
+			q.abort(t, reasonBroken)
 		}
 		last = t
 		if q.ctx.Err() != nil {
@@ -102,7 +132,8 @@
 			q.fail(last, reason)
 			return
 		}
-		q.Log.Failed("again", srlog.Request, q.inbound.ID, srlog.Endpoint, t.endpoint, srlog.Attempt, q.attempts, srlog.Error, errorText(t.err), srlog.State, t.outcome.String(), srlog.Events, q.eventsSent)
+		q.Log.Failed("again", srlog.Request, q.inbound.ID, srlog.Endpoint, t.endpoint, srlog.Attempt, q.attempts, srlog.Error, errorText(t.err), srlog.State, t.outcome.String(), srlog.Events, q.eventsSent,
+			srlog.Framing, t.framing.String(), srlog.End, t.end.String())
 	}
 }
 
@@ -325,11 +356,15 @@
 // begun. Otherwise the client gets the endpoint's own error answer or, without one,
 // a status that states whether the request may have run.
 func (q *request) fail(last attempt, reason string) {
+	if !q.headerSent && last.err != nil {
+		q.Log.Failed("attempt-failed", srlog.Request, q.inbound.ID, srlog.Endpoint, last.endpoint, srlog.Attempt, q.attempts, srlog.Reason, reason,
+			srlog.State, last.outcome.String(), srlog.Framing, last.framing.String(), srlog.End, last.end.String(), srlog.Error, errorText(last.err))
+	}
 	switch {
 	case q.headerSent:
-		q.abort(reason, last.endpoint, last.err)
+		q.abort(last, reason)
 	case last.answer != nil:
-		q.writeAnswer(last.answer, last.body, last.endpoint)
+		q.writeAnswer(last, last.answer, last.body)
 	case q.possibleRuns > 0 && reason == reasonTimeout:
 		q.writeRefusal(refusal{status: http.StatusGatewayTimeout, reason: reason})
 	case q.possibleRuns > 0:
@@ -343,9 +378,10 @@
 
 // abort closes the client's connection in the middle of the answer, since nothing
 // else tells the client that the answer is incomplete. It does not return.
-func (q *request) abort(reason, endpoint string, err error) {
+func (q *request) abort(last attempt, reason string) {
 	q.stats.count("broken." + reason)
-	q.Log.Failed("broken-off", srlog.Request, q.inbound.ID, srlog.Reason, reason, srlog.Endpoint, endpoint, srlog.Events, q.eventsSent, srlog.Error, errorText(err), srlog.Total, time.Since(q.start), srlog.Route, q.route.Name)
+	q.Log.Failed("broken-off", srlog.Request, q.inbound.ID, srlog.Reason, reason, srlog.Endpoint, last.endpoint, srlog.Events, q.eventsSent,
+		srlog.Framing, last.framing.String(), srlog.End, last.end.String(), srlog.Error, errorText(last.err), srlog.Total, time.Since(q.start), srlog.Route, q.route.Name)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -36,7 +36,7 @@
 		}
 		event, err := readEvent(r)
 		t.stall.disarm()
-		if err == io.EOF && (len(bytes.TrimSpace(event)) > 0 || !a.Framed && !q.headerSent) {
+		if err == io.EOF && (len(bytes.TrimSpace(event)) > 0 || a.Framing == srupstream.FramingClose && !q.headerSent) {
 			// The end of the connection may be the end of the stream, but not inside an
 			// event or before the first one.
 			err = io.ErrUnexpectedEOF
@@ -58,10 +58,10 @@
 			t.result.Pace = time.Since(first) / time.Duration(n-1)
 		}
 		if err == io.EOF {
-			t.sound = true
+			t.end, t.sound = endOf(a), true
 			return q.endStream(t, a)
 		}
-		t.broken = !errors.Is(err, errEventSize)
+		t.end, t.broken = endBroken, !errors.Is(err, errEventSize)
 		t.outcome, t.err = outcomeMayRun, errors.Wrap(err, "read stream")
 		t.result.Failed = q.ctx.Err() == nil
 		q.avoid = append(q.avoid, t.endpoint)
@@ -75,7 +75,7 @@
 		q.beginStream(a)
 	}
 	t.outcome = outcomeEnded
-	q.recordAnswer(a.Status, t.endpoint, nil)
+	q.recordAnswer(t, a.Status, nil)
 	return t
 }
 
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -25,6 +25,11 @@
 	Error     = "error"
 	Attempt   = "attempt"
 	Events    = "events"
+	// Framing is how the end of an endpoint's answer is marked: length, chunks, or close
+	// when it ends with the connection. End is how the answer ended: complete, closed
+	// when the connection ended without proof that the answer is complete, or broken.
+	Framing = "framing"
+	End     = "end"
 	// Version is the version of the configuration that was applied.
 	Version  = "version"
 	Revision = "revision"
--- a/internal/peer/srupstream/send.go
+++ b/internal/peer/srupstream/send.go
@@ -43,9 +43,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
-	// Framed reports whether the answer has a length or chunks. Without them its body
-	// ends with the connection.
-	Framed bool
+	// Framing tells how the end of the body is marked.
+	Framing Framing
 	// Reply is the routing data that Options.Reply extracted.
 	Reply sr.Reply
 	Body  io.ReadCloser
@@ -76,7 +75,7 @@
 		return nil, errors.Wrapf(sr.ErrConnectionLost, "srupstream: %s: %v", peer.Address, err)
 	}
 	x.resp = resp
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framed: framed(resp), Reply: reply, Body: x}, nil
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp), Reply: reply, Body: x}, nil
 }
 
 // exchange is one request and its response on a connection. It implements the body of
@@ -200,10 +199,5 @@
 	default:
 		return false
 	}
-	return x.writeErr == nil && !x.mismatched && !x.resp.Close && framed(x.resp) && x.conn.openAndEmpty()
-}
-
-// framed reports whether a response has a length or chunks.
-func framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return x.writeErr == nil && !x.mismatched && !x.resp.Close && framingOf(x.resp) != FramingClose && x.conn.openAndEmpty()
 }
