Reset broken answers to clients without chunks

What callers saw: an answer that was broken off reached HTTP/1.0 clients as a complete one.

Cause: such a client takes the end of the connection for the end of the answer, and net/http closes the connection of an aborted handler normally. The same happens when the process shuts down or is killed in mid-answer.

Change: a connection whose end is the end of the answer resets when it is closed (no linger) until the answer has been written to its end, so a killed process resets it too. A handler whose write failed no longer returns normally, which would have completed the answer.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -81,22 +81,27 @@
 	}
 	t.outcome, t.sound = outcomeEnded, a.Status < http.StatusBadRequest
 	if complete {
-		q.writeAnswer(t, a, body)
+		t.err = q.writeAnswer(t, a, body)
 		return t
 	}
 	return q.copyAnswer(t, a, body)
 }
 
 // writeAnswer writes an answer whose body is complete.
-func (q *request) writeAnswer(t attempt, a *srupstream.Answer, body []byte) {
+func (q *request) writeAnswer(t attempt, a *srupstream.Answer, body []byte) error {
 	q.copyHeader(a)
 	if q.r.Method != http.MethodHead {
 		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	q.w.WriteHeader(a.Status)
-	q.headerSent = true
-	_, err := q.w.Write(body)
+	err := q.writeHeader(a.Status)
+	if err == nil {
+		_, err = q.w.Write(body)
+	}
+	if err == nil {
+		err = q.finishAnswer()
+	}
 	q.recordAnswer(t, a.Status, err)
+	return err
 }
 
 // copyAnswer writes an answer of which only the start of the body has been read.
@@ -105,9 +110,13 @@
 	if a.Length >= 0 {
 		q.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
-	q.w.WriteHeader(a.Status)
-	q.headerSent = true
-	err := q.copyBody(a.Body, body)
+	err := q.writeHeader(a.Status)
+	if err == nil {
+		err = q.copyBody(a.Body, body)
+	}
+	if err == nil {
+		err = q.finishAnswer()
+	}
 	switch {
 	case errors.Is(err, errReadAnswer):
 		t.outcome, t.end, t.err = outcomeCut, endBroken, err
--- a/internal/app/srforward/connections.go
+++ b/internal/app/srforward/connections.go
@@ -1,6 +1,7 @@
 package srforward
 
 import (
+	"context"
 	"io"
 	"maps"
 	"net"
@@ -34,6 +35,14 @@
 	return &clients{log: log, open: make(map[*clientConn]struct{})}
 }
 
+// clientConnKey is the key of the client connection in the context of a request.
+type clientConnKey struct{}
+
+// withClientConn is the ConnContext hook of the server.
+func withClientConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, clientConnKey{}, c)
+}
+
 // wrap returns a listener whose connections clients can track.
 func (c *clients) wrap(ln net.Listener) net.Listener { return clientListener{ln} }
 
@@ -140,6 +149,20 @@
 	c.serving, c.idleSince, c.headerSince = serving, idle, time.Time{}
 }
 
+// setResetOnClose makes the connection end with a reset, or normally again. The kernel
+// does the same when the process is killed.
+func (c *clientConn) setResetOnClose(reset bool) error {
+	tc, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	const resetAtOnce, defaultLinger = 0, -1
+	if reset {
+		return tc.SetLinger(resetAtOnce)
+	}
+	return tc.SetLinger(defaultLinger)
+}
+
 func (c *clientConn) timestamps() (idle, header time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -281,6 +281,7 @@
 	p.rpc = rpc
 	p.clientServer = newServer(p.handler())
 	p.clientServer.ConnState = p.clients.connState
+	p.clientServer.ConnContext = withClientConn
 	ready, operate := newServer(p.instance.readyHandler()), newServer(p.instance.operatorHandler())
 	p.servers = []*http.Server{p.clientServer, ready, operate}
 	wg.Go(func() { reportServeError(failed, p.clientServer.Serve(p.clients.wrap(p.listen.clients))) })
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -48,6 +48,9 @@
 	avoid []string
 	// headerSent is set once the header has been sent to the client.
 	headerSent bool
+	// endsWithConnection is set if the answer to the client has neither a length nor
+	// chunks.
+	endsWithConnection bool
 	// lastEvent is the id of the last event sent to the client.
 	lastEvent  string
 	eventsSent int
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -25,7 +25,8 @@
 type outcome uint8
 
 const (
-	// outcomeEnded: the client has received its final answer, or cannot receive one.
+	// outcomeEnded: the client has received its final answer, or, with an error, cannot
+	// receive one.
 	outcomeEnded outcome = iota + 1
 	// outcomeNotRun: the endpoint has rejected the request without running it.
 	outcomeNotRun
@@ -115,6 +116,10 @@
 		q.observeAttempt(t)
 		switch t.outcome {
 		case outcomeEnded:
+			if t.err != nil {
+				// A normal return would complete the answer.
+				panic(http.ErrAbortHandler)
+			}
 			return
 		case outcomeCut:
 			q.abort(t, reasonBroken)
@@ -364,7 +369,9 @@
 	case q.headerSent:
 		q.abort(last, reason)
 	case last.answer != nil:
-		q.writeAnswer(last, last.answer, last.body)
+		if err := q.writeAnswer(last, last.answer, last.body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
 	case q.possibleRuns > 0 && reason == reasonTimeout:
 		q.writeRefusal(refusal{status: http.StatusGatewayTimeout, reason: reason})
 	case q.possibleRuns > 0:
--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -71,20 +71,26 @@
 
 // endStream completes an answer after the endpoint's last event.
 func (q *request) endStream(t attempt, a *srupstream.Answer) attempt {
+	var err error
 	if !q.headerSent {
-		q.beginStream(a)
+		err = q.beginStream(a)
 	}
-	t.outcome = outcomeEnded
-	q.recordAnswer(t, a.Status, nil)
+	if err == nil {
+		err = q.finishAnswer()
+	}
+	t.outcome, t.err = outcomeEnded, err
+	q.recordAnswer(t, a.Status, err)
 	return t
 }
 
-func (q *request) beginStream(a *srupstream.Answer) {
+func (q *request) beginStream(a *srupstream.Answer) error {
 	q.copyHeader(a)
-	q.w.WriteHeader(a.Status)
-	q.headerSent = true
+	if err := q.writeHeader(a.Status); err != nil {
+		return err
+	}
 	q.firstByte = time.Since(q.start)
 	q.stats.observe("first", q.firstByte)
+	return nil
 }
 
 // writeEvent writes one event, unless the client already has it.
@@ -94,7 +100,9 @@
 		return nil
 	}
 	if !q.headerSent {
-		q.beginStream(a)
+		if err := q.beginStream(a); err != nil {
+			return err
+		}
 	}
 	control := http.NewResponseController(q.w)
 	if err := control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
