Pass on the end of a connection as such, not as proof of a complete answer

Cause: an answer with neither length nor chunks ends with its connection, which does not prove that it is complete (RFC 9112, section 8). The instance sent streams on in chunks and completed them with the last chunk, and gave plain answers a Content-Length or a last chunk.

Evidence: TestEndOfConnectionIsNotPassedOnAsProofOfACompleteAnswer failed between two events of a stream and at every byte of a plain answer; TestResumedStreamDoesNotLookCompleteWithoutProof failed between two events and before the first one of the resumed attempt. Resets, and answers with length or chunks, were right at every byte.

Ruled out: resetting the client at each such end, which would lose every complete answer of this kind; resuming each such stream elsewhere, which would run all of them twice.

Change: an answer that ends with its connection is passed on without length and chunks, and ends with the client's connection, which resets unless the answer was written to its end. A stream that the client receives in chunks, because another endpoint began it, counts as broken off at such an end: it is resumed once more if the route allows it, and otherwise cut. A resumed attempt without an event counts as broken off, like a first one.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -87,13 +87,13 @@
 	return q.copyAnswer(t, a, body)
 }
 
-// writeAnswer writes an answer whose body is complete.
+// writeAnswer writes an answer whose body has been read to its end.
 func (q *request) writeAnswer(t attempt, a *srupstream.Answer, body []byte) error {
 	q.copyHeader(a)
-	if q.r.Method != http.MethodHead {
+	if q.r.Method != http.MethodHead && a.Framing != srupstream.FramingClose {
 		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	err := q.writeHeader(a.Status)
+	err := q.writeHeader(a)
 	if err == nil {
 		_, err = q.w.Write(body)
 	}
@@ -110,7 +110,7 @@
 	if a.Length >= 0 {
 		q.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
-	err := q.writeHeader(a.Status)
+	err := q.writeHeader(a)
 	if err == nil {
 		err = q.copyBody(a.Body, body)
 	}
--- a/internal/app/srforward/framing.go
+++ b/internal/app/srforward/framing.go
@@ -4,19 +4,26 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srupstream"
 )
 
-// writeHeader writes the header of an answer. Without a length and chunks the client takes
-// the end of the connection for the end of the answer, so until finishAnswer the connection
-// can only end with a reset.
-func (q *request) writeHeader(status int) error {
-	q.endsWithConnection = q.w.Header().Get("Content-Length") == "" && !q.r.ProtoAtLeast(1, 1)
+// writeHeader writes the header of an answer. The client gets no more proof that the answer
+// is complete than this instance does: an answer that ends with its connection does so at
+// the client too. Until finishAnswer such a connection can only end with a reset.
+func (q *request) writeHeader(a *srupstream.Answer) error {
+	h := q.w.Header()
+	if a.Framing == srupstream.FramingClose {
+		// Keeps net/http from using chunks.
+		h.Set("Transfer-Encoding", "identity")
+	}
+	q.endsWithConnection = h.Get("Content-Length") == "" && (a.Framing == srupstream.FramingClose || !q.r.ProtoAtLeast(1, 1))
 	if c, ok := q.ctx.Value(clientConnKey{}).(*clientConn); ok && q.endsWithConnection {
 		if err := c.setResetOnClose(true); err != nil {
 			return errors.Wrap(err, "prepare connection of client")
 		}
 	}
-	q.w.WriteHeader(status)
+	q.w.WriteHeader(a.Status)
 	q.headerSent = true
 	return nil
 }
--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -21,7 +21,10 @@
 	maxEvent = 1 << 20
 )
 
-var errEventSize = errors.New("event exceeds the maximum size")
+var (
+	errEventSize   = errors.New("event exceeds the maximum size")
+	errUnprovenEnd = errors.New("the end of the connection does not prove that the stream is complete")
+)
 
 // handleStream passes on a stream of events, each as soon as it is complete. A stream
 // that breaks between events, or within one, can be resumed at another endpoint
@@ -36,10 +39,8 @@
 		}
 		event, err := readEvent(r)
 		t.stall.disarm()
-		if err == io.EOF && (len(bytes.TrimSpace(event)) > 0 || a.Framing == srupstream.FramingClose && !q.headerSent) {
-			// The end of the connection may be the end of the stream, but not inside an
-			// event or before the first one.
-			err = io.ErrUnexpectedEOF
+		if err == io.EOF {
+			err = q.checkEnd(a, event, q.eventsSent-before)
 		}
 		if err == nil {
 			if first.IsZero() {
@@ -62,13 +63,33 @@
 			return q.endStream(t, a)
 		}
 		t.end, t.broken = endBroken, !errors.Is(err, errEventSize)
+		if errors.Is(err, errUnprovenEnd) {
+			t.end = endClosed
+		}
 		t.outcome, t.err = outcomeMayRun, errors.Wrap(err, "read stream")
-		t.result.Failed = q.ctx.Err() == nil
+		t.result.Failed = q.ctx.Err() == nil && !errors.Is(err, errUnprovenEnd)
 		q.avoid = append(q.avoid, t.endpoint)
 		return t
 	}
 }
 
+// checkEnd returns io.EOF if an answer of some events may end here, after the bytes rest of
+// an incomplete event. If the answer to the client needs a last chunk, which proves that it
+// is complete, the end of a connection is not enough.
+func (q *request) checkEnd(a *srupstream.Answer, rest []byte, events int) error {
+	switch {
+	case len(bytes.TrimSpace(rest)) > 0:
+		return io.ErrUnexpectedEOF
+	case a.Framing != srupstream.FramingClose:
+		return io.EOF
+	case events == 0:
+		return io.ErrUnexpectedEOF
+	case q.headerSent && !q.endsWithConnection:
+		return errUnprovenEnd
+	}
+	return io.EOF
+}
+
 // endStream completes an answer after the endpoint's last event.
 func (q *request) endStream(t attempt, a *srupstream.Answer) attempt {
 	var err error
@@ -85,7 +106,7 @@
 
 func (q *request) beginStream(a *srupstream.Answer) error {
 	q.copyHeader(a)
-	if err := q.writeHeader(a.Status); err != nil {
+	if err := q.writeHeader(a); err != nil {
 		return err
 	}
 	q.firstByte = time.Since(q.start)
