Do not count the end of a connection as a sound answer

What callers saw: not reported. Found by looking for the cause of the framed answers elsewhere: an end without proof was taken for a complete answer.

Cause: an endpoint that crashes between two events of a stream without length and chunks seems to have answered. A long plain answer that broke off after its header counted as sound too.

Evidence: TestPartThatCrashesEndpointsIsRefusedWhenCrashesLookLikeEnds failed: the part was never refused.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -79,7 +79,8 @@
 		t.outcome, t.err = outcomeMayRun, errors.Errorf("status %d instead of the rest of a stream", a.Status)
 		return t
 	}
-	t.outcome, t.sound = outcomeEnded, a.Status < http.StatusBadRequest
+	t.outcome, t.broken = outcomeEnded, a.Framing == srupstream.FramingClose
+	t.sound = a.Status < http.StatusBadRequest && !t.broken
 	if complete {
 		t.err = q.writeAnswer(t, a, body)
 		return t
@@ -120,6 +121,7 @@
 	switch {
 	case errors.Is(err, errReadAnswer):
 		t.outcome, t.end, t.err = outcomeCut, endBroken, err
+		t.broken, t.sound = true, false
 	case err != nil:
 		t.outcome, t.err = outcomeCut, err
 	default:
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -52,8 +52,8 @@
 	// stall detects an endpoint that hangs.
 	stall *stallTimer
 	peer  srupstream.Peer
-	// broken is set when the connection ended before the answer, sound once the answer
-	// has gone on for soundAfter or has ended.
+	// broken is set when the connection ended before the answer is known to have ended,
+	// sound once the answer has gone on for soundAfter or is known to have ended.
 	broken bool
 	sound  bool
 	// framing and end tell how the endpoint's answer is framed and how it ended.
--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -59,7 +59,9 @@
 			t.result.Pace = time.Since(first) / time.Duration(n-1)
 		}
 		if err == io.EOF {
-			t.end, t.sound = endOf(a), true
+			t.end = endOf(a)
+			t.sound = t.sound || t.end == endComplete
+			t.broken = !t.sound
 			return q.endStream(t, a)
 		}
 		t.end, t.broken = endBroken, !errors.Is(err, errEventSize)
