Do not take a service's answer for complete at the end of its connection

What callers saw: not reported. Found by looking for the cause of the framed answers elsewhere.

Cause: sassafrasrail serve took the body of a plain service's answer without length and chunks for complete when its connection ended, and returned it as the final answer.

Evidence: TestAnswerThatEndsWithItsConnectionIsNotComplete failed, with a truncated answer and no error.

Ruled out: passing it on as it is; callers get answers in a record of their own, which cannot end without proof. Answers of engines have a last line that proves their end, and other JSON bodies end with their last brace.

Change: such an answer counts as a broken connection: the call may have run, and is retried only if it is repeatable.

--- a/internal/peer/srconn/body.go
+++ b/internal/peer/srconn/body.go
@@ -45,6 +45,12 @@
 	return body, nil
 }
 
+// EndsWithConnection reports whether a response has neither a length nor chunks, so that
+// nothing shows whether its body is complete.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // CloseBody closes the body of a response. A short unread remainder is read first, so
 // that the connection can be reused.
 func CloseBody(resp *http.Response) {
--- a/internal/peer/srservice/client.go
+++ b/internal/peer/srservice/client.go
@@ -8,7 +8,8 @@
 //	answer, err := c.Call(ctx, "10.0.0.9:8000", call)
 //
 // A call is sent on a new connection and never retried. A response with any status is
-// the answer of the call, except a 503 that states that the call will not run.
+// the answer of the call, except a 503 that states that the call will not run. An answer
+// without length and chunks may be incomplete and counts as a broken connection.
 package srservice
 
 import (
@@ -75,6 +76,9 @@
 	if resp.StatusCode == http.StatusServiceUnavailable && srconn.NotTaken(body) {
 		return sr.Answer{}, errors.Wrapf(sr.ErrNotTaken, "srservice: %s", address)
 	}
+	if srconn.EndsWithConnection(resp) {
+		return sr.Answer{}, errors.Wrapf(sr.ErrConnectionLost, "srservice: answer of %s has neither a length nor chunks", address)
+	}
 	return sr.Answer{Code: resp.StatusCode, Body: string(body)}, nil
 }
 
--- a/internal/peer/srservice/client_test.go
+++ b/internal/peer/srservice/client_test.go
@@ -176,3 +176,17 @@
 		assert.Assert(t, errors.Is(err, sr.ErrNotSent))
 	})
 }
+
+// The end of a connection does not prove that an answer without length and chunks is
+// complete.
+func TestAnswerThatEndsWithItsConnectionIsNotComplete(t *testing.T) {
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Transfer-Encoding", "identity")
+		_, err := io.WriteString(w, "booked: o")
+		assert.Check(t, err)
+	})
+	serve(t, h, func(t *testing.T, c *srservice.Client) {
+		_, err := c.Call(t.Context(), address, booking())
+		assert.Assert(t, errors.Is(err, sr.ErrConnectionLost), "got %v", err)
+	})
+}
--- a/internal/peer/srupstream/framing.go
+++ b/internal/peer/srupstream/framing.go
@@ -1,6 +1,10 @@
 package srupstream
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srconn"
+)
 
 // Framing is the way in which the end of an answer's body is marked.
 type Framing uint8
@@ -25,10 +29,10 @@
 // framingOf returns the framing of a response.
 func framingOf(resp *http.Response) Framing {
 	switch {
-	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
-		return FramingLength
+	case srconn.EndsWithConnection(resp):
+		return FramingClose
 	case len(resp.TransferEncoding) > 0:
 		return FramingChunks
 	}
-	return FramingClose
+	return FramingLength
 }
