Read the registry's era, and log each listing

The views ignored the listings of a restored registry, and nothing in the logs said so: a listing had no line, and the era was not read.

The line listing has its era and revision, those of the view, and whether it is applied. No decision uses the era yet.

--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -83,6 +83,9 @@
 	if err != nil {
 		return err
 	}
+	revision, age := n.view.AsOf(n.Clock())
+	n.Log.State("listing", srlog.Era, c.Era, srlog.Newest, c.AsOf, srlog.Count, len(c.Facts), srlog.Revision, revision, srlog.Age, age,
+		srlog.Outcome, choose(c.AsOf < revision, "ignored", "applied"))
 	n.applyChanges(requestedAt, c, sourceRegistry)
 	return nil
 }
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -33,6 +33,8 @@
 	// Version is the version of the configuration that was applied.
 	Version  = "version"
 	Revision = "revision"
+	// Era is the era of the registry to which a revision belongs, 0 when it is not known.
+	Era = "era"
 	// Newest is the newest revision that another instance has stated.
 	Newest = "newest"
 	// Behind is the time since another instance first stated a newer revision.
--- a/live.go
+++ b/live.go
@@ -72,6 +72,10 @@
 	Facts []RegistryEntry
 	// AsOf is the revision up to which the entries are complete.
 	AsOf uint64
+	// Era is the era of the registry. It rises when the registry is restored from an older
+	// copy of itself, after which it gives out revisions again. It is 0 when the registry
+	// does not state it.
+	Era uint64
 	// Whole marks a full listing: an entry that it does not contain does not exist.
 	Whole bool
 	// Age is how old the data was when the request for it arrived: 0 from the
