Read the sequence of registrations, and log it with their start

A restored registry shows registrations as they were when the copy was made. Start and sequence, which the endpoint itself counts, tell which of two is newer; the logs had neither. No decision uses the sequence yet.

--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -119,7 +119,8 @@
 		n.Log.State("evacuation", srlog.Domain, e.Name, srlog.State, choose(e.Gone, "over", "ordered"), srlog.Revision, e.Revision, srlog.Source, source)
 	case e.Kind == sr.EntryEndpoint:
 		state := choose(e.Gone, "gone", choose(e.Endpoint.State == sr.EndpointLeaving, "leaving", "ready"))
-		n.Log.State("endpoint", srlog.Endpoint, e.Name, srlog.State, state, srlog.Service, e.Endpoint.Service, srlog.Domain, e.Endpoint.Domain, srlog.Slots, e.Endpoint.Slots, srlog.Revision, e.Revision, srlog.Source, source)
+		n.Log.State("endpoint", srlog.Endpoint, e.Name, srlog.State, state, srlog.Service, e.Endpoint.Service, srlog.Domain, e.Endpoint.Domain, srlog.Slots, e.Endpoint.Slots,
+			srlog.Born, e.Endpoint.Born, srlog.Sequence, e.Endpoint.Sequence, srlog.Revision, e.Revision, srlog.Source, source)
 	}
 }
 
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -33,6 +33,10 @@
 	// Version is the version of the configuration that was applied.
 	Version  = "version"
 	Revision = "revision"
+	// Born and Sequence order the registrations of an endpoint: the start of the endpoint in
+	// Unix milliseconds, and a number that grows with each change since then.
+	Born     = "born"
+	Sequence = "sequence"
 	// Era is the era of the registry to which a revision belongs, 0 when it is not known.
 	Era = "era"
 	// Newest is the newest revision that another instance has stated.
--- a/live.go
+++ b/live.go
@@ -30,6 +30,8 @@
 	ColdLeft time.Duration
 	// Born is the start time of the endpoint by its own clock, in Unix milliseconds.
 	Born int64
+	// Sequence grows with each change of the registration since Born.
+	Sequence uint64
 }
 
 // EntryKind is the kind of a registry entry.
