Add failing tests of a registry that is restored from an older copy

That nothing is brought back holds on this code only because it ignores the restored registry; those tests guard the fix.

--- a/internal/app/srforward/dissemination_test.go
+++ b/internal/app/srforward/dissemination_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -73,12 +76,26 @@
 
 // testFleet is a fleet of instances with slow links, and the registry that they read.
 type testFleet struct {
-	mu        sync.Mutex
-	facts     []sr.RegistryEntry
-	revision  uint64
-	changed   chan struct{}
+	mu       sync.Mutex
+	facts    []sr.RegistryEntry
+	revision uint64
+	changed  chan struct{}
+	era      uint64
+	down     bool
+	// forgotten is the newest revision whose changes are no longer known.
+	forgotten uint64
+	cfg       srforwardsettings.Settings
+	seeds     []string
+	log       *srlog.Log
 	instances map[string]*Instance
-	up, down  map[string]*testLink
+	// cut holds the instances that reach nothing and are not reached.
+	cut map[string]bool
+	// stop ends an instance.
+	stop map[string]context.CancelFunc
+	wg   sync.WaitGroup
+	// calls counts the queries to the registry.
+	calls              atomic.Int64
+	sending, receiving map[string]*testLink
 	// cutOff is the address of an instance that receives gossip but no entries.
 	cutOff atomic.Value
 }
@@ -111,18 +128,87 @@
 	f.changed = make(chan struct{})
 }
 
-func (f *testFleet) after(revision uint64) (sr.Changes, chan struct{}) {
+// query returns the entries after a revision for a query of one instance, without removals
+// for a listing, and a channel that is closed at the next change.
+func (f *testFleet) query(address string, revision uint64, whole bool) (sr.Changes, chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := sr.Changes{AsOf: f.revision}
+	switch {
+	case f.down || f.cut[address]:
+		return sr.Changes{}, nil, errors.Wrap(sr.ErrUnreachable, "test network")
+	case !whole && (revision > f.revision || revision < f.forgotten):
+		return sr.Changes{}, nil, errors.Wrap(sr.ErrHistoryLost, "test registry")
+	}
+	out := sr.Changes{AsOf: f.revision, Era: f.era, Whole: whole}
 	for _, e := range f.facts {
-		if e.Revision > revision {
+		if e.Revision > revision && !(whole && e.Gone) {
 			out.Facts = append(out.Facts, e)
 		}
 	}
-	return out, f.changed
+	return out, f.changed, nil
+}
+
+// registryCopy is the content of the registry at a revision.
+type registryCopy struct {
+	facts    []sr.RegistryEntry
+	revision uint64
+}
+
+func (f *testFleet) copy() registryCopy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return registryCopy{facts: slices.Clone(f.facts), revision: f.revision}
+}
+
+// restore brings the registry back from a copy, in a new era.
+func (f *testFleet) restore(c registryCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.facts, f.revision, f.forgotten = slices.Clone(c.facts), c.revision, c.revision
+	f.era++
+	f.down = false
+}
+
+func (f *testFleet) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// setCut sets whether an instance reaches nothing and is not reached.
+func (f *testFleet) setCut(address string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[address] = cut
+}
+
+// checkPath returns an error if one of two instances is cut off.
+func (f *testFleet) checkPath(from, to string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut[from] || f.cut[to] {
+		return errors.Wrap(sr.ErrUnreachable, "test network")
+	}
+	return nil
 }
 
+func (f *testFleet) instance(address string) *Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.instances[address]
+}
+
+func (f *testFleet) all() map[string]*Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.instances)
+}
+
+// addresses returns the addresses of the instances in order.
+func (f *testFleet) addresses() []string { return slices.Sorted(maps.Keys(f.all())) }
+
 // testRegistry is the registry as one instance reaches it.
 type testRegistry struct {
 	fleet   *testFleet
@@ -130,20 +216,27 @@
 }
 
 func (r testRegistry) List(ctx context.Context) (sr.Changes, error) {
-	c, _ := r.fleet.after(0)
-	c.Whole = true
-	return c, carry(ctx, messageBytes(c.Facts, largeConfigStoreBytes), r.fleet.down[r.address])
+	r.fleet.calls.Add(1)
+	c, _, err := r.fleet.query(r.address, 0, true)
+	if err != nil {
+		return c, err
+	}
+	return c, carry(ctx, messageBytes(c.Facts, largeConfigStoreBytes), r.fleet.receiving[r.address])
 }
 
 func (r testRegistry) Changes(ctx context.Context, after uint64, wait time.Duration) (sr.Changes, error) {
 	if r.fleet.cutOff.Load() == r.address {
 		return sr.Changes{}, errors.Wrap(sr.ErrUnreachable, "test network")
 	}
+	r.fleet.calls.Add(1)
 	until := time.After(wait)
 	for {
-		c, changed := r.fleet.after(after)
+		c, changed, err := r.fleet.query(r.address, after, false)
+		if err != nil {
+			return c, err
+		}
 		if len(c.Facts) > 0 || wait == 0 {
-			return c, carry(ctx, messageBytes(c.Facts, largeConfigStoreBytes), r.fleet.down[r.address])
+			return c, carry(ctx, messageBytes(c.Facts, largeConfigStoreBytes), r.fleet.receiving[r.address])
 		}
 		select {
 		case <-changed:
@@ -174,14 +267,17 @@
 
 // transfer carries a message over the links of both instances.
 func (p testPeer) transfer(ctx context.Context, from, to string, size int) error {
-	return carry(ctx, size, p.fleet.up[from], p.fleet.down[to])
+	if err := p.fleet.checkPath(from, to); err != nil {
+		return err
+	}
+	return carry(ctx, size, p.fleet.sending[from], p.fleet.receiving[to])
 }
 
 func (p testPeer) Gossip(ctx context.Context, g sr.Gossip) (sr.Gossip, error) {
 	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
 		return sr.Gossip{}, err
 	}
-	answer, err := p.fleet.instances[p.to].Gossip(ctx, g)
+	answer, err := p.fleet.instance(p.to).Gossip(ctx, g)
 	if err != nil {
 		return answer, err
 	}
@@ -189,11 +285,11 @@
 }
 
 func (p testPeer) Pull(ctx context.Context, after uint64) (sr.Changes, error) {
-	return p.entries(ctx, after, p.fleet.instances[p.to].Pull)
+	return p.entries(ctx, after, p.fleet.instance(p.to).Pull)
 }
 
 func (p testPeer) Entries(ctx context.Context, after uint64) (sr.Changes, error) {
-	return p.entries(ctx, after, p.fleet.instances[p.to].Entries)
+	return p.entries(ctx, after, p.fleet.instance(p.to).Entries)
 }
 
 func (p testPeer) entries(ctx context.Context, after uint64, handler func(context.Context, uint64) (sr.Changes, error)) (sr.Changes, error) {
@@ -214,7 +310,7 @@
 	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
 		return sr.RoutingPart{}, err
 	}
-	part, err := p.fleet.instances[p.to].RoutingPart(ctx, r)
+	part, err := p.fleet.instance(p.to).RoutingPart(ctx, r)
 	if err != nil {
 		return part, err
 	}
@@ -223,45 +319,72 @@
 
 // newTestFleet returns instances with slow links in four failure domains.
 func newTestFleet(t *testing.T, size int, cfg srforwardsettings.Settings) *testFleet {
-	f := &testFleet{changed: make(chan struct{}), instances: make(map[string]*Instance), up: make(map[string]*testLink), down: make(map[string]*testLink)}
-	log := srlog.New(io.Discard, srlog.Options{Name: "test", Quiet: true})
-	t.Cleanup(log.Close)
+	f := &testFleet{
+		changed: make(chan struct{}), era: 1, cfg: cfg, cut: make(map[string]bool),
+		instances: make(map[string]*Instance), stop: make(map[string]context.CancelFunc),
+		sending: make(map[string]*testLink), receiving: make(map[string]*testLink),
+	}
+	f.log = srlog.New(io.Discard, srlog.Options{Name: "test", Quiet: true})
+	t.Cleanup(f.log.Close)
+	f.seeds = []string{"10.0.0.0:1", "10.0.1.1:1", "10.0.2.2:1"}[:min(size, 3)]
 	for i := range size {
-		own := cfg
-		own.Domain = fmt.Sprint("d", i%4)
-		own.Peers = fmt.Sprintf("10.0.%d.%d:1", i%4, i)
-		own.Seeds = []string{"10.0.0.0:1", "10.0.1.1:1", "10.0.2.2:1"}
-		f.up[own.Peers], f.down[own.Peers] = &testLink{}, &testLink{}
-		f.instances[own.Peers] = NewInstance(Deps{
-			Settings: own,
-			Self:     own.ID(uint64(i)),
-			Registry: testRegistry{fleet: f, address: own.Peers},
-			Fleet:    testPeers{fleet: f, address: own.Peers},
-			Upstream: srupstream.New(srupstream.Options{}),
-			Clock:    time.Now,
-			Seed:     uint64(i),
-			Log:      log,
-		})
+		address := fmt.Sprintf("10.0.%d.%d:1", i%4, i)
+		f.sending[address], f.receiving[address] = &testLink{}, &testLink{}
+		f.instances[address] = f.newInstance(address, uint64(i))
 	}
 	return f
 }
 
+func (f *testFleet) newInstance(address string, incarnation uint64) *Instance {
+	own := f.cfg
+	own.Domain = "d" + strings.Split(address, ".")[2]
+	own.Peers = address
+	own.Seeds = f.seeds
+	return NewInstance(Deps{
+		Settings: own,
+		Self:     own.ID(incarnation),
+		Registry: testRegistry{fleet: f, address: own.Peers},
+		Fleet:    testPeers{fleet: f, address: own.Peers},
+		Upstream: srupstream.New(srupstream.Options{}),
+		Clock:    time.Now,
+		Seed:     incarnation,
+		Log:      f.log,
+	})
+}
+
 // run runs the instances until the test ends.
 func (f *testFleet) run(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	var wg sync.WaitGroup
-	for _, n := range f.instances {
-		wg.Go(func() { n.sync(ctx) })
-		wg.Go(func() { n.gossip(ctx) })
-		wg.Go(func() { n.fetch(ctx) })
-		wg.Go(func() { n.sweep(ctx) })
+	for address, n := range f.instances {
+		f.start(t.Context(), address, n)
 	}
 	t.Cleanup(func() {
-		cancel()
-		wg.Wait()
+		for _, stop := range f.stop {
+			stop()
+		}
+		f.wg.Wait()
 	})
 }
 
+func (f *testFleet) start(ctx context.Context, address string, n *Instance) {
+	ctx, f.stop[address] = context.WithCancel(ctx)
+	f.wg.Go(func() { n.sync(ctx) })
+	f.wg.Go(func() { n.gossip(ctx) })
+	f.wg.Go(func() { n.fetch(ctx) })
+	f.wg.Go(func() { n.sweep(ctx) })
+}
+
+// replace ends an instance, as a kill does, and starts another one at its address.
+func (f *testFleet) replace(ctx context.Context, address string) *Instance {
+	f.stop[address]()
+	const secondIncarnation = 1000
+	n := f.newInstance(address, secondIncarnation)
+	f.mu.Lock()
+	f.instances[address] = n
+	f.mu.Unlock()
+	f.start(ctx, address, n)
+	return n
+}
+
 // behind returns the instances whose view does not satisfy ok.
 func (f *testFleet) behind(ok func(*Instance) bool) []string {
 	var out []string
--- /dev/null
+++ b/internal/app/srforward/restore_test.go
@@ -0,0 +1,250 @@
+package srforward
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srforwardsettings"
+)
+
+// restoreSettings are those of a small deployment.
+var restoreSettings = srforwardsettings.Settings{
+	Memory: 184, Heartbeat: 1200 * time.Millisecond, RevokeTimeout: 5 * time.Second, ConfigTimeout: 2 * time.Second, Drain: 2 * time.Second,
+}
+
+// testRestore is a fleet whose registry is restored from an older copy.
+type testRestore struct {
+	*testFleet
+	t *testing.T
+	// version is that of the newest configuration.
+	version uint64
+	// changing is the newest registration of an endpoint that leaves and restarts.
+	changing sr.LiveEndpoint
+}
+
+// putKey writes a configuration in which the workspace w has one key.
+func (f *testRestore) putKey(key string) {
+	f.version++
+	f.put(f.routing(f.version, key))
+}
+
+func (f *testRestore) routing(version uint64, key string) sr.RegistryEntry {
+	e := testRouting(version, 20)
+	e.Routing.Workspaces = map[string]sr.RoutedWorkspace{"w": {Name: "w", Keys: []string{key}}}
+	e.Routing.Keyed = true
+	return e
+}
+
+// registration returns a registration of an endpoint whose domain is its id.
+func registration(id string, state sr.EndpointState, born int64, sequence uint64) sr.RegistryEntry {
+	e := testEndpoint(id, state)
+	e.Endpoint.Domain, e.Endpoint.Born, e.Endpoint.Sequence = id, born, sequence
+	return e
+}
+
+func gone(id string) sr.RegistryEntry {
+	return sr.RegistryEntry{Kind: sr.EntryEndpoint, Name: id, Gone: true}
+}
+
+func evacuation(domain string) sr.RegistryEntry {
+	return sr.RegistryEntry{Kind: sr.EntryEvacuation, Name: domain}
+}
+
+// begin fills the registry, lets it change after a copy was made, and returns the copy.
+func (f *testRestore) begin() registryCopy {
+	f.putKey("old")
+	for _, id := range []string{"stays", "leaves", "goes", "evacuated", "restarts"} {
+		f.put(registration(id, sr.EndpointReady, 1, 1))
+	}
+	f.run(f.t)
+	time.Sleep(3 * time.Second)
+	old := f.copy()
+	f.putKey("new")
+	f.put(registration("leaves", sr.EndpointLeaving, 1, 5))
+	f.put(gone("goes"))
+	f.put(evacuation("evacuated"))
+	f.put(registration("restarts", sr.EndpointReady, 2, 1))
+	f.put(registration("joins", sr.EndpointReady, 1, 1))
+	f.changing.Born = 10
+	f.changeState(sr.EndpointReady)
+	time.Sleep(3 * time.Second)
+	return old
+}
+
+// changeState registers an endpoint as leaving, or as ready after a restart.
+func (f *testRestore) changeState(state sr.EndpointState) {
+	if state == sr.EndpointReady {
+		f.changing.Born++
+		f.changing.Sequence = 0
+	}
+	f.changing.State = state
+	f.changing.Sequence++
+	f.put(registration("changes", state, f.changing.Born, f.changing.Sequence))
+}
+
+// writeAgain writes what was lost with the copy, a part of it at a time.
+func (f *testRestore) writeAgain() {
+	f.put(evacuation("evacuated"))
+	f.put(f.routing(f.version, "new"))
+	time.Sleep(700 * time.Millisecond)
+	f.put(registration("joins", sr.EndpointReady, 1, 4))
+	time.Sleep(700 * time.Millisecond)
+	f.put(registration("leaves", sr.EndpointLeaving, 1, 8))
+	f.put(registration("restarts", sr.EndpointReady, 2, 5))
+	f.changing.Sequence++
+	f.put(registration("changes", f.changing.State, f.changing.Born, f.changing.Sequence))
+}
+
+// checkTakenBack checks that no instance of a list uses what was taken back, and that all use
+// what was added.
+func (f *testRestore) checkTakenBack(when string, addresses []string) {
+	for _, address := range addresses {
+		n := f.instance(address)
+		st := n.view.State()
+		_, old := st.Workspace("old")
+		_, added := st.Workspace("new")
+		assert.Check(f.t, !old && added, "%s: keys at %s", when, address)
+		for id, want := range map[string]bool{"stays": true, "joins": true, "restarts": true, "leaves": false, "goes": false, "evacuated": false} {
+			assert.Check(f.t, st.Usable(id, n.Clock()) == want, "%s: endpoint %s at %s, usable %v", when, id, address, !want)
+		}
+		assert.Check(f.t, st.Endpoints["restarts"].Born == 2, "%s: lifetime of an endpoint at %s", when, address)
+	}
+}
+
+// checkTakenBackFor repeats checkTakenBack for some time.
+func (f *testRestore) checkTakenBackFor(d time.Duration, when string, addresses []string) {
+	start := time.Now()
+	for time.Since(start) < d && !f.t.Failed() {
+		f.checkTakenBack(fmt.Sprintf("%s, %v later", when, time.Since(start)), addresses)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// checkFollows checks that all instances follow further changes within the bounds, that their
+// views are confirmed, and that they read the registry at a low rate.
+func (f *testRestore) checkFollows(when string) {
+	f.t.Helper()
+	const changes = 8
+	calls := f.calls.Load()
+	for i := range changes {
+		f.version++
+		f.put(f.routing(f.version, "new"))
+		state := []sr.EndpointState{sr.EndpointLeaving, sr.EndpointReady}[i%2]
+		f.changeState(state)
+		time.Sleep(restoreSettings.ConfigTimeout)
+		for address, n := range f.all() {
+			st := n.view.State()
+			assert.Check(f.t, st.Routing.Version == f.version, "%s: version %d instead of %d at %s", when, st.Routing.Version, f.version, address)
+			assert.Check(f.t, st.Usable("changes", n.Clock()) == (state == sr.EndpointReady), "%s: state of an endpoint at %s", when, address)
+			assert.Check(f.t, n.Ready() && n.keysCurrent() && n.configCurrent(), "%s: age %v at %s", when, n.view.Age(n.Clock()), address)
+		}
+	}
+	perSecond := float64(f.calls.Load()-calls) / changes / restoreSettings.ConfigTimeout.Seconds()
+	assert.Check(f.t, perSecond < 3*float64(len(f.all())), "%s: %.1f calls a second", when, perSecond)
+}
+
+func forFleetsWithRestore(t *testing.T, run func(f *testRestore)) {
+	for _, size := range []int{1, 3, 7} {
+		t.Run(fmt.Sprint(size, " instances"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				run(&testRestore{testFleet: newTestFleet(t, size, restoreSettings), t: t})
+			})
+		})
+	}
+}
+
+// A registry that is restored from an older copy gives out revisions again. Its later changes
+// must be in force in time.
+func TestFleetFollowsARestoredRegistry(t *testing.T) {
+	forFleetsWithRestore(t, func(f *testRestore) {
+		old := f.begin()
+		for i := range 3 {
+			f.setDown(true)
+			time.Sleep(2 * time.Second)
+			f.restore(old)
+			f.writeAgain()
+			time.Sleep(2 * time.Second)
+			f.checkFollows(fmt.Sprint("restore ", i+1))
+			f.putKey("new")
+		}
+	})
+}
+
+// What was taken back after the copy was made must not be used again: a key, an endpoint
+// that leaves or has gone, one in an evacuated domain, an earlier lifetime of one.
+func TestRestoredRegistryBringsNothingBack(t *testing.T) {
+	forFleetsWithRestore(t, func(f *testRestore) {
+		old := f.begin()
+		f.setDown(true)
+		f.checkTakenBackFor(2*time.Second, "down", f.addresses())
+		f.restore(old)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			time.Sleep(500 * time.Millisecond)
+			f.writeAgain()
+			time.Sleep(1700 * time.Millisecond)
+			f.put(gone("goes"))
+		}()
+		f.checkTakenBackFor(10*time.Second, "restored", f.addresses())
+		<-done
+	})
+}
+
+// An instance that is cut off while the registry is restored must not bring the earlier era
+// back, and must follow the new one when it returns.
+func TestInstanceOfAnEarlierEraJoinsTheNewOne(t *testing.T) {
+	forFleetsWithRestore(t, func(f *testRestore) {
+		old := f.begin()
+		cut := f.addresses()[len(f.addresses())-1]
+		f.setCut(cut, true)
+		f.setDown(true)
+		time.Sleep(2 * time.Second)
+		f.restore(old)
+		f.writeAgain()
+		f.put(gone("goes"))
+		time.Sleep(4 * time.Second)
+		f.setCut(cut, false)
+		f.checkTakenBackFor(5*time.Second, "returned", f.addresses())
+		f.checkFollows("returned")
+	})
+}
+
+// An instance that starts after the registry was restored learns from the others what the
+// copy lacks, before it serves.
+func TestInstanceThatStartsAfterARestoreDoesNotServeTheCopy(t *testing.T) {
+	forFleetsWithRestore(t, func(f *testRestore) {
+		if len(f.addresses()) == 1 {
+			return
+		}
+		old := f.begin()
+		f.setDown(true)
+		time.Sleep(2 * time.Second)
+		f.restore(old)
+		time.Sleep(300 * time.Millisecond)
+		address := f.addresses()[0]
+		n := f.replace(f.t.Context(), address)
+		start := time.Now()
+		for time.Since(start) < 1500*time.Millisecond {
+			if n.Ready() {
+				st := n.view.State()
+				_, ok := st.Workspace("old")
+				assert.Check(f.t, !ok && st.Routing.Version == f.version, "a lost key after %v", time.Since(start))
+				for _, id := range []string{"leaves", "goes", "evacuated"} {
+					assert.Check(f.t, !st.Usable(id, n.Clock()), "endpoint %s after %v", id, time.Since(start))
+				}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Check(f.t, n.Ready())
+		f.writeAgain()
+		f.put(gone("goes"))
+		time.Sleep(time.Second)
+		f.checkFollows("started")
+	})
+}
