--- a/internal/app/srforward/dissemination_test.go
+++ b/internal/app/srforward/dissemination_test.go
@@ -90,11 +90,14 @@
 	instances map[string]*Instance
 	// cut holds the instances that reach nothing and are not reached.
 	cut map[string]bool
+	// unaware holds the instances of an earlier version, which neither states nor reads
+	// the era.
+	unaware map[string]bool
 	// stop ends an instance.
 	stop map[string]context.CancelFunc
 	wg   sync.WaitGroup
-	// calls counts the queries to the registry.
-	calls              atomic.Int64
+	// calls counts the queries of each instance to the registry.
+	calls              map[string]int
 	sending, receiving map[string]*testLink
 	// cutOff is the address of an instance that receives gossip but no entries.
 	cutOff atomic.Value
@@ -140,6 +143,9 @@
 		return sr.Changes{}, nil, errors.Wrap(sr.ErrHistoryLost, "test registry")
 	}
 	out := sr.Changes{AsOf: f.revision, Era: f.era, Whole: whole}
+	if f.unaware[address] {
+		out.Era = 0
+	}
 	for _, e := range f.facts {
 		if e.Revision > revision && !(whole && e.Gone) {
 			out.Facts = append(out.Facts, e)
@@ -169,6 +175,23 @@
 	f.down = false
 }
 
+func (f *testFleet) countCall(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[address]++
+}
+
+// callsOf returns the number of queries of some instances.
+func (f *testFleet) callsOf(addresses []string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, address := range addresses {
+		n += f.calls[address]
+	}
+	return n
+}
+
 func (f *testFleet) setDown(down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -216,7 +239,7 @@
 }
 
 func (r testRegistry) List(ctx context.Context) (sr.Changes, error) {
-	r.fleet.calls.Add(1)
+	r.fleet.countCall(r.address)
 	c, _, err := r.fleet.query(r.address, 0, true)
 	if err != nil {
 		return c, err
@@ -228,7 +251,7 @@
 	if r.fleet.cutOff.Load() == r.address {
 		return sr.Changes{}, errors.Wrap(sr.ErrUnreachable, "test network")
 	}
-	r.fleet.calls.Add(1)
+	r.fleet.countCall(r.address)
 	until := time.After(wait)
 	for {
 		c, changed, err := r.fleet.query(r.address, after, false)
@@ -277,13 +300,26 @@
 	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
 		return sr.Gossip{}, err
 	}
+	if p.unaware() {
+		g.Era = 0
+	}
 	answer, err := p.fleet.instance(p.to).Gossip(ctx, g)
 	if err != nil {
 		return answer, err
 	}
+	if p.unaware() {
+		answer.Era = 0
+	}
 	return answer, p.transfer(ctx, p.to, p.address, smallMessageBytes)
 }
 
+// unaware reports whether the caller or the called instance is of an earlier version.
+func (p testPeer) unaware() bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.fleet.unaware[p.address] || p.fleet.unaware[p.to]
+}
+
 func (p testPeer) Pull(ctx context.Context, after uint64) (sr.Changes, error) {
 	return p.entries(ctx, after, p.fleet.instance(p.to).Pull)
 }
@@ -292,6 +328,15 @@
 	return p.entries(ctx, after, p.fleet.instance(p.to).Entries)
 }
 
+func (p testPeer) EntriesSince(ctx context.Context, after sr.Position) (sr.Changes, error) {
+	if p.unaware() {
+		return sr.Changes{}, errors.New("test network: unknown method")
+	}
+	return p.entries(ctx, 0, func(ctx context.Context, _ uint64) (sr.Changes, error) {
+		return p.fleet.instance(p.to).EntriesSince(ctx, after)
+	})
+}
+
 func (p testPeer) entries(ctx context.Context, after uint64, handler func(context.Context, uint64) (sr.Changes, error)) (sr.Changes, error) {
 	if p.fleet.cutOff.Load() == p.address {
 		return sr.Changes{}, errors.Wrap(sr.ErrUnreachable, "test network")
@@ -300,6 +345,9 @@
 		return sr.Changes{}, err
 	}
 	c, err := handler(ctx, after)
+	if p.unaware() {
+		c.Era = 0
+	}
 	if err != nil {
 		return c, err
 	}
@@ -320,7 +368,7 @@
 // newTestFleet returns instances with slow links in four failure domains.
 func newTestFleet(t *testing.T, size int, cfg srforwardsettings.Settings) *testFleet {
 	f := &testFleet{
-		changed: make(chan struct{}), era: 1, cfg: cfg, cut: make(map[string]bool),
+		changed: make(chan struct{}), era: 1, cfg: cfg, cut: make(map[string]bool), unaware: make(map[string]bool), calls: make(map[string]int),
 		instances: make(map[string]*Instance), stop: make(map[string]context.CancelFunc),
 		sending: make(map[string]*testLink), receiving: make(map[string]*testLink),
 	}
--- a/internal/app/srforward/dump.go
+++ b/internal/app/srforward/dump.go
@@ -12,6 +12,7 @@
 	Domain    string
 	Ready     bool
 	Draining  bool
+	Era       uint64
 	Revision  uint64
 	Age       string
 	Version   uint64
@@ -46,13 +47,14 @@
 func (n *Instance) dump() dump {
 	now, bootNow := time.Now(), n.Clock()
 	st := n.view.State()
-	revision, age := n.view.AsOf(bootNow)
+	position, age := n.view.AsOf(bootNow)
 	d := dump{
 		Instance: n.Settings.Name,
 		Domain:   n.Settings.Domain,
 		Ready:    n.Ready(),
 		Draining: n.draining.Load(),
-		Revision: revision,
+		Era:      position.Era,
+		Revision: position.Revision,
 		Age:      age.String(),
 		Reader:   n.members.watchesRegistry(now),
 		Fleet:    n.members.fleetSize(now),
--- a/internal/app/srforward/fetch.go
+++ b/internal/app/srforward/fetch.go
@@ -15,19 +15,19 @@
 
 // transfers is the state of transfers of registry entries between instances.
 type transfers struct {
-	// requested holds a signal when another instance has stated a newer revision.
+	// requested holds a signal when another instance has stated a later position.
 	requested chan struct{}
 
 	mu sync.Mutex
-	// behindSince is when another instance first stated a newer revision than that of
+	// behindSince is when another instance first stated a later position than that of
 	// the view, zero when none has.
 	behindSince time.Time
 	// active holds the time of the last request of each instance to which the
 	// configuration is being transferred, by address.
 	active map[string]time.Time
-	// revision is the revision of the configuration in encoded.
-	revision uint64
-	encoded  []byte
+	// routing is the configuration in encoded.
+	routing *sr.Routing
+	encoded []byte
 }
 
 func newTransfers() *transfers {
@@ -47,14 +47,14 @@
 	}
 }
 
-// caughtUp records that no other instance has a newer revision.
+// caughtUp records that no other instance is at a later position.
 func (t *transfers) caughtUp() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.behindSince = time.Time{}
 }
 
-// behindFor returns for how long another instance has had a newer revision.
+// behindFor returns for how long another instance has been at a later position.
 func (t *transfers) behindFor(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -91,25 +91,35 @@
 func (t *transfers) encode(e sr.RegistryEntry) ([]byte, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.encoded != nil && t.revision == e.Revision {
+	if t.encoded != nil && t.routing == e.Routing {
 		return t.encoded, nil
 	}
 	data, err := srinstance.EncodeRouting(e.Routing)
 	if err != nil {
 		return nil, err
 	}
-	t.revision, t.encoded = e.Revision, data
+	t.routing, t.encoded = e.Routing, data
 	return data, nil
 }
 
 // Pull implements sr.FleetHandler.
 func (n *Instance) Pull(_ context.Context, after uint64) (sr.Changes, error) {
-	return n.view.Since(after, n.Clock()), nil
+	return n.view.Since(n.inOwnEra(after), n.Clock()), nil
 }
 
-// Entries implements sr.FleetHandler. A configuration that is longer than one part is
+// inOwnEra returns the position of a revision that an instance of an earlier version stated.
+func (n *Instance) inOwnEra(revision uint64) sr.Position {
+	return sr.Position{Era: n.view.Position().Era, Revision: revision}
+}
+
+// Entries implements sr.FleetHandler.
+func (n *Instance) Entries(ctx context.Context, after uint64) (sr.Changes, error) {
+	return n.EntriesSince(ctx, n.inOwnEra(after))
+}
+
+// EntriesSince implements sr.FleetHandler. A configuration that is longer than one part is
 // left out, so that it does not delay the other entries.
-func (n *Instance) Entries(_ context.Context, after uint64) (sr.Changes, error) {
+func (n *Instance) EntriesSince(_ context.Context, after sr.Position) (sr.Changes, error) {
 	c := n.view.Since(after, n.Clock())
 	for i, e := range c.Facts {
 		if e.Kind != sr.EntryRouting || e.Routing == nil {
@@ -130,8 +140,13 @@
 
 // RoutingPart implements sr.FleetHandler.
 func (n *Instance) RoutingPart(_ context.Context, r sr.RoutingRequest) (sr.RoutingPart, error) {
-	e, ok := n.view.RoutingEntry()
-	if !ok || e.Revision < r.Revision {
+	e, era, ok := n.view.RoutingEntry()
+	own, requested := sr.Position{Era: era, Revision: e.Revision}, sr.Position{Era: r.Era, Revision: r.Revision}
+	if r.Era == 0 {
+		// An instance that does not know the era.
+		requested.Era = era
+	}
+	if !ok || own.Before(requested) {
 		return sr.RoutingPart{}, errors.Wrap(sr.ErrMissing, "srforward: configuration")
 	}
 	if !n.transfers.admit(time.Now(), r.From) {
@@ -142,7 +157,7 @@
 		return sr.RoutingPart{}, err
 	}
 	offset := r.Offset
-	if e.Revision != r.Revision {
+	if own != requested {
 		offset = 0
 	}
 	offset = min(max(offset, 0), len(data))
@@ -150,7 +165,7 @@
 	if end == len(data) {
 		n.transfers.end(r.From)
 	}
-	return sr.RoutingPart{Revision: e.Revision, Size: len(data), Data: data[offset:end]}, nil
+	return sr.RoutingPart{Revision: e.Revision, Era: era, Size: len(data), Data: data[offset:end]}, nil
 }
 
 // fetch pulls the registry entries that other instances have and this one has not, from
@@ -165,14 +180,14 @@
 		}
 		delay := minTransferRetryDelay
 		for ctx.Err() == nil {
-			revision := n.view.Revision()
-			list, newest := n.members.ahead(time.Now(), revision, n.random)
+			position := n.view.Position()
+			list, newest := n.members.ahead(time.Now(), position, n.random)
 			if len(list) == 0 {
 				n.transfers.caughtUp()
 				break
 			}
 			n.pull(ctx, list[:min(len(list), maxTransferSources)], newest)
-			if n.view.Revision() > revision {
+			if position.Before(n.view.Position()) {
 				delay = minTransferRetryDelay
 				continue
 			}
@@ -182,29 +197,29 @@
 	}
 }
 
-// pull fetches the entries after the own revision from the first of several instances
+// pull fetches the entries after the own position from the first of several instances
 // that answers. The parts of a long configuration may come from another one of them. The
 // other entries are applied before the parts are fetched.
-func (n *Instance) pull(ctx context.Context, from []string, newest uint64) {
+func (n *Instance) pull(ctx context.Context, from []string, newest sr.Position) {
 	requestedAt := n.Clock()
-	revision, age := n.view.AsOf(requestedAt)
-	c, address, err := n.pullEntries(ctx, from, revision)
+	position, age := n.view.AsOf(requestedAt)
+	c, address, err := n.pullEntries(ctx, from, position)
 	if err == nil && c.RoutingAt > 0 {
-		n.reportUpdate(n.view.ApplyEarly(n.Clock(), c.Facts), address)
+		n.reportUpdate(n.view.ApplyEarly(n.Clock(), c), address)
 		var e sr.RegistryEntry
-		e, address, err = n.pullRouting(ctx, from, c.RoutingAt)
+		e, address, err = n.pullRouting(ctx, from, sr.Position{Era: c.Era, Revision: c.RoutingAt})
 		c.Facts = append(c.Facts, e)
 	}
-	n.Log.State("pull", srlog.Peer, address, srlog.Revision, revision, srlog.Newest, newest, srlog.Age, age,
+	n.Log.State("pull", srlog.Peer, address, srlog.Era, position.Era, srlog.Revision, position.Revision, srlog.NewestEra, newest.Era, srlog.Newest, newest.Revision, srlog.Age, age,
 		srlog.Count, len(c.Facts), srlog.Total, n.Clock().Sub(requestedAt), srlog.Error, errorText(err))
 	if err == nil {
 		n.applyChanges(requestedAt, c, address)
 	}
 }
 
-// pullEntries returns the entries after a revision from the first instance that answers,
+// pullEntries returns the entries after a position from the first instance that answers,
 // with its address.
-func (n *Instance) pullEntries(ctx context.Context, from []string, after uint64) (c sr.Changes, address string, err error) {
+func (n *Instance) pullEntries(ctx context.Context, from []string, after sr.Position) (c sr.Changes, address string, err error) {
 	for _, address = range from {
 		if c, err = n.callEntries(ctx, address, after); err == nil {
 			return c, address, nil
@@ -214,11 +229,11 @@
 	return c, address, err
 }
 
-// pullRouting returns the configuration at a revision, or a newer one, from the first
+// pullRouting returns the configuration at a position, or a newer one, from the first
 // instance that has capacity, with its address.
-func (n *Instance) pullRouting(ctx context.Context, from []string, revision uint64) (e sr.RegistryEntry, address string, err error) {
+func (n *Instance) pullRouting(ctx context.Context, from []string, at sr.Position) (e sr.RegistryEntry, address string, err error) {
 	for _, address = range from {
-		e, err = n.pullParts(ctx, address, revision)
+		e, err = n.pullParts(ctx, address, at)
 		switch {
 		case err == nil:
 			return e, address, nil
@@ -231,28 +246,36 @@
 	return e, address, err
 }
 
-func (n *Instance) callEntries(ctx context.Context, address string, after uint64) (sr.Changes, error) {
+func (n *Instance) callEntries(ctx context.Context, address string, after sr.Position) (sr.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	return n.Fleet.FleetPeer(address).Entries(ctx, after)
+	peer := n.Fleet.FleetPeer(address)
+	if n.members.positionOf(address).Era == 0 {
+		// The instance may be of an earlier version.
+		return peer.Entries(ctx, after.Revision)
+	}
+	return peer.EntriesSince(ctx, after)
 }
 
 // pullParts fetches the parts of a configuration from one instance.
-func (n *Instance) pullParts(ctx context.Context, address string, revision uint64) (sr.RegistryEntry, error) {
+func (n *Instance) pullParts(ctx context.Context, address string, at sr.Position) (sr.RegistryEntry, error) {
 	var data []byte
 	for {
-		p, err := n.callRoutingPart(ctx, address, sr.RoutingRequest{From: n.Self.Address, Revision: revision, Offset: len(data)})
+		p, err := n.callRoutingPart(ctx, address, sr.RoutingRequest{From: n.Self.Address, Revision: at.Revision, Era: at.Era, Offset: len(data)})
 		if err != nil {
 			return sr.RegistryEntry{}, err
 		}
-		if p.Revision != revision {
+		if p.Era != at.Era {
+			return sr.RegistryEntry{}, errors.Wrapf(sr.ErrHistoryLost, "srforward: configuration of era %d instead of %d", p.Era, at.Era)
+		}
+		if p.Revision != at.Revision {
 			// The instance has received a newer configuration meanwhile.
-			revision, data = p.Revision, nil
+			at, data = sr.Position{Era: p.Era, Revision: p.Revision}, nil
 		}
 		data = append(data, p.Data...)
 		if len(data) >= p.Size {
 			c, err := srinstance.DecodeRouting(data)
-			return sr.RegistryEntry{Kind: sr.EntryRouting, Revision: revision, Routing: c}, err
+			return sr.RegistryEntry{Kind: sr.EntryRouting, Revision: at.Revision, Routing: c}, err
 		}
 		if len(p.Data) == 0 {
 			return sr.RegistryEntry{}, errors.Wrap(sr.ErrInvalid, "srforward: empty part of a configuration")
--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -8,6 +8,7 @@
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srview"
 )
 
 var _ sr.FleetHandler = (*Instance)(nil)
@@ -15,7 +16,13 @@
 // Gossip implements sr.FleetHandler.
 func (n *Instance) Gossip(_ context.Context, g sr.Gossip) (sr.Gossip, error) {
 	n.receive(g)
-	return n.localGossip(), nil
+	answer := n.localGossip()
+	if g.Era == 0 && answer.Era > 0 && g.AsOf > answer.AsOf {
+		// An instance of an earlier version compares revisions alone. Its view may be from
+		// before a restore of the registry, so this answer must not confirm it.
+		answer.Age = srview.UnconfirmedAge
+	}
+	return answer, nil
 }
 
 // localGossip returns the state that this instance sends to the others.
@@ -32,7 +39,8 @@
 		},
 		Crashes: n.crashes.report(now),
 	}
-	g.AsOf, g.Age = n.view.AsOf(n.Clock())
+	position, age := n.view.AsOf(n.Clock())
+	g.AsOf, g.Era, g.Age = position.Revision, position.Era, age
 	return g
 }
 
@@ -48,7 +56,7 @@
 	}
 	n.limits.receive(now, g)
 	n.logSuspects(n.crashes.receive(now, g.Crashes), g.From.Address)
-	if g.AsOf > n.view.Revision() {
+	if n.view.Position().Before(positionOf(g)) {
 		n.transfers.request(now)
 	}
 }
@@ -96,9 +104,12 @@
 	if g.Leaving {
 		return
 	}
-	n.view.Confirm(requestedAt, g.AsOf, g.Age)
+	n.view.Confirm(requestedAt, positionOf(g), g.Age)
 }
 
+// positionOf returns the position of the sender's view.
+func positionOf(g sr.Gossip) sr.Position { return sr.Position{Era: g.Era, Revision: g.AsOf} }
+
 // announceLeaving notifies the members that this instance shuts down.
 func (n *Instance) announceLeaving(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -83,6 +83,7 @@
 		view: srview.New(srview.Options{
 			Outage:       d.Settings.Outage(),
 			RenewTimeout: registrationRecovery,
+			LapseTimeout: d.Settings.Lapse(),
 		}),
 		members:        newMembers(d.Self, d.Settings.Domain, d.Settings.Seeds),
 		stats:          newStats(),
@@ -145,8 +146,9 @@
 	if n.wasSuperseded.Swap(is) == is {
 		return
 	}
-	revision, age := n.view.AsOf(n.Clock())
-	_, newest := n.members.ahead(time.Now(), revision, n.random)
-	n.Log.State(choose(is, "view-superseded", "view-current"), srlog.Revision, revision, srlog.Newest, newest, srlog.Age, age,
+	position, age := n.view.AsOf(n.Clock())
+	_, newest := n.members.ahead(time.Now(), position, n.random)
+	n.Log.State(choose(is, "view-superseded", "view-current"), srlog.Era, position.Era, srlog.Revision, position.Revision,
+		srlog.NewestEra, newest.Era, srlog.Newest, newest.Revision, srlog.Age, age,
 		srlog.Behind, n.transfers.behindFor(time.Now()))
 }
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -38,8 +38,8 @@
 	// knownSince is when the member became known.
 	knownSince time.Time
 	usage      sr.Usage
-	// revision is the registry revision that the member has stated.
-	revision uint64
+	// position is the position of the member's view.
+	position sr.Position
 	// silent is set once the member has been reported as silent.
 	silent bool
 }
@@ -91,7 +91,7 @@
 	}
 	changed = e.silent || joined
 	e.id, e.domain, e.lastContact, e.silent = g.From, g.Domain, now, false
-	e.usage, e.revision = g.Usage, g.AsOf
+	e.usage, e.position = g.Usage, positionOf(g)
 	for _, id := range g.Known {
 		m.addKnown(now, id)
 	}
@@ -247,29 +247,41 @@
 	return n
 }
 
-// ahead returns the addresses of the members that have stated a newer revision than
-// revision, in random order and those of the own failure domain first, and the newest
-// revision that one of them has stated.
-func (m *members) ahead(now time.Time, revision uint64, random *random) (list []string, newest uint64) {
+// ahead returns the addresses of the members that have stated a later position, in random
+// order and those of the own failure domain first, and the latest position that one of them
+// has stated.
+func (m *members) ahead(now time.Time, position sr.Position, random *random) (list []string, newest sr.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var others []string
 	for _, e := range m.recentMembers(now, m.silenceTimeoutLocked()) {
 		switch {
-		case e.revision <= revision:
+		case !position.Before(e.position):
 			continue
 		case e.domain == m.domain:
 			list = append(list, e.id.Address)
 		default:
 			others = append(others, e.id.Address)
 		}
-		newest = max(newest, e.revision)
+		if newest.Before(e.position) {
+			newest = e.position
+		}
 	}
 	random.shuffle(list)
 	random.shuffle(others)
 	return append(list, others...), newest
 }
 
+// positionOf returns the position of a member's view.
+func (m *members) positionOf(address string) sr.Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e, ok := m.byAddress[address]; ok {
+		return e.position
+	}
+	return sr.Position{}
+}
+
 // rank returns the position of this instance among those that are not silent, in an order
 // that depends on key and on which all of them agree, from 0.
 func (m *members) rank(now time.Time, key string) int {
--- a/internal/app/srforward/restore_test.go
+++ b/internal/app/srforward/restore_test.go
@@ -125,27 +125,28 @@
 	}
 }
 
-// checkFollows checks that all instances follow further changes within the bounds, that their
-// views are confirmed, and that they read the registry at a low rate.
-func (f *testRestore) checkFollows(when string) {
+// checkFollows checks that the instances of a list follow further changes within the bounds,
+// that their views are confirmed, and that they read the registry at a low rate.
+func (f *testRestore) checkFollows(when string, addresses []string) {
 	f.t.Helper()
 	const changes = 8
-	calls := f.calls.Load()
+	calls := f.callsOf(addresses)
 	for i := range changes {
 		f.version++
 		f.put(f.routing(f.version, "new"))
 		state := []sr.EndpointState{sr.EndpointLeaving, sr.EndpointReady}[i%2]
 		f.changeState(state)
 		time.Sleep(restoreSettings.ConfigTimeout)
-		for address, n := range f.all() {
+		for _, address := range addresses {
+			n := f.instance(address)
 			st := n.view.State()
 			assert.Check(f.t, st.Routing.Version == f.version, "%s: version %d instead of %d at %s", when, st.Routing.Version, f.version, address)
 			assert.Check(f.t, st.Usable("changes", n.Clock()) == (state == sr.EndpointReady), "%s: state of an endpoint at %s", when, address)
 			assert.Check(f.t, n.Ready() && n.keysCurrent() && n.configCurrent(), "%s: age %v at %s", when, n.view.Age(n.Clock()), address)
 		}
 	}
-	perSecond := float64(f.calls.Load()-calls) / changes / restoreSettings.ConfigTimeout.Seconds()
-	assert.Check(f.t, perSecond < 3*float64(len(f.all())), "%s: %.1f calls a second", when, perSecond)
+	perSecond := float64(f.callsOf(addresses)-calls) / changes / restoreSettings.ConfigTimeout.Seconds()
+	assert.Check(f.t, perSecond < 3*float64(len(addresses)), "%s: %.1f calls a second", when, perSecond)
 }
 
 func forFleetsWithRestore(t *testing.T, run func(f *testRestore)) {
@@ -169,7 +170,7 @@
 			f.restore(old)
 			f.writeAgain()
 			time.Sleep(2 * time.Second)
-			f.checkFollows(fmt.Sprint("restore ", i+1))
+			f.checkFollows(fmt.Sprint("restore ", i+1), f.addresses())
 			f.putKey("new")
 		}
 	})
@@ -211,7 +212,40 @@
 		time.Sleep(4 * time.Second)
 		f.setCut(cut, false)
 		f.checkTakenBackFor(5*time.Second, "returned", f.addresses())
-		f.checkFollows("returned")
+		f.checkFollows("returned", f.addresses())
+	})
+}
+
+// Instances of an earlier version, which do not know the era, must not keep the others from
+// following a restored registry, and go on exchanging entries with them before it.
+func TestInstancesOfAnEarlierVersionDoNotConfirmAnEarlierEra(t *testing.T) {
+	forFleetsWithRestore(t, func(f *testRestore) {
+		all := f.addresses()
+		earlier := all[:len(all)/2]
+		for _, address := range earlier {
+			f.unaware[address] = true
+		}
+		old := f.begin()
+		f.checkFollows("before", all)
+		f.putKey("new")
+		f.setDown(true)
+		time.Sleep(2 * time.Second)
+		f.restore(old)
+		f.writeAgain()
+		time.Sleep(f.cfg.RevokeTimeout)
+		for _, address := range earlier {
+			n := f.instance(address)
+			assert.Check(f.t, !n.keysCurrent(), "age %v of a view of the earlier era at %s", n.view.Age(n.Clock()), address)
+		}
+		f.checkFollows("restored", all[len(earlier):])
+		for _, address := range earlier {
+			f.mu.Lock()
+			f.unaware[address] = false
+			f.mu.Unlock()
+			f.replace(f.t.Context(), address)
+		}
+		time.Sleep(2 * time.Second)
+		f.checkFollows("replaced", all)
 	})
 }
 
@@ -245,6 +279,6 @@
 		f.writeAgain()
 		f.put(gone("goes"))
 		time.Sleep(time.Second)
-		f.checkFollows("started")
+		f.checkFollows("started", f.addresses())
 	})
 }
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -300,9 +300,9 @@
 		if err != nil {
 			line = q.Log.Failed
 		}
-		revision, age := q.view.AsOf(q.Clock())
+		position, age := q.view.AsOf(q.Clock())
 		line("sent", srlog.Request, q.inbound.ID, srlog.Endpoint, id, srlog.Attempt, q.attempts, srlog.Left, time.Until(q.deadline),
-			srlog.Version, q.version, srlog.Revision, revision, srlog.Age, age, srlog.Error, errorText(err))
+			srlog.Version, q.version, srlog.Era, position.Era, srlog.Revision, position.Revision, srlog.Age, age, srlog.Error, errorText(err))
 		return err
 	}
 }
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -23,7 +23,7 @@
 	lostAt := time.Time{}
 	for ctx.Err() == nil {
 		watches := n.members.watchesRegistry(time.Now())
-		if n.view.Revision() > 0 && !watches && n.view.Age(n.Clock()) < n.Settings.QueryAfter() {
+		if n.view.Position().Revision > 0 && !watches && n.view.Age(n.Clock()) < n.Settings.QueryAfter() {
 			_ = srtimer.Wait(ctx, syncInterval)
 			continue
 		}
@@ -50,8 +50,8 @@
 // empty, otherwise for changes. An instance that watches the registry waits for
 // changes.
 func (n *Instance) queryRegistry(ctx context.Context, watches bool) error {
-	after := n.view.Revision()
-	if after == 0 {
+	after := n.view.Position()
+	if after.Revision == 0 {
 		return n.listRegistry(ctx)
 	}
 	wait := time.Duration(0)
@@ -62,14 +62,18 @@
 	defer cancel()
 	requestedAt := n.Clock()
 	n.stats.count("registry.changes")
-	c, err := n.Registry.Changes(ctx, after, wait)
+	c, err := n.Registry.Changes(ctx, after.Revision, wait)
 	if errors.Is(err, sr.ErrHistoryLost) {
-		n.Log.State("registry-history-lost", srlog.Revision, after)
+		n.Log.State("registry-history-lost", srlog.Era, after.Era, srlog.Revision, after.Revision)
 		return n.listRegistry(context.WithoutCancel(ctx))
 	}
 	if err != nil {
 		return err
 	}
+	if c.Era != after.Era {
+		// The changes are those after a revision of another era.
+		return n.listRegistry(context.WithoutCancel(ctx))
+	}
 	n.applyChanges(requestedAt, c, sourceRegistry)
 	return nil
 }
@@ -83,16 +87,28 @@
 	if err != nil {
 		return err
 	}
-	revision, age := n.view.AsOf(n.Clock())
-	n.Log.State("listing", srlog.Era, c.Era, srlog.Newest, c.AsOf, srlog.Count, len(c.Facts), srlog.Revision, revision, srlog.Age, age,
-		srlog.Outcome, choose(c.AsOf < revision, "ignored", "applied"))
-	n.applyChanges(requestedAt, c, sourceRegistry)
+	position, age := n.view.AsOf(n.Clock())
+	applied := n.applyChanges(requestedAt, c, sourceRegistry)
+	n.Log.State("listing", srlog.NewestEra, c.Era, srlog.Newest, c.AsOf, srlog.Count, len(c.Facts), srlog.Era, position.Era, srlog.Revision, position.Revision,
+		srlog.Age, age, srlog.Outcome, choose(applied, "applied", "ignored"))
+	if !applied {
+		// The listing is older than the view.
+		_ = srtimer.Wait(ctx, registryRetryDelay)
+	}
 	return nil
 }
 
-// applyChanges applies entries to the view and logs what they changed.
-func (n *Instance) applyChanges(requestedAt time.Time, c sr.Changes, source string) {
-	n.reportUpdate(n.view.Apply(requestedAt, n.Clock(), c), source)
+// applyChanges applies entries to the view and logs what they changed. It returns false if
+// the view ignored them.
+func (n *Instance) applyChanges(requestedAt time.Time, c sr.Changes, source string) bool {
+	update := n.view.Apply(requestedAt, n.Clock(), c)
+	if update.Left.Revision > 0 {
+		n.stats.count("registry.restored")
+		n.Log.State("registry-restored", srlog.Era, update.Left.Era, srlog.Revision, update.Left.Revision, srlog.NewestEra, c.Era, srlog.Newest, c.AsOf,
+			srlog.Carried, update.Carried, srlog.Source, source, srlog.Age, c.Age)
+	}
+	n.reportUpdate(update, source)
+	return !update.Ignored
 }
 
 // reportUpdate logs a change of the view and passes it on to the queues and limits.
@@ -118,7 +134,7 @@
 	case e.Kind == sr.EntryEvacuation:
 		n.Log.State("evacuation", srlog.Domain, e.Name, srlog.State, choose(e.Gone, "over", "ordered"), srlog.Revision, e.Revision, srlog.Source, source)
 	case e.Kind == sr.EntryEndpoint:
-		state := choose(e.Gone, "gone", choose(e.Endpoint.State == sr.EndpointLeaving, "leaving", "ready"))
+		state := choose(e.Gone, "gone", choose(e.Endpoint.State == sr.EndpointLeaving, "leaving", choose(e.UseIn > 0, "held", "ready")))
 		n.Log.State("endpoint", srlog.Endpoint, e.Name, srlog.State, state, srlog.Service, e.Endpoint.Service, srlog.Domain, e.Endpoint.Domain, srlog.Slots, e.Endpoint.Slots,
 			srlog.Born, e.Endpoint.Born, srlog.Sequence, e.Endpoint.Sequence, srlog.Revision, e.Revision, srlog.Source, source)
 	}
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -39,8 +39,12 @@
 	Sequence = "sequence"
 	// Era is the era of the registry to which a revision belongs, 0 when it is not known.
 	Era = "era"
-	// Newest is the newest revision that another instance has stated.
-	Newest = "newest"
+	// Newest is the newest revision that the registry or another instance has stated,
+	// NewestEra its era.
+	Newest    = "newest"
+	NewestEra = "newest_era"
+	// Carried is the number of entries that the registry lost when it was restored.
+	Carried = "carried"
 	// Behind is the time since another instance first stated a newer revision.
 	Behind = "behind"
 	// Age is the time since the view was last confirmed to be current.
--- a/internal/peer/srinstance/fleet.go
+++ b/internal/peer/srinstance/fleet.go
@@ -11,6 +11,7 @@
 	gossipMethod      = "Gossip"
 	pullMethod        = "Pull"
 	entriesMethod     = "Entries"
+	sinceMethod       = "EntriesSince"
 	routingPartMethod = "RoutingPart"
 )
 
@@ -70,6 +71,10 @@
 	return call[uint64, sr.Changes](ctx, p.fleet.transfers.client(p.address), entriesMethod, after)
 }
 
+func (p fleetPeer) EntriesSince(ctx context.Context, after sr.Position) (sr.Changes, error) {
+	return call[sr.Position, sr.Changes](ctx, p.fleet.transfers.client(p.address), sinceMethod, after)
+}
+
 func (p fleetPeer) RoutingPart(ctx context.Context, r sr.RoutingRequest) (sr.RoutingPart, error) {
 	return call[sr.RoutingRequest, sr.RoutingPart](ctx, p.fleet.transfers.client(p.address), routingPartMethod, r)
 }
@@ -95,6 +100,11 @@
 	return serveCall(m.ctx, args, reply, m.handler.Entries)
 }
 
+// EntriesSince returns the registry entries after a position.
+func (m *fleetMethods) EntriesSince(args Args[sr.Position], reply *Reply[sr.Changes]) error {
+	return serveCall(m.ctx, args, reply, m.handler.EntriesSince)
+}
+
 // RoutingPart returns a part of the encoded configuration.
 func (m *fleetMethods) RoutingPart(args Args[sr.RoutingRequest], reply *Reply[sr.RoutingPart]) error {
 	return serveCall(m.ctx, args, reply, m.handler.RoutingPart)
--- a/internal/state/srforwardsettings/settings.go
+++ b/internal/state/srforwardsettings/settings.go
@@ -96,6 +96,10 @@
 // may have expired although their endpoints are alive: two missed heartbeats.
 func (s Settings) Outage() time.Duration { return 2 * s.Heartbeat }
 
+// Lapse returns the time after which the registration of an endpoint that is gone has
+// expired at the registry, and this is known: three missed heartbeats and one more.
+func (s Settings) Lapse() time.Duration { return 4 * s.Heartbeat }
+
 const (
 	// queryViewFraction and queryRevokeFraction are the fractions of ViewBound and of the
 	// bound for removed keys after which an instance whose view was not
--- /dev/null
+++ b/internal/state/srview/era.go
@@ -0,0 +1,139 @@
+package srview
+
+import (
+	"time"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
+
+// outdated reports whether an answer is older than the view, or has the changes of another
+// era, which do not continue the view.
+func (v *View) outdated(c sr.Changes) bool {
+	switch {
+	case v.position.Revision == 0:
+		return false
+	case c.Era != v.position.Era:
+		return c.Era < v.position.Era || !c.Whole
+	}
+	return c.Whole && c.AsOf < v.position.Revision
+}
+
+// beginEra replaces the entries by those of a full listing of a new era, and returns those
+// that changed the view. The registry was restored from a copy that may be older than the
+// view, so revisions do not tell which of two entries is newer. What the view knows to be
+// newer is carried over until the registry has it again.
+func (v *View) beginEra(c sr.Changes, now time.Time) []sr.RegistryEntry {
+	old := v.entries
+	v.entries = make(map[entryKey]storedEntry, len(old))
+	v.position, v.forgotten = sr.Position{}, c.AsOf
+	for _, e := range c.Facts {
+		key := entryKey{kind: e.Kind, name: e.Name}
+		if before, ok := old[key]; ok {
+			v.entries[key] = v.merge(e, before, now)
+		} else {
+			v.entries[key] = v.storeUnknown(e, now)
+		}
+	}
+	for key, stored := range old {
+		if _, listed := v.entries[key]; !listed && !stored.entry.Gone && stored.heldUntil.IsZero() {
+			v.entries[key] = v.carry(stored, c.AsOf, now)
+		}
+	}
+	var changed []sr.RegistryEntry
+	for key, stored := range v.entries {
+		before, ok := old[key]
+		if !ok || stored.entry.Gone != before.entry.Gone || stored.entry.Endpoint != before.entry.Endpoint ||
+			stored.entry.Routing != before.entry.Routing || stored.heldUntil != before.heldUntil {
+			changed = append(changed, stored.relay(now))
+		}
+	}
+	return changed
+}
+
+// storeUnknown returns what is stored for an entry of a new era that the view does not have.
+// An endpoint may have gone long ago, so it is held until its registration would have expired.
+func (v *View) storeUnknown(e sr.RegistryEntry, now time.Time) storedEntry {
+	stored := newStoredEntry(e, storedEntry{}, now)
+	if e.Kind == sr.EntryEndpoint && !stored.entry.Gone {
+		stored.entry.Carried = true
+		stored.heldUntil = now.Add(v.opts.LapseTimeout)
+	}
+	return stored
+}
+
+// carry returns what is stored for an entry that the registry does not have in a new era. An
+// endpoint registers again soon, and the order to evacuate a failure domain is repeated,
+// unless they are over. An event of the registry replaces the entry, whatever its revision.
+func (v *View) carry(old storedEntry, asOf uint64, now time.Time) storedEntry {
+	old.entry.Revision, old.entry.Carried = 0, true
+	switch old.entry.Kind {
+	case sr.EntryEndpoint:
+		old.removeAt, old.heldUntil = now.Add(v.opts.RenewTimeout), time.Time{}
+	case sr.EntryEvacuation:
+		old.removeAt = now.Add(v.opts.LapseTimeout)
+	case sr.EntryRouting:
+		old.entry.Revision = asOf
+	}
+	return old
+}
+
+// merge returns what is stored for an entry of a new era that the view has.
+func (v *View) merge(e sr.RegistryEntry, old storedEntry, now time.Time) storedEntry {
+	next := newStoredEntry(e, old, now)
+	kept := old
+	kept.entry.Revision, kept.entry.Carried, kept.entry.Gone = e.Revision, true, false
+	kept.removeAt, kept.heldUntil = next.removeAt, next.heldUntil
+	switch {
+	case e.Kind == sr.EntryRouting && supersedes(e, old.entry):
+		return next
+	case e.Kind == sr.EntryRouting:
+		kept.entry.Carried = e.Carried || e.Routing == nil || e.Routing.Version < old.entry.Routing.Version
+		return kept
+	case e.Kind != sr.EntryEndpoint || next.entry.Gone:
+		return next
+	case isLaterRegistration(e.Endpoint, old.entry.Endpoint):
+		return next
+	case old.entry.Gone || !old.heldUntil.IsZero():
+		kept.heldUntil = now.Add(v.opts.LapseTimeout)
+		return kept
+	case old.entry.Endpoint.Born > e.Endpoint.Born:
+		// The copy has an earlier lifetime of the endpoint.
+		kept.removeAt = now.Add(v.opts.RenewTimeout)
+		return kept
+	case isLaterRegistration(old.entry.Endpoint, e.Endpoint),
+		old.entry.Endpoint.State == sr.EndpointLeaving && e.Endpoint.State != sr.EndpointLeaving:
+		return kept
+	}
+	// The same registration: its cold start began when it was received first.
+	next.receivedAt = old.receivedAt
+	return next
+}
+
+// isLaterRegistration reports whether an endpoint registered a after b, by what the
+// endpoint itself counts.
+func isLaterRegistration(a, b sr.LiveEndpoint) bool {
+	return a.Born > b.Born || a.Born == b.Born && a.Sequence > b.Sequence
+}
+
+// extendHolds holds endpoints for longer after an outage of the registry, in which no
+// registrations may have expired.
+func (v *View) extendHolds(now time.Time) {
+	for key, stored := range v.entries {
+		if !stored.heldUntil.IsZero() {
+			stored.heldUntil = now.Add(v.opts.LapseTimeout)
+			v.entries[key] = stored
+		}
+	}
+}
+
+// carried returns the number of entries that the registry lost when it was restored, and that
+// it has not received again.
+func (v *View) carried() int {
+	n := 0
+	for _, stored := range v.entries {
+		if stored.entry.Carried {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/state/srview/view.go
+++ b/internal/state/srview/view.go
@@ -6,15 +6,17 @@
 //
 //	v := srview.New(srview.Options{Outage: 2400 * time.Millisecond, RenewTimeout: 2 * time.Second})
 //	sentAt := srclock.Now()
-//	changes, err := registry.Changes(ctx, v.Revision(), wait)
+//	changes, err := registry.Changes(ctx, v.Position().Revision, wait)
 //	update := v.Apply(sentAt, srclock.Now(), changes)
 //	st := v.State()
 //	st.Routing.Match(host, path)
 //	if v.Age(srclock.Now()) < revoke { ... }
 //
-// A revision never goes back: an entry is applied only when it is newer than the
+// A position never goes back: an entry is applied only when it is newer than the
 // stored one of the same kind and name, whether it comes from the registry or from
-// another instance.
+// another instance. Revisions order the entries of one era. In a new era, after the registry
+// was restored from an older copy, the view begins with a full listing and keeps what it
+// knows to be newer (era.go).
 package srview
 
 import (
@@ -40,6 +42,9 @@
 	// RenewTimeout is the time after an outage within which live endpoints renew such
 	// registrations.
 	RenewTimeout time.Duration
+	// LapseTimeout is the time after which the registration of an endpoint that has gone
+	// has expired.
+	LapseTimeout time.Duration
 }
 
 // Endpoint is a live endpoint with the state that the view keeps about it.
@@ -52,13 +57,16 @@
 	// RemoveAt is when a registration that was missing after an outage is
 	// removed, unless it is renewed before. It is zero for all others.
 	RemoveAt time.Time
+	// Held is set while an endpoint is not used because the registry was restored from a
+	// copy in which it is registered, and it may have gone since.
+	Held bool
 }
 
 // State is an immutable snapshot of a View.
 type State struct {
 	// Routing is nil until a configuration was received.
 	Routing  *sr.Routing
-	Revision uint64
+	Position sr.Position
 	// Endpoints are the live endpoints by ID, including leaving ones.
 	Endpoints map[string]Endpoint
 	// Services lists the endpoint IDs of each service in order.
@@ -82,7 +90,7 @@
 // Usable reports whether an endpoint may receive requests.
 func (s *State) Usable(id string, now time.Time) bool {
 	e, ok := s.Endpoints[id]
-	return ok && e.State == sr.EndpointReady && !s.Evacuated[e.Domain] &&
+	return ok && e.State == sr.EndpointReady && !s.Evacuated[e.Domain] && !e.Held &&
 		(e.RemoveAt.IsZero() || now.Before(e.RemoveAt))
 }
 
@@ -93,6 +101,12 @@
 	Facts []sr.RegistryEntry
 	// Regained is the length of the outage that the answer ended, 0 for none.
 	Regained time.Duration
+	// Ignored is set if the answer is older than the view, or changes of another era.
+	Ignored bool
+	// Left is the position that the view left when it began a new era, zero when it did not.
+	Left sr.Position
+	// Carried is the number of entries that are newer than those of the new era.
+	Carried int
 }
 
 // View is the copy of the registry. It is safe for concurrent use.
@@ -104,7 +118,7 @@
 	entries map[entryKey]storedEntry
 	// forgotten is the highest revision of a removal that is no longer kept.
 	forgotten uint64
-	revision  uint64
+	position  sr.Position
 	// confirmedAt is the latest time at which the registry is known to have
 	// contained nothing newer.
 	confirmedAt time.Time
@@ -123,8 +137,24 @@
 	entry sr.RegistryEntry
 	// receivedAt is when the entry was received.
 	receivedAt time.Time
-	// removeAt has the meaning of Endpoint.RemoveAt.
+	// removeAt is when the entry is removed because the registry does not have it, unless
+	// it is renewed before.
 	removeAt time.Time
+	// heldUntil is when the registration of a held endpoint has expired if the endpoint has
+	// gone. It is zero for an endpoint that is not held.
+	heldUntil time.Time
+}
+
+// relay returns the entry as it is passed on to other instances.
+func (s storedEntry) relay(now time.Time) sr.RegistryEntry {
+	e := s.entry
+	if !s.removeAt.IsZero() {
+		e.RemoveIn = max(s.removeAt.Sub(now), time.Nanosecond)
+	}
+	if !s.heldUntil.IsZero() {
+		e.UseIn = max(s.heldUntil.Sub(now), time.Nanosecond)
+	}
+	return e
 }
 
 // New returns an empty View.
@@ -137,11 +167,11 @@
 // State returns the current snapshot.
 func (v *View) State() *State { return v.state.Load() }
 
-// Revision returns the registry revision up to which the view is complete.
-func (v *View) Revision() uint64 {
+// Position returns the position in the registry's history up to which the view is complete.
+func (v *View) Position() sr.Position {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.revision
+	return v.position
 }
 
 // Age returns the time since the view was last confirmed to be current.
@@ -151,19 +181,19 @@
 	return v.age(now)
 }
 
-// AsOf returns the revision and the age of the view.
-func (v *View) AsOf(now time.Time) (uint64, time.Duration) {
+// AsOf returns the position and the age of the view.
+func (v *View) AsOf(now time.Time) (sr.Position, time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.revision, v.age(now)
+	return v.position, v.age(now)
 }
 
-// unconfirmedAge is the age of a view that was never confirmed to be current.
-const unconfirmedAge = time.Hour
+// UnconfirmedAge is the age of a view that was never confirmed to be current.
+const UnconfirmedAge = time.Hour
 
 func (v *View) age(now time.Time) time.Duration {
 	if v.confirmedAt.IsZero() {
-		return unconfirmedAge
+		return UnconfirmedAge
 	}
 	return now.Sub(v.confirmedAt)
 }
@@ -173,43 +203,63 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	update := Update{}
+	if v.outdated(c) {
+		update.Ignored = true
+		return update
+	}
 	if v.failed && !c.Relayed && now.Sub(v.answeredAt) > v.opts.Outage && !v.answeredAt.IsZero() {
 		update.Regained = now.Sub(v.answeredAt)
 	}
-	if c.Whole && c.AsOf < v.revision {
-		// The listing is older than the view.
-		return update
-	}
-	afterOutage := update.Regained > 0
 	if !c.Relayed || c.Age < v.opts.Outage {
 		v.answeredAt, v.failed = now, false
 	}
-	for _, e := range c.Facts {
-		invalid := e.Kind == sr.EntryRouting && e.Invalid != "" && e.Revision > v.revision
-		if v.store(e, now, afterOutage) || invalid {
-			update.Facts = append(update.Facts, e)
-		}
+	if update.Regained > 0 {
+		v.extendHolds(now)
 	}
-	if c.Whole {
-		update.Facts = append(update.Facts, v.removeUnlisted(c, now, afterOutage)...)
+	if v.position.Revision > 0 && c.Era > v.position.Era {
+		update.Left = v.position
+		update.Facts = v.beginEra(c, now)
+		update.Carried = v.carried()
+	} else {
+		update.Facts = v.applyEntries(c, now, update.Regained > 0)
 	}
-	v.revision = max(v.revision, c.AsOf)
+	v.position.Era, v.position.Revision = c.Era, max(v.position.Revision, c.AsOf)
 	if confirmed := sentAt.Add(-c.Age); confirmed.After(v.confirmedAt) {
 		v.confirmedAt = confirmed
 	}
-	if len(update.Facts) > 0 {
+	if len(update.Facts) > 0 || update.Left.Revision > 0 {
 		v.publish()
 	}
 	return update
 }
 
+// applyEntries applies the entries of an answer of the view's era, and returns those that
+// changed the view.
+func (v *View) applyEntries(c sr.Changes, now time.Time, afterOutage bool) []sr.RegistryEntry {
+	var changed []sr.RegistryEntry
+	for _, e := range c.Facts {
+		invalid := e.Kind == sr.EntryRouting && e.Invalid != "" && e.Revision > v.position.Revision
+		if v.store(e, now, afterOutage) || invalid {
+			changed = append(changed, e)
+		}
+	}
+	if c.Whole {
+		changed = append(changed, v.removeUnlisted(c, now, afterOutage)...)
+	}
+	return changed
+}
+
 // ApplyEarly applies entries of an answer whose other entries are still to come. The
-// revision and the age of the view stay as they are.
-func (v *View) ApplyEarly(now time.Time, facts []sr.RegistryEntry) Update {
+// position and the age of the view stay as they are. An answer of another era has to be
+// complete.
+func (v *View) ApplyEarly(now time.Time, c sr.Changes) Update {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	update := Update{}
-	for _, e := range facts {
+	if c.Era != v.position.Era {
+		return update
+	}
+	for _, e := range c.Facts {
 		if v.store(e, now, false) {
 			update.Facts = append(update.Facts, e)
 		}
@@ -228,12 +278,12 @@
 }
 
 // Confirm records the statement of another instance, requested at sentAt, that its
-// view at revision asOf was confirmed to be current age ago. It is ignored when
-// this view is at a lower revision.
-func (v *View) Confirm(sentAt time.Time, asOf uint64, age time.Duration) {
+// view at a position was confirmed to be current age ago. It is ignored when this view is
+// at an earlier position, or in another era.
+func (v *View) Confirm(sentAt time.Time, p sr.Position, age time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.revision < asOf || v.revision == 0 {
+	if v.position.Revision == 0 || v.position.Before(p) || v.position.Era != p.Era {
 		return
 	}
 	if confirmed := sentAt.Add(-age); confirmed.After(v.confirmedAt) {
@@ -244,35 +294,32 @@
 	}
 }
 
-// RoutingEntry returns the entry of the configuration, if there is one.
-func (v *View) RoutingEntry() (sr.RegistryEntry, bool) {
+// RoutingEntry returns the entry of the configuration and its era, if there is one.
+func (v *View) RoutingEntry() (e sr.RegistryEntry, era uint64, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	stored, ok := v.entries[entryKey{kind: sr.EntryRouting}]
-	return stored.entry, ok && stored.entry.Routing != nil
+	return stored.entry, v.position.Era, ok && stored.entry.Routing != nil
 }
 
-// Since returns the entries after a revision, or a full listing when after is 0 or
-// older than the removals that are still kept.
-func (v *View) Since(after uint64, now time.Time) sr.Changes {
+// Since returns the entries after a position, or a full listing when its revision is 0 or
+// older than the removals that are still kept, or when it is of another era.
+func (v *View) Since(after sr.Position, now time.Time) sr.Changes {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := sr.Changes{AsOf: v.revision, Age: v.age(now), Relayed: true, Whole: after == 0 || after < v.forgotten}
+	out := sr.Changes{AsOf: v.position.Revision, Era: v.position.Era, Age: v.age(now), Relayed: true}
+	out.Whole = after.Revision == 0 || after.Revision < v.forgotten || after.Era != v.position.Era
 	for _, stored := range v.entries {
-		if out.Whole && stored.entry.Gone || !out.Whole && stored.entry.Revision <= after {
+		if out.Whole && stored.entry.Gone || !out.Whole && stored.entry.Revision <= after.Revision {
 			continue
 		}
-		e := stored.entry
-		if !stored.removeAt.IsZero() {
-			e.RemoveIn = max(stored.removeAt.Sub(now), time.Nanosecond)
-		}
-		out.Facts = append(out.Facts, e)
+		out.Facts = append(out.Facts, stored.relay(now))
 	}
 	slices.SortFunc(out.Facts, func(a, b sr.RegistryEntry) int { return cmp.Compare(a.Revision, b.Revision) })
 	return out
 }
 
-// Sweep removes endpoints that were not renewed after an outage, and removals
+// Sweep removes entries that were not renewed after an outage or a restore, and removals
 // that have been kept for tombstoneRetention.
 func (v *View) Sweep(now time.Time) {
 	v.mu.Lock()
@@ -281,7 +328,12 @@
 	for key, stored := range v.entries {
 		switch {
 		case !stored.removeAt.IsZero() && !now.Before(stored.removeAt):
-			stored.entry.Gone, stored.removeAt, stored.receivedAt = true, time.Time{}, now
+			stored.entry.Gone, stored.entry.Carried, stored.removeAt, stored.receivedAt = true, false, time.Time{}, now
+			v.entries[key] = stored
+			changed = true
+		case !stored.heldUntil.IsZero() && !v.confirmedAt.Before(stored.heldUntil):
+			// The registry still has the registration.
+			stored.entry.Carried, stored.heldUntil = false, time.Time{}
 			v.entries[key] = stored
 			changed = true
 		case stored.entry.Gone && now.Sub(stored.receivedAt) > tombstoneRetention:
@@ -301,10 +353,12 @@
 func (v *View) store(e sr.RegistryEntry, now time.Time, afterOutage bool) bool {
 	key := entryKey{kind: e.Kind, name: e.Name}
 	old, ok := v.entries[key]
-	if ok && e.Revision <= old.entry.Revision && (e.Revision < old.entry.Revision || old.removeAt.IsZero()) {
-		return false
-	}
-	if e.Kind == sr.EntryRouting && !supersedes(e, old.entry) {
+	if ok && !replaces(e, old) {
+		if e.Kind == sr.EntryRouting && e.Routing != nil && e.Routing.Version == old.entry.Routing.Version && !e.Carried {
+			// The registry has received the configuration again.
+			old.entry.Revision, old.entry.Carried = max(e.Revision, old.entry.Revision), false
+			v.entries[key] = old
+		}
 		return false
 	}
 	if e.Kind == sr.EntryEndpoint && e.Gone && afterOutage && ok && !old.entry.Gone {
@@ -313,15 +367,41 @@
 		v.entries[key] = old
 		return true
 	}
+	v.entries[key] = newStoredEntry(e, old, now)
+	return true
+}
+
+// newStoredEntry returns an entry as it is stored in place of old.
+func newStoredEntry(e sr.RegistryEntry, old storedEntry, now time.Time) storedEntry {
 	if e.Invalid != "" && e.Kind == sr.EntryEndpoint {
 		e.Gone = true
 	}
+	if e.Gone && e.Endpoint == (sr.LiveEndpoint{}) {
+		// The last registration tells later ones from earlier ones.
+		e.Endpoint = old.entry.Endpoint
+	}
 	stored := storedEntry{entry: e, receivedAt: now}
 	if e.RemoveIn > 0 {
-		stored.removeAt, stored.entry.RemoveIn = now.Add(e.RemoveIn), 0
+		stored.removeAt = now.Add(e.RemoveIn)
 	}
-	v.entries[key] = stored
-	return true
+	if e.UseIn > 0 {
+		stored.heldUntil = now.Add(e.UseIn)
+	}
+	stored.entry.RemoveIn, stored.entry.UseIn = 0, 0
+	return stored
+}
+
+// replaces reports whether an entry replaces a stored one of the same era.
+func replaces(e sr.RegistryEntry, old storedEntry) bool {
+	switch {
+	case e.Kind == sr.EntryRouting:
+		return supersedes(e, old.entry)
+	case old.entry.Carried && !e.Gone && isLaterRegistration(old.entry.Endpoint, e.Endpoint):
+		return false
+	case e.Revision != old.entry.Revision:
+		return e.Revision > old.entry.Revision
+	}
+	return !old.removeAt.IsZero()
 }
 
 // supersedes reports whether a configuration replaces another one: it is valid and
@@ -342,7 +422,8 @@
 	}
 	var removals []sr.RegistryEntry
 	for key, stored := range v.entries {
-		if listed[key] || stored.entry.Gone || stored.entry.Kind == sr.EntryRouting || stored.entry.Revision > c.AsOf {
+		if listed[key] || stored.entry.Gone || stored.entry.Kind == sr.EntryRouting || stored.entry.Revision > c.AsOf ||
+			stored.entry.Carried && !stored.removeAt.IsZero() {
 			continue
 		}
 		gone := sr.RegistryEntry{Kind: key.kind, Name: key.name, Revision: c.AsOf, Gone: true}
@@ -356,7 +437,7 @@
 // publish replaces the snapshot.
 func (v *View) publish() {
 	st := &State{
-		Revision:   v.revision,
+		Position:   v.position,
 		Endpoints:  make(map[string]Endpoint),
 		Services:   make(map[string][]string),
 		Evacuated:  make(map[string]bool),
@@ -378,6 +459,7 @@
 				Revision:     stored.entry.Revision,
 				ColdUntil:    stored.receivedAt.Add(e.ColdLeft),
 				RemoveAt:     stored.removeAt,
+				Held:         !stored.heldUntil.IsZero(),
 			}
 			st.Services[e.Service] = append(st.Services[e.Service], e.ID)
 		}
--- a/internal/state/srview/view_test.go
+++ b/internal/state/srview/view_test.go
@@ -14,7 +14,7 @@
 var start = time.Unix(1_000_000, 0)
 
 func newView() *srview.View {
-	return srview.New(srview.Options{Outage: 2 * time.Second, RenewTimeout: 2 * time.Second})
+	return srview.New(srview.Options{Outage: 2 * time.Second, RenewTimeout: 2 * time.Second, LapseTimeout: 5 * time.Second})
 }
 
 func at(d time.Duration) time.Time { return start.Add(d) }
@@ -46,7 +46,7 @@
 	assert.Equal(t, v.State().Routing.Version, uint64(7))
 	_, ok := v.State().Workspace("new")
 	assert.Assert(t, ok)
-	assert.Equal(t, v.Revision(), uint64(6))
+	assert.Equal(t, v.Position().Revision, uint64(6))
 }
 
 // TestInvalidConfigurationIsReported checks that a configuration that cannot be parsed
@@ -125,10 +125,10 @@
 	assert.Assert(t, v.Age(start) >= time.Hour)
 	v.Apply(at(0), at(time.Second), sr.Changes{AsOf: 5, Whole: true, Facts: []sr.RegistryEntry{ready("e", 1)}})
 	assert.Equal(t, v.Age(at(2*time.Second)), 2*time.Second)
-	v.Confirm(at(3*time.Second), 5, 500*time.Millisecond)
+	v.Confirm(at(3*time.Second), sr.Position{Revision: 5}, 500*time.Millisecond)
 	assert.Equal(t, v.Age(at(4*time.Second)), 1500*time.Millisecond)
 	// The statement of an instance at a higher revision does not confirm this view.
-	v.Confirm(at(5*time.Second), 6, 0)
+	v.Confirm(at(5*time.Second), sr.Position{Revision: 6}, 0)
 	assert.Equal(t, v.Age(at(5*time.Second)), 2500*time.Millisecond)
 }
 
@@ -146,16 +146,16 @@
 			e.Gone = rapid.Bool().Draw(t, "gone")
 			source.Apply(start, start, sr.Changes{AsOf: revision, Facts: []sr.RegistryEntry{e}})
 			if rapid.Bool().Draw(t, "pull") {
-				after := copied.Revision()
+				after := copied.Position()
 				if rapid.Bool().Draw(t, "whole") {
-					after = 0
+					after = sr.Position{}
 				}
 				c := source.Since(after, start)
 				copied.Apply(start, start, c)
 				copied.Apply(start, start, c)
 			}
 		}
-		copied.Apply(start, start, source.Since(copied.Revision(), start))
+		copied.Apply(start, start, source.Since(copied.Position(), start))
 		assert.DeepEqual(t, copied.State().Services, source.State().Services)
 	})
 }
@@ -169,7 +169,7 @@
 	apply(copied, 0, all)
 	source.RecordFailure()
 	apply(source, 5*time.Second, sr.Changes{AsOf: 9, Facts: []sr.RegistryEntry{gone("e", 9)}})
-	apply(copied, 5*time.Second, source.Since(copied.Revision(), at(5*time.Second)))
+	apply(copied, 5*time.Second, source.Since(copied.Position(), at(5*time.Second)))
 	assert.Assert(t, source.State().Usable("e", at(6*time.Second)))
 	assert.Assert(t, copied.State().Usable("e", at(6*time.Second)))
 	assert.Equal(t, source.State().Usable("e", at(7*time.Second)), false)
--- a/live.go
+++ b/live.go
@@ -47,6 +47,21 @@
 	EntryEvacuation
 )
 
+// Position is a point in the history of the registry. Revisions are comparable within an
+// era only.
+type Position struct {
+	// Era is the era of the registry. It rises when the registry is restored from an older
+	// copy of itself, after which it gives out revisions again. It is 0 when the registry
+	// does not state it.
+	Era      uint64
+	Revision uint64
+}
+
+// Before reports whether p is an earlier point than q.
+func (p Position) Before(q Position) bool {
+	return p.Era < q.Era || p.Era == q.Era && p.Revision < q.Revision
+}
+
 // RegistryEntry is one entry of the registry at a revision.
 type RegistryEntry struct {
 	Kind EntryKind
@@ -63,6 +78,12 @@
 	// because its registration was missing after an outage of the registry. It is 0 for
 	// all others.
 	RemoveIn time.Duration
+	// UseIn is the time for which an endpoint is not used, because it may have gone before
+	// the registry was restored from a copy in which it is registered. It is 0 for all others.
+	UseIn time.Duration
+	// Carried marks an entry that the registry lost when it was restored, and that it has
+	// not received again.
+	Carried bool
 	// Routing is the configuration, for EntryRouting.
 	Routing *Routing
 	// Endpoint is the registration, for EntryEndpoint.
@@ -74,9 +95,7 @@
 	Facts []RegistryEntry
 	// AsOf is the revision up to which the entries are complete.
 	AsOf uint64
-	// Era is the era of the registry. It rises when the registry is restored from an older
-	// copy of itself, after which it gives out revisions again. It is 0 when the registry
-	// does not state it.
+	// Era is the era to which AsOf and the revisions of the entries belong.
 	Era uint64
 	// Whole marks a full listing: an entry that it does not contain does not exist.
 	Whole bool
@@ -97,7 +116,9 @@
 	// Revision is the revision of the configuration whose part at Offset, in bytes, is
 	// requested.
 	Revision uint64
-	Offset   int
+	// Era is the era to which Revision belongs.
+	Era    uint64
+	Offset int
 }
 
 // RoutingPart is a part of an encoded configuration.
@@ -105,6 +126,8 @@
 	// Revision is the revision of the configuration. When it is not the requested one,
 	// the part is the first one of a newer configuration.
 	Revision uint64
+	// Era is the era to which Revision belongs.
+	Era uint64
 	// Size is the size of the whole encoded configuration in bytes.
 	Size int
 	Data []byte
@@ -142,6 +165,8 @@
 	// it was last confirmed to be the newest one.
 	AsOf uint64
 	Age  time.Duration
+	// Era is the era to which AsOf belongs. Instances of earlier versions state none.
+	Era uint64
 	// Crashes is what the sender reports about crashes of endpoints.
 	Crashes CrashReport
 }
@@ -152,8 +177,13 @@
 	// Pull returns registry entries after a revision, a full listing for 0. Only
 	// instances of earlier versions call it.
 	Pull(ctx context.Context, after uint64) (Changes, error)
-	// Entries is Pull without a configuration that is transferred in parts.
+	// Entries is Pull without a configuration that is transferred in parts. Only instances
+	// that do not know the era of the registry call it.
 	Entries(ctx context.Context, after uint64) (Changes, error)
+	// EntriesSince returns the entries after a position, without a configuration that is
+	// transferred in parts. It returns a full listing for revision 0, and for a position
+	// of another era.
+	EntriesSince(ctx context.Context, after Position) (Changes, error)
 	// RoutingPart returns a part of the instance's configuration. It returns
 	// ErrOverloaded while the instance transfers it to several others, and ErrMissing
 	// when the requested configuration is newer than its own.
