Remember removals through several restores

After a second or third restore an instance could use an endpoint that it knew to have gone.

Cause: a new era dropped the removals, and a registration with a later start or sequence than the last one that the view had seen counted as proof that the endpoint is back. The endpoint may have renewed it before it went, without the view's knowledge. Change: removals are kept in a new era, and an endpoint that had gone, or was held, is held whatever its registration in the copy says. What the endpoint writes then ends that.

--- a/internal/state/srview/era.go
+++ b/internal/state/srview/era.go
@@ -35,7 +35,7 @@
 		}
 	}
 	for key, stored := range old {
-		if _, listed := v.entries[key]; !listed && !stored.entry.Gone && stored.heldUntil.IsZero() {
+		if _, listed := v.entries[key]; !listed {
 			v.entries[key] = v.carry(stored, c.AsOf, now)
 		}
 	}
@@ -65,10 +65,16 @@
 // endpoint registers again soon, and the order to evacuate a failure domain is repeated,
 // unless they are over. An event of the registry replaces the entry, whatever its revision.
 func (v *View) carry(old storedEntry, asOf uint64, now time.Time) storedEntry {
+	if old.entry.Gone || !old.heldUntil.IsZero() {
+		// The removal is kept, since another copy may have the entry.
+		old.entry.Revision, old.entry.Gone, old.entry.Carried = 0, true, false
+		old.removeAt, old.heldUntil = time.Time{}, time.Time{}
+		return old
+	}
 	old.entry.Revision, old.entry.Carried = 0, true
 	switch old.entry.Kind {
 	case sr.EntryEndpoint:
-		old.removeAt, old.heldUntil = now.Add(v.opts.RenewTimeout), time.Time{}
+		old.removeAt = now.Add(v.opts.RenewTimeout)
 	case sr.EntryEvacuation:
 		old.removeAt = now.Add(v.opts.LapseTimeout)
 	case sr.EntryRouting:
@@ -91,11 +97,14 @@
 		return kept
 	case e.Kind != sr.EntryEndpoint || next.entry.Gone:
 		return next
-	case isLaterRegistration(e.Endpoint, old.entry.Endpoint):
-		return next
 	case old.entry.Gone || !old.heldUntil.IsZero():
+		if isLaterRegistration(e.Endpoint, old.entry.Endpoint) {
+			kept.entry.Endpoint = e.Endpoint
+		}
 		kept.heldUntil = now.Add(v.opts.LapseTimeout)
 		return kept
+	case isLaterRegistration(e.Endpoint, old.entry.Endpoint):
+		return next
 	case old.entry.Endpoint.Born > e.Endpoint.Born:
 		// The copy has an earlier lifetime of the endpoint.
 		kept.removeAt = now.Add(v.opts.RenewTimeout)
--- a/internal/state/srview/era_test.go
+++ b/internal/state/srview/era_test.go
@@ -153,3 +153,16 @@
 		assert.Assert(t, ok)
 	}
 }
+
+// A copy that is older than an earlier one must not bring back what had gone before both.
+func TestRemovalIsRememberedThroughSeveralRestores(t *testing.T) {
+	v := newView()
+	list(v, 0, 1, 9, registered("e", 9, sr.EndpointReady, 2, 1))
+	change(v, time.Second, 1, 10, gone("e", 10))
+	list(v, 2*time.Second, 2, 1)
+	list(v, 3*time.Second, 3, 5, registered("e", 5, sr.EndpointReady, 1, 1))
+	assert.Assert(t, !usable(v, "e", 3*time.Second))
+	// The registration was renewed without this view's knowledge before the endpoint went.
+	list(v, 4*time.Second, 4, 9, registered("e", 9, sr.EndpointReady, 2, 4))
+	assert.Assert(t, !usable(v, "e", 4*time.Second))
+}
