Learn from other instances what a restored registry lost

An instance that starts after a restore served keys that had been removed, and endpoints that leave or have gone, until operators and endpoints had written again what the copy lacks. One that missed the last changes before it went without them as long.

Cause: instances in the new era are at the same position, whatever they know of the time before, so none pulled entries from another one. An instance that starts was ready as soon as it had listed the registry. Change: a view states the latest position of an earlier era that it includes, until the registry has received again what it lost. An instance with an earlier one pulls a listing; of two states of an endpoint at one revision the later one counts. An instance that starts is not ready and answers 503 (joining) until it has heard another instance and none may know what it lacks, 1.5 s at most; the line joined says which.

--- a/internal/app/srforward/dissemination_test.go
+++ b/internal/app/srforward/dissemination_test.go
@@ -301,14 +301,14 @@
 		return sr.Gossip{}, err
 	}
 	if p.unaware() {
-		g.Era = 0
+		g.Era, g.Prior = 0, sr.Position{}
 	}
 	answer, err := p.fleet.instance(p.to).Gossip(ctx, g)
 	if err != nil {
 		return answer, err
 	}
 	if p.unaware() {
-		answer.Era = 0
+		answer.Era, answer.Prior = 0, sr.Position{}
 	}
 	return answer, p.transfer(ctx, p.to, p.address, smallMessageBytes)
 }
@@ -346,7 +346,7 @@
 	}
 	c, err := handler(ctx, after)
 	if p.unaware() {
-		c.Era = 0
+		c.Era, c.Prior = 0, sr.Position{}
 	}
 	if err != nil {
 		return c, err
--- a/internal/app/srforward/fetch.go
+++ b/internal/app/srforward/fetch.go
@@ -15,12 +15,12 @@
 
 // transfers is the state of transfers of registry entries between instances.
 type transfers struct {
-	// requested holds a signal when another instance has stated a later position.
+	// requested holds a signal when another instance has entries that the view lacks.
 	requested chan struct{}
 
 	mu sync.Mutex
-	// behindSince is when another instance first stated a later position than that of
-	// the view, zero when none has.
+	// behindSince is when another instance first had entries that the view lacks, zero
+	// when none has.
 	behindSince time.Time
 	// active holds the time of the last request of each instance to which the
 	// configuration is being transferred, by address.
@@ -47,14 +47,14 @@
 	}
 }
 
-// caughtUp records that no other instance is at a later position.
+// caughtUp records that no other instance has entries that the view lacks.
 func (t *transfers) caughtUp() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.behindSince = time.Time{}
 }
 
-// behindFor returns for how long another instance has been at a later position.
+// behindFor returns for how long another instance has had entries that the view lacks.
 func (t *transfers) behindFor(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -180,14 +180,14 @@
 		}
 		delay := minTransferRetryDelay
 		for ctx.Err() == nil {
-			position := n.view.Position()
-			list, newest := n.members.ahead(time.Now(), position, n.random)
+			extent := n.view.Extent()
+			list, newest := n.members.ahead(time.Now(), extent, n.random)
 			if len(list) == 0 {
 				n.transfers.caughtUp()
 				break
 			}
 			n.pull(ctx, list[:min(len(list), maxTransferSources)], newest)
-			if position.Before(n.view.Position()) {
+			if extent.Lacks(n.view.Extent()) {
 				delay = minTransferRetryDelay
 				continue
 			}
@@ -250,10 +250,15 @@
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	peer := n.Fleet.FleetPeer(address)
-	if n.members.positionOf(address).Era == 0 {
+	extent := n.members.extentOf(address)
+	if extent.Position.Era == 0 {
 		// The instance may be of an earlier version.
 		return peer.Entries(ctx, after.Revision)
 	}
+	if n.view.Extent().Prior.Before(extent.Prior) {
+		// Entries that the registry lost are part of a full listing only.
+		after.Revision = 0
+	}
 	return peer.EntriesSince(ctx, after)
 }
 
--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -41,6 +41,9 @@
 	}
 	position, age := n.view.AsOf(n.Clock())
 	g.AsOf, g.Era, g.Age = position.Revision, position.Era, age
+	if n.view.Carries() {
+		g.Prior = n.view.Extent().Prior
+	}
 	return g
 }
 
@@ -56,7 +59,7 @@
 	}
 	n.limits.receive(now, g)
 	n.logSuspects(n.crashes.receive(now, g.Crashes), g.From.Address)
-	if n.view.Position().Before(positionOf(g)) {
+	if n.view.Extent().Lacks(extentOf(g)) {
 		n.transfers.request(now)
 	}
 }
@@ -104,11 +107,13 @@
 	if g.Leaving {
 		return
 	}
-	n.view.Confirm(requestedAt, positionOf(g), g.Age)
+	n.view.Confirm(requestedAt, extentOf(g).Position, g.Age)
 }
 
-// positionOf returns the position of the sender's view.
-func positionOf(g sr.Gossip) sr.Position { return sr.Position{Era: g.Era, Revision: g.AsOf} }
+// extentOf returns what the sender's view includes.
+func extentOf(g sr.Gossip) sr.Extent {
+	return sr.Extent{Position: sr.Position{Era: g.Era, Revision: g.AsOf}, Prior: g.Prior}
+}
 
 // announceLeaving notifies the members that this instance shuts down.
 func (n *Instance) announceLeaving(ctx context.Context) {
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -70,6 +70,9 @@
 	refusing atomic.Bool
 	// wasSuperseded is the last logged state of superseded.
 	wasSuperseded atomic.Bool
+	// startedAt is when the instance was created. joined is set once it may serve.
+	startedAt time.Time
+	joined    atomic.Bool
 }
 
 // bodyMemoryRatio is the fraction of the process's memory that request bodies may
@@ -91,6 +94,7 @@
 		random:         newRandom(d.Seed),
 		clientTimeouts: newClientTimeouts(),
 		transfers:      newTransfers(),
+		startedAt:      time.Now(),
 	}
 	n.crashes = newCrashWatch(func(part string) int { return n.members.rank(time.Now(), part) })
 	n.limits = newLimits(d.Settings)
@@ -103,7 +107,25 @@
 	if n.draining.Load() || n.view.State().Routing == nil {
 		return false
 	}
-	return n.keysCurrent() && !n.superseded()
+	return n.hasJoined() && n.keysCurrent() && !n.superseded()
+}
+
+// hasJoined reports whether the instance has learned from the others what the registry may
+// have lost before the instance started, or has waited long enough for them.
+func (n *Instance) hasJoined() bool {
+	if n.joined.Load() {
+		return true
+	}
+	now := time.Now()
+	extent, waited := n.view.Extent(), now.Sub(n.startedAt)
+	learned := extent.Position.Revision > 0 && n.members.haveNoLostEntries(now, extent)
+	if !learned && waited < joinTimeout {
+		return false
+	}
+	if !n.joined.Swap(true) {
+		n.Log.State("joined", srlog.Era, extent.Position.Era, srlog.Revision, extent.Position.Revision, srlog.Outcome, choose(learned, "learned", "timeout"), srlog.After, waited)
+	}
+	return true
 }
 
 // keysCurrent reports whether requests with keys may be served. A removed key may be
@@ -147,7 +169,7 @@
 		return
 	}
 	position, age := n.view.AsOf(n.Clock())
-	_, newest := n.members.ahead(time.Now(), position, n.random)
+	_, newest := n.members.ahead(time.Now(), n.view.Extent(), n.random)
 	n.Log.State(choose(is, "view-superseded", "view-current"), srlog.Era, position.Era, srlog.Revision, position.Revision,
 		srlog.NewestEra, newest.Era, srlog.Newest, newest.Revision, srlog.Age, age,
 		srlog.Behind, n.transfers.behindFor(time.Now()))
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -38,8 +38,8 @@
 	// knownSince is when the member became known.
 	knownSince time.Time
 	usage      sr.Usage
-	// position is the position of the member's view.
-	position sr.Position
+	// extent is what the member's view includes.
+	extent sr.Extent
 	// silent is set once the member has been reported as silent.
 	silent bool
 }
@@ -91,7 +91,7 @@
 	}
 	changed = e.silent || joined
 	e.id, e.domain, e.lastContact, e.silent = g.From, g.Domain, now, false
-	e.usage, e.position = g.Usage, positionOf(g)
+	e.usage, e.extent = g.Usage, extentOf(g)
 	for _, id := range g.Known {
 		m.addKnown(now, id)
 	}
@@ -247,24 +247,24 @@
 	return n
 }
 
-// ahead returns the addresses of the members that have stated a later position, in random
-// order and those of the own failure domain first, and the latest position that one of them
-// has stated.
-func (m *members) ahead(now time.Time, position sr.Position, random *random) (list []string, newest sr.Position) {
+// ahead returns the addresses of the members whose views include entries that a view of an
+// extent lacks, in random order and those of the own failure domain first, and the latest
+// position that one of them has stated.
+func (m *members) ahead(now time.Time, extent sr.Extent, random *random) (list []string, newest sr.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var others []string
 	for _, e := range m.recentMembers(now, m.silenceTimeoutLocked()) {
 		switch {
-		case !position.Before(e.position):
+		case !extent.Lacks(e.extent):
 			continue
 		case e.domain == m.domain:
 			list = append(list, e.id.Address)
 		default:
 			others = append(others, e.id.Address)
 		}
-		if newest.Before(e.position) {
-			newest = e.position
+		if newest.Before(e.extent.Position) {
+			newest = e.extent.Position
 		}
 	}
 	random.shuffle(list)
@@ -272,14 +272,29 @@
 	return append(list, others...), newest
 }
 
-// positionOf returns the position of a member's view.
-func (m *members) positionOf(address string) sr.Position {
+// haveNoLostEntries reports whether a member has been heard, or the seeds name none, and
+// whether no member may know what the registry lost and a view of an extent lacks.
+func (m *members) haveNoLostEntries(now time.Time, extent sr.Extent) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	recent := m.recentMembers(now, m.silenceTimeoutLocked())
+	for _, e := range recent {
+		era := e.extent.Position.Era
+		if era > 0 && era != extent.Position.Era || extent.Prior.Before(e.extent.Prior) {
+			return false
+		}
+	}
+	return len(recent) > 0 || m.seedsOnlySelf()
+}
+
+// extentOf returns what a member's view includes.
+func (m *members) extentOf(address string) sr.Extent {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if e, ok := m.byAddress[address]; ok {
-		return e.position
+		return e.extent
 	}
-	return sr.Position{}
+	return sr.Extent{}
 }
 
 // rank returns the position of this instance among those that are not silent, in an order
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -75,6 +75,8 @@
 	reasonNoRouting  = "no-routing"
 	reasonNoRoute    = "no-route"
 	reasonNoKey      = "no-key"
+	// reasonJoining: the instance starts, and has not learned yet what the others know.
+	reasonJoining = "joining"
 	// reasonStaleView: a newer configuration may have the route or the key, or another
 	// instance has a newer view and this one is too old to decide.
 	reasonStaleView = "stale-view"
@@ -129,6 +131,8 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonDraining, retryAfter: shortRetryAfter}
 	case st.Routing == nil:
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonNoRouting, retryAfter: shortRetryAfter}
+	case !q.hasJoined():
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonJoining, retryAfter: shortRetryAfter}
 	case q.superseded():
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonStaleView, retryAfter: shortRetryAfter}
 	}
--- a/internal/app/srforward/timing.go
+++ b/internal/app/srforward/timing.go
@@ -57,6 +57,9 @@
 	// routingPartBytes is the size of a part of a configuration. A larger configuration
 	// is transferred apart from the other entries.
 	routingPartBytes = 16 << 10
+	// joinTimeout bounds the time for which an instance that starts waits for the others,
+	// which may know what the registry lost. They contact it within silentInterval.
+	joinTimeout = 1500 * time.Millisecond
 	// silentInterval is the least interval between two exchanges with a silent
 	// member.
 	silentInterval = time.Second
--- a/internal/state/srview/era.go
+++ b/internal/state/srview/era.go
@@ -23,21 +23,29 @@
 // view, so revisions do not tell which of two entries is newer. What the view knows to be
 // newer is carried over until the registry has it again.
 func (v *View) beginEra(c sr.Changes, now time.Time) []sr.RegistryEntry {
+	informed := includes(c.Prior, v.position)
 	old := v.entries
 	v.entries = make(map[entryKey]storedEntry, len(old))
-	v.position, v.forgotten = sr.Position{}, 0
+	v.prior, v.position, v.forgotten = v.position, sr.Position{}, 0
 	for _, e := range c.Facts {
 		key := entryKey{kind: e.Kind, name: e.Name}
-		if before, ok := old[key]; ok {
+		switch before, ok := old[key]; {
+		case ok:
 			v.entries[key] = v.merge(e, before, now)
-		} else {
+		case informed:
+			v.entries[key] = newStoredEntry(e, before, now)
+		default:
 			v.entries[key] = v.storeUnknown(e, now)
 		}
 	}
 	for key, stored := range old {
-		if _, listed := v.entries[key]; !listed {
-			v.entries[key] = v.carry(stored, c.AsOf, now)
+		if _, listed := v.entries[key]; listed {
+			continue
 		}
+		if informed && key.kind != sr.EntryRouting {
+			stored.entry.Gone = true
+		}
+		v.entries[key] = v.carry(stored, c.AsOf, now)
 	}
 	var changed []sr.RegistryEntry
 	for key, stored := range v.entries {
@@ -124,6 +132,37 @@
 	return a.Born > b.Born || a.Born == b.Born && a.Sequence > b.Sequence
 }
 
+// storeMissing stores what another instance carries and the registry does not have, in place
+// of an entry of this era, and reports whether it changed the view. A removal that this view
+// knows is of this era and stays.
+func (v *View) storeMissing(key entryKey, e sr.RegistryEntry, old storedEntry, now time.Time) bool {
+	if old.entry.Gone {
+		return false
+	}
+	next := newStoredEntry(e, old, now)
+	if isLaterRegistration(old.entry.Endpoint, e.Endpoint) {
+		next.entry.Endpoint = old.entry.Endpoint
+	}
+	v.entries[key] = next
+	return true
+}
+
+// isLaterState reports whether an entry of another instance has a later state of an endpoint
+// than a stored one of the same revision.
+func isLaterState(e sr.RegistryEntry, old storedEntry) bool {
+	if isLaterRegistration(e.Endpoint, old.entry.Endpoint) || isLaterRegistration(old.entry.Endpoint, e.Endpoint) {
+		return isLaterRegistration(e.Endpoint, old.entry.Endpoint)
+	}
+	return e.UseIn > 0 && old.heldUntil.IsZero() ||
+		e.Endpoint.State == sr.EndpointLeaving && old.entry.Endpoint.State != sr.EndpointLeaving
+}
+
+// includes reports whether a view of which prior is the latest position of an earlier era
+// included another one at a position. Views that skipped an era are not compared.
+func includes(prior, position sr.Position) bool {
+	return prior.Revision > 0 && prior.Era == position.Era && !prior.Before(position)
+}
+
 // extendHolds holds endpoints for longer after an outage of the registry, in which no
 // registrations may have expired.
 func (v *View) extendHolds(now time.Time) {
@@ -135,6 +174,14 @@
 	}
 }
 
+// Carries reports whether the view has entries that the registry lost when it was restored,
+// and that it has not received again.
+func (v *View) Carries() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.prior.Revision > 0 && v.carried() > 0
+}
+
 // carried returns the number of entries that the registry lost when it was restored, and that
 // it has not received again.
 func (v *View) carried() int {
--- a/internal/state/srview/view.go
+++ b/internal/state/srview/view.go
@@ -119,6 +119,8 @@
 	// forgotten is the highest revision of a removal that is not known or no longer kept.
 	forgotten uint64
 	position  sr.Position
+	// prior has the meaning of sr.Extent.Prior.
+	prior sr.Position
 	// confirmedAt is the latest time at which the registry is known to have
 	// contained nothing newer.
 	confirmedAt time.Time
@@ -174,6 +176,13 @@
 	return v.position
 }
 
+// Extent returns what the view includes.
+func (v *View) Extent() sr.Extent {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return sr.Extent{Position: v.position, Prior: v.prior}
+}
+
 // Age returns the time since the view was last confirmed to be current.
 func (v *View) Age(now time.Time) time.Duration {
 	v.mu.Lock()
@@ -223,6 +232,9 @@
 	} else {
 		update.Facts = v.applyEntries(c, now, update.Regained > 0)
 	}
+	if c.Whole && v.prior.Before(c.Prior) {
+		v.prior = c.Prior
+	}
 	v.position.Era, v.position.Revision = c.Era, max(v.position.Revision, c.AsOf)
 	if c.Whole {
 		// A listing does not contain removals.
@@ -311,7 +323,7 @@
 func (v *View) Since(after sr.Position, now time.Time) sr.Changes {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := sr.Changes{AsOf: v.position.Revision, Era: v.position.Era, Age: v.age(now), Relayed: true}
+	out := sr.Changes{AsOf: v.position.Revision, Era: v.position.Era, Prior: v.prior, Age: v.age(now), Relayed: true}
 	out.Whole = after.Revision == 0 || after.Revision < v.forgotten || after.Era != v.position.Era
 	for _, stored := range v.entries {
 		if out.Whole && stored.entry.Gone || !out.Whole && stored.entry.Revision <= after.Revision {
@@ -357,6 +369,9 @@
 func (v *View) store(e sr.RegistryEntry, now time.Time, afterOutage bool) bool {
 	key := entryKey{kind: e.Kind, name: e.Name}
 	old, ok := v.entries[key]
+	if ok && e.Carried && e.Revision == 0 {
+		return v.storeMissing(key, e, old, now)
+	}
 	if ok && !replaces(e, old) {
 		if e.Kind == sr.EntryRouting && e.Routing != nil && e.Routing.Version == old.entry.Routing.Version && !e.Carried {
 			// The registry has received the configuration again.
@@ -405,7 +420,7 @@
 	case e.Revision != old.entry.Revision:
 		return e.Revision > old.entry.Revision
 	}
-	return !old.removeAt.IsZero()
+	return !old.removeAt.IsZero() || e.Carried && isLaterState(e, old)
 }
 
 // supersedes reports whether a configuration replaces another one: it is valid and
@@ -420,6 +435,7 @@
 // removeUnlisted removes the endpoints and evacuations that a full listing does not
 // contain, and returns the removals.
 func (v *View) removeUnlisted(c sr.Changes, now time.Time, afterOutage bool) []sr.RegistryEntry {
+	informed := includes(c.Prior, v.prior)
 	listed := make(map[entryKey]bool, len(c.Facts))
 	for _, e := range c.Facts {
 		listed[entryKey{kind: e.Kind, name: e.Name}] = true
@@ -427,7 +443,7 @@
 	var removals []sr.RegistryEntry
 	for key, stored := range v.entries {
 		if listed[key] || stored.entry.Gone || stored.entry.Kind == sr.EntryRouting || stored.entry.Revision > c.AsOf ||
-			stored.entry.Carried && !stored.removeAt.IsZero() {
+			!informed && stored.entry.Carried && !stored.removeAt.IsZero() {
 			continue
 		}
 		gone := sr.RegistryEntry{Kind: key.kind, Name: key.name, Revision: c.AsOf, Gone: true}
--- a/live.go
+++ b/live.go
@@ -62,6 +62,20 @@
 	return p.Era < q.Era || p.Era == q.Era && p.Revision < q.Revision
 }
 
+// Extent is what the view of an instance includes of the registry's history.
+type Extent struct {
+	Position Position
+	// Prior is the latest position of an earlier era that the view includes, whose later
+	// entries the registry may have lost when it was restored. It is zero for an instance
+	// that started after the restore and has not learned them from another one.
+	Prior Position
+}
+
+// Lacks reports whether another view includes entries that this one does not.
+func (e Extent) Lacks(other Extent) bool {
+	return e.Position.Before(other.Position) || e.Position == other.Position && e.Prior.Before(other.Prior)
+}
+
 // RegistryEntry is one entry of the registry at a revision.
 type RegistryEntry struct {
 	Kind EntryKind
@@ -97,6 +111,8 @@
 	AsOf uint64
 	// Era is the era to which AsOf and the revisions of the entries belong.
 	Era uint64
+	// Prior has the meaning of Extent.Prior for the view of an instance that relays entries.
+	Prior Position
 	// Whole marks a full listing: an entry that it does not contain does not exist.
 	Whole bool
 	// Age is how old the data was when the request for it arrived: 0 from the
@@ -167,6 +183,9 @@
 	Age  time.Duration
 	// Era is the era to which AsOf belongs. Instances of earlier versions state none.
 	Era uint64
+	// Prior has the meaning of Extent.Prior. It is zero unless the sender's view has
+	// entries that the registry lost and has not received again.
+	Prior Position
 	// Crashes is what the sender reports about crashes of endpoints.
 	Crashes CrashReport
 }
