Do not transfer a configuration again in a new era

In a new era each instance fetched the whole configuration from another one, two at a time, although it had it, and the other entries waited for that.

Cause: a listing in a new era names a configuration that is transferred apart by its revision only, which does not tell whether it is the same. Change: it has the version too; an instance that has it, or a newer one, uses its own.

--- a/internal/app/srforward/dissemination_test.go
+++ b/internal/app/srforward/dissemination_test.go
@@ -99,6 +99,8 @@
 	// calls counts the queries of each instance to the registry.
 	calls              map[string]int
 	sending, receiving map[string]*testLink
+	// parts counts the calls for parts of a configuration.
+	parts atomic.Int64
 	// cutOff is the address of an instance that receives gossip but no entries.
 	cutOff atomic.Value
 }
@@ -355,6 +357,7 @@
 }
 
 func (p testPeer) RoutingPart(ctx context.Context, r sr.RoutingRequest) (sr.RoutingPart, error) {
+	p.fleet.parts.Add(1)
 	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
 		return sr.RoutingPart{}, err
 	}
--- a/internal/app/srforward/fetch.go
+++ b/internal/app/srforward/fetch.go
@@ -131,7 +131,7 @@
 		}
 		if len(data) > routingPartBytes {
 			c.Facts = append(c.Facts[:i:i], c.Facts[i+1:]...)
-			c.RoutingAt = e.Revision
+			c.RoutingAt, c.RoutingVersion = e.Revision, e.Routing.Version
 		}
 		break
 	}
@@ -206,8 +206,10 @@
 	c, address, err := n.pullEntries(ctx, from, position)
 	if err == nil && c.RoutingAt > 0 {
 		n.reportUpdate(n.view.ApplyEarly(n.Clock(), c), address)
-		var e sr.RegistryEntry
-		e, address, err = n.pullRouting(ctx, from, sr.Position{Era: c.Era, Revision: c.RoutingAt})
+		e, ok := n.ownRouting(c)
+		if !ok {
+			e, address, err = n.pullRouting(ctx, from, sr.Position{Era: c.Era, Revision: c.RoutingAt})
+		}
 		c.Facts = append(c.Facts, e)
 	}
 	n.Log.State("pull", srlog.Peer, address, srlog.Era, position.Era, srlog.Revision, position.Revision, srlog.NewestEra, newest.Era, srlog.Newest, newest.Revision, srlog.Age, age,
@@ -217,6 +219,16 @@
 	}
 }
 
+// ownRouting returns the entry of a configuration that is transferred apart, if the view has
+// that configuration or a newer one, as after a restore of the registry.
+func (n *Instance) ownRouting(c sr.Changes) (e sr.RegistryEntry, ok bool) {
+	e, _, ok = n.view.RoutingEntry()
+	if !ok || c.RoutingVersion == 0 || e.Routing.Version < c.RoutingVersion {
+		return sr.RegistryEntry{}, false
+	}
+	return sr.RegistryEntry{Kind: sr.EntryRouting, Revision: c.RoutingAt, Routing: e.Routing, Carried: e.Routing.Version > c.RoutingVersion}, true
+}
+
 // pullEntries returns the entries after a position from the first instance that answers,
 // with its address.
 func (n *Instance) pullEntries(ctx context.Context, from []string, after sr.Position) (c sr.Changes, address string, err error) {
--- a/internal/app/srforward/restore_test.go
+++ b/internal/app/srforward/restore_test.go
@@ -176,6 +176,32 @@
 	})
 }
 
+// Instances that have a large configuration must not wait for its transfer in a new era, in
+// which other entries would wait behind it.
+func TestRestoreDoesNotTransferTheConfigurationAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 7, restoreSettings)
+		f.put(registration("leaves", sr.EndpointReady, 1, 1))
+		f.run(t)
+		// Not when instances query the registry themselves.
+		time.Sleep(3100 * time.Millisecond)
+		f.put(testRouting(1, 1500))
+		time.Sleep(3 * time.Second)
+		old := f.copy()
+		parts := f.parts.Load()
+		assert.Assert(t, parts > 0)
+		f.setDown(true)
+		time.Sleep(time.Second)
+		f.restore(old)
+		f.put(registration("leaves", sr.EndpointLeaving, 1, 5))
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, f.behind(func(n *Instance) bool {
+			return n.view.Position() == sr.Position{Era: 2, Revision: 3} && !n.view.State().Usable("leaves", n.Clock())
+		}), []string(nil))
+		assert.Equal(t, f.parts.Load(), parts)
+	})
+}
+
 // What was taken back after the copy was made must not be used again: a key, an endpoint
 // that leaves or has gone, one in an evacuated domain, an earlier lifetime of one.
 func TestRestoredRegistryBringsNothingBack(t *testing.T) {
--- a/live.go
+++ b/live.go
@@ -121,8 +121,10 @@
 	// Relayed marks the answer of an instance that relays the registry's entries.
 	Relayed bool
 	// RoutingAt is the revision of a configuration that belongs to the entries but is
-	// transferred apart because of its size, 0 when there is none.
-	RoutingAt uint64
+	// transferred apart because of its size, 0 when there is none. RoutingVersion is its
+	// version, 0 when an instance of an earlier version relays the entries.
+	RoutingAt      uint64
+	RoutingVersion uint64
 }
 
 // RoutingRequest asks an instance for a part of its encoded configuration.
