Take over a readable registration from a restored registry

An endpoint whose registration had become unreadable, and is readable in the copy, was used by one instance after it had been held, and taken for unreadable by those that learned it from there.

Cause: a held endpoint kept the entry of before with its mark as unreadable. Change: it gets the entry of the copy, with the later of the two registrations. Evidence: TestUnreadableRegistrationIsHeldAfterARestore failed before and passes.

--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -145,9 +145,9 @@
 
 const (
 	// A view is superseded from the bound on its age, less that bound divided by
-	// supersededMarginDivisor, if a newer revision has been known for the bound
-	// divided by supersededDelayDivisor. The delay leaves time to pull that revision,
-	// such as after an outage of the registry, in which all views grow old.
+	// supersededMarginDivisor, if later entries have been known to exist for the bound
+	// divided by supersededDelayDivisor. The delay leaves time to pull them, such as
+	// after an outage of the registry, in which all views grow old.
 	supersededMarginDivisor = 10
 	supersededDelayDivisor  = 3
 )
--- a/internal/state/srview/era.go
+++ b/internal/state/srview/era.go
@@ -95,7 +95,7 @@
 func (v *View) merge(e sr.RegistryEntry, old storedEntry, now time.Time) storedEntry {
 	next := newStoredEntry(e, old, now)
 	kept := old
-	kept.entry.Revision, kept.entry.Carried, kept.entry.Gone = e.Revision, true, false
+	kept.entry.Revision, kept.entry.Carried = e.Revision, true
 	kept.removeAt, kept.heldUntil = next.removeAt, next.heldUntil
 	switch {
 	case e.Kind == sr.EntryRouting && supersedes(e, old.entry):
@@ -106,11 +106,11 @@
 	case e.Kind != sr.EntryEndpoint || next.entry.Gone:
 		return next
 	case old.entry.Gone || !old.heldUntil.IsZero():
-		if isLaterRegistration(e.Endpoint, old.entry.Endpoint) {
-			kept.entry.Endpoint = e.Endpoint
+		if isLaterRegistration(old.entry.Endpoint, e.Endpoint) {
+			next.entry.Endpoint = old.entry.Endpoint
 		}
-		kept.heldUntil = now.Add(v.opts.LapseTimeout)
-		return kept
+		next.entry.Carried, next.heldUntil = true, now.Add(v.opts.LapseTimeout)
+		return next
 	case isLaterRegistration(e.Endpoint, old.entry.Endpoint):
 		return next
 	case old.entry.Endpoint.Born > e.Endpoint.Born:
--- a/internal/state/srview/era_test.go
+++ b/internal/state/srview/era_test.go
@@ -92,6 +92,21 @@
 	assert.Assert(t, usable(v, "e", 19*time.Second))
 }
 
+// An endpoint whose registration was unreadable may have a readable one in the copy. When it is
+// used after all, other instances must not take it for unreadable.
+func TestUnreadableRegistrationIsHeldAfterARestore(t *testing.T) {
+	v, other := newView(), newView()
+	list(v, 0, 1, 9, ready("e", 2))
+	change(v, time.Second, 1, 10, sr.RegistryEntry{Kind: sr.EntryEndpoint, Name: "e", Revision: 10, Invalid: "truncated"})
+	list(v, 2*time.Second, 2, 9, ready("e", 2))
+	assert.Assert(t, !usable(v, "e", 2*time.Second))
+	change(v, 8*time.Second, 2, 9)
+	v.Sweep(at(8 * time.Second))
+	apply(other, 8*time.Second, v.Since(sr.Position{}, at(8*time.Second)))
+	assert.Assert(t, usable(v, "e", 8*time.Second))
+	assert.Assert(t, usable(other, "e", 8*time.Second))
+}
+
 // The order of the eras, not of the revisions, decides which of two answers is outdated.
 func TestAnswersOfAnotherEraAreNotMixed(t *testing.T) {
 	v := newView()
