Learn what a restored registry lost also when ahead of those that know

An instance that starts after a restore, while the registry changes often, served keys that had been removed, and endpoints that leave or have gone, until operators and endpoints had written again what the copy lacks.

Cause: an instance pulled what was lost only from one at the same position. One that lists the registry itself is ahead of the others, and stays so while changes go on; it stopped waiting after 1.5 s. A listing of another instance that is older than the view would have been ignored, and if its configuration was transferred apart, its other entries were applied without that check. Ruled out: applying such a listing as a whole. Change: an instance lacks what another one has if that one includes more of an earlier era, whatever their revisions. From a listing that is older than the view it takes the configuration, by its version, and the entries that the other one carries at the revision that the view has.

--- a/internal/state/srview/era.go
+++ b/internal/state/srview/era.go
@@ -147,6 +147,27 @@
 	return true
 }
 
+// lacksPrior reports whether an answer that is older than the view includes more of an earlier
+// era.
+func (v *View) lacksPrior(c sr.Changes) bool {
+	return c.Whole && c.Era == v.position.Era && v.prior.Before(c.Prior)
+}
+
+// learnLost applies what the registry lost when it was restored, from a listing of another
+// instance that is otherwise older than the view, and returns what changed the view.
+func (v *View) learnLost(c sr.Changes, now time.Time) []sr.RegistryEntry {
+	v.prior = c.Prior
+	var changed []sr.RegistryEntry
+	for _, e := range c.Facts {
+		// The view is newer where it has another revision, or none of a revision.
+		same := v.entries[entryKey{kind: e.Kind, name: e.Name}].entry.Revision == e.Revision
+		if (e.Kind == sr.EntryRouting || e.Carried && same) && v.store(e, now, false) {
+			changed = append(changed, e)
+		}
+	}
+	return changed
+}
+
 // isLaterState reports whether an entry of another instance has a later state of an endpoint
 // than a stored one of the same revision.
 func isLaterState(e sr.RegistryEntry, old storedEntry) bool {
--- a/internal/state/srview/restore_test.go
+++ b/internal/state/srview/restore_test.go
@@ -280,3 +280,28 @@
 		}
 	}
 }
+
+// An instance that started after a restore, and is ahead of those that know what the registry
+// lost, must learn it too, without losing what it has received since.
+func TestInstanceThatIsAheadLearnsWhatARestoredRegistryLost(t *testing.T) {
+	informed, started := newView(), newView()
+	list(informed, 0, 1, 10, routing(5, 6, "new"), registered("leaves", 7, sr.EndpointLeaving, 1, 5), ready("joins", 8), ready("returns", 9), evacuated("d", 10))
+	copied := []sr.RegistryEntry{routing(4, 1, "old"), registered("leaves", 2, sr.EndpointReady, 1, 1), ready("goes", 3)}
+	list(informed, time.Second, 2, 3, copied...)
+	list(started, time.Second, 2, 5, copied[0], copied[1], ready("returns", 5))
+	assert.Assert(t, started.Extent().Lacks(informed.Extent()))
+	c := informed.Since(sr.Position{Era: 2}, at(time.Second))
+	assert.Equal(t, len(started.ApplyEarly(at(time.Second), c).Facts), 0)
+	apply(started, time.Second, c)
+	assert.Assert(t, !started.Extent().Lacks(informed.Extent()))
+	assert.Equal(t, started.Position(), sr.Position{Era: 2, Revision: 5})
+	st := started.State()
+	assert.Equal(t, st.Routing.Version, uint64(5))
+	assert.Assert(t, st.Evacuated["d"])
+	for id, want := range map[string]bool{"leaves": false, "goes": false, "joins": true, "returns": true} {
+		assert.Equal(t, usable(started, id, time.Second), want, id)
+	}
+	assert.Assert(t, st.Endpoints["returns"].RemoveAt.IsZero())
+	_, ok := st.Endpoints["goes"]
+	assert.Assert(t, !ok)
+}
--- a/internal/state/srview/view.go
+++ b/internal/state/srview/view.go
@@ -213,7 +213,12 @@
 	defer v.mu.Unlock()
 	update := Update{}
 	if v.outdated(c) {
-		update.Ignored = true
+		if v.lacksPrior(c) {
+			update.Facts = v.learnLost(c, now)
+			v.publish()
+		} else {
+			update.Ignored = true
+		}
 		return update
 	}
 	if v.failed && !c.Relayed && now.Sub(v.answeredAt) > v.opts.Outage && !v.answeredAt.IsZero() {
@@ -266,13 +271,13 @@
 }
 
 // ApplyEarly applies entries of an answer whose other entries are still to come. The
-// position and the age of the view stay as they are. An answer of another era has to be
-// complete.
+// position and the age of the view stay as they are. An answer of another era, or one that is
+// older than the view, has to be complete.
 func (v *View) ApplyEarly(now time.Time, c sr.Changes) Update {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	update := Update{}
-	if c.Era != v.position.Era {
+	if c.Era != v.position.Era || v.outdated(c) {
 		return update
 	}
 	for _, e := range c.Facts {
--- a/live.go
+++ b/live.go
@@ -71,9 +71,10 @@
 	Prior Position
 }
 
-// Lacks reports whether another view includes entries that this one does not.
+// Lacks reports whether another view includes entries that this one does not. A view that is
+// ahead in its era may still lack what the registry lost at the beginning of the era.
 func (e Extent) Lacks(other Extent) bool {
-	return e.Position.Before(other.Position) || e.Position == other.Position && e.Prior.Before(other.Prior)
+	return e.Position.Before(other.Position) || e.Position.Era == other.Position.Era && e.Prior.Before(other.Prior)
 }
 
 // RegistryEntry is one entry of the registry at a revision.
