Give each process of a test its own addresses

TestStoppedInstanceRunsNothingTwiceWhenItGoesOn failed once while it waited for "instance 2 to be ready".

An instance whose address is in use does not start (exit code 1, as TestExitCodesOfAFailedStart shows), and the test then waits for a minute. That this was the cause of the failure is only suspected: its logs were not kept. Change: the listeners are closed when all addresses have been chosen.

--- a/internal/proof/srprocess/cluster_test.go
+++ b/internal/proof/srprocess/cluster_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -67,22 +68,28 @@
 	return bin
 }
 
-// freeAddress returns a loopback address whose port is free.
-func freeAddress(t *testing.T) string {
+// freeAddresses returns different loopback addresses whose ports are free.
+func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		// A port that is closed earlier may be given out again.
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out
 }
 
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{t: t, bin: buildPrograms(t), dir: t.TempDir()}
-	platform := freeAddress(t)
-	c.engine, c.service = freeAddress(t), freeAddress(t)
-	for range instanceCount {
-		c.processes = append(c.processes, &process{listenAddress: freeAddress(t), operateAddress: freeAddress(t), peerAddress: freeAddress(t)})
+	free := freeAddresses(t, 3+3*instanceCount)
+	platform := free[0]
+	c.engine, c.service = free[1], free[2]
+	for own := range slices.Chunk(free[3:], 3) {
+		c.processes = append(c.processes, &process{listenAddress: own[0], operateAddress: own[1], peerAddress: own[2]})
 	}
 	args := append([]string{"platform", "--listen", platform}, c.writeManifest()...)
 	for _, p := range c.processes {
