Add a failing test of a quota in a large fleet

All 69 instances are killed at 12 s and start at 13 s; 0.5 to 1 s later their buckets are at -2.1 million tokens, and stay below zero until 17 s. Cause, by these logs and the test: each instance spends what it sees until the totals of the others arrive, every 690 ms in a fleet of 69. With a demand of 7.5 times the limit that alone exceeds what is allowed (11620 of 11470). New buckets, of which each holds a quarter of the burst, add to it.

--- a/internal/policy/srshare/bucket_test.go
+++ b/internal/policy/srshare/bucket_test.go
@@ -1,6 +1,7 @@
 package srshare_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -156,6 +157,38 @@
 	assert.Assert(t, f.peak() <= (100*window.Seconds()+100)*tolerance, "%v in a window", f.peak())
 }
 
+// TestLargeFleetStaysWithinTheLimit: callers ask 69 instances for 7.5 times the limit. Each
+// instance receives the totals of each other one every 690 ms.
+func TestLargeFleetStaysWithinTheLimit(t *testing.T) {
+	const (
+		large    = 69
+		interval = 690 * time.Millisecond
+		cost     = 4.0
+		// slack is 140,000 tokens for a limit of 636,000 tokens a second.
+		slack = 220.0
+	)
+	f := &fleet{now: time.Unix(0, 0)}
+	for i := range large {
+		f.ids = append(f.ids, sr.InstanceID{Address: fmt.Sprint(i), Incarnation: 1})
+		// As in a forwarding instance, the burst is spread over the window.
+		f.buckets = append(f.buckets, srshare.New(srshare.Limit{Rate: rate + burst/window.Seconds(), Burst: burst}, large, 3*interval, f.now))
+	}
+	var pending [large]float64
+	for step := 0; f.now.Before(time.Unix(20, 0)); step++ {
+		for i, b := range f.buckets {
+			pending[i] += 7.5 * rate * tick.Seconds() / large
+			for ; pending[i] >= cost; pending[i] -= cost {
+				if ok, _ := b.Spend(f.now, cost, 0); ok {
+					f.granted = append(f.granted, grant{f.now, cost})
+				}
+			}
+		}
+		f.exchange(func(i, j int) bool { return (step+i+j)%int(interval/tick) == 0 })
+		f.now = f.now.Add(tick)
+	}
+	assert.Assert(t, f.peak() <= limit()+slack, "%v in a window, allowed %v", f.peak(), limit()+slack)
+}
+
 func TestRefundAndWait(t *testing.T) {
 	now := time.Unix(0, 0)
 	b := srshare.New(srshare.Limit{Rate: 100, Burst: 100}, 1, silence, now)
