--- a/internal/state/srview/era.go
+++ b/internal/state/srview/era.go
@@ -159,7 +159,7 @@
 	v.prior = c.Prior
 	var changed []sr.RegistryEntry
 	for _, e := range c.Facts {
-		// The view is newer where it has another revision, or none of a revision.
+		// An entry that has another revision here, or was removed, has changed since the listing.
 		same := v.entries[entryKey{kind: e.Kind, name: e.Name}].entry.Revision == e.Revision
 		if (e.Kind == sr.EntryRouting || e.Carried && same) && v.store(e, now, false) {
 			changed = append(changed, e)
