Log panics of client handlers and idle connections that are closed

Cause: net/http closes a connection without an answer after a panic and writes the reason to a logger that discards it, and connections closed by the limit on idle time left no line. Three hypotheses about requests without an answer could not be told apart. Change: panic lines with the request and the stack, idle-closed lines with the number and the limit, and a counter.

--- a/internal/app/srforward/connections.go
+++ b/internal/app/srforward/connections.go
@@ -70,10 +70,11 @@
 }
 
 // sweep closes the connections that exceed the limits on idle time and on the time
-// for a header. It returns the number of headers that were too slow.
-func (c *clients) sweep(now time.Time, limits sr.ClientLimits) (slow int) {
+// for a header. It returns the number of headers that were too slow and of connections
+// that were idle for too long.
+func (c *clients) sweep(now time.Time, limits sr.ClientLimits) (slow, idle int) {
 	for _, conn := range c.all() {
-		idle, header := conn.timestamps()
+		idleSince, header := conn.timestamps()
 		switch {
 		case !header.IsZero():
 			if limits.HeaderTime > 0 && now.Sub(header) > limits.HeaderTime && conn.lateAgain() {
@@ -81,12 +82,13 @@
 				conn.refuseHeader(now)
 				slow++
 			}
-		case !idle.IsZero() && limits.IdleTime > 0 && now.Sub(idle) > limits.IdleTime+idleGrace:
+		case !idleSince.IsZero() && limits.IdleTime > 0 && now.Sub(idleSince) > limits.IdleTime+idleGrace:
 			// An idle connection carries no data that an error could affect.
 			_ = conn.Close()
+			idle++
 		}
 	}
-	return slow
+	return slow, idle
 }
 
 func (c *clients) all() []*clientConn {
--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -295,6 +295,7 @@
 // drains.
 func (p *Process) handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer p.instance.logPanic(r)
 		if p.instance.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -318,9 +319,13 @@
 		if st.Routing == nil {
 			continue
 		}
-		for range p.clients.sweep(time.Now(), st.Routing.Limits) {
+		slow, idle := p.clients.sweep(time.Now(), st.Routing.Limits)
+		for range slow {
 			p.instance.stats.count("refused." + reasonHeaderSlow)
 		}
+		if idle > 0 {
+			p.log.State("idle-closed", srlog.Count, idle, srlog.After, st.Routing.Limits.IdleTime, srlog.Version, st.Routing.Version)
+		}
 	}
 }
 
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -119,6 +121,21 @@
 	q.run()
 }
 
+// logPanic is deferred by the handler of clients. net/http closes the connection after a
+// panic; the panic itself only appears in this log.
+func (n *Instance) logPanic(r *http.Request) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		in, _ := n.Codec.Inbound(r.Header)
+		n.stats.count("panics")
+		n.Log.State("panic", srlog.Request, in.ID, srlog.Error, fmt.Sprint(v), srlog.Stack, string(debug.Stack()))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // admit reads and checks the request before it is queued.
 func (q *request) admit() *refusal {
 	st := q.view.State()
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -23,8 +23,10 @@
 	Status    = "status"
 	Reason    = "reason"
 	Error     = "error"
-	Attempt   = "attempt"
-	Events    = "events"
+	// Stack is the call stack of a panic.
+	Stack   = "stack"
+	Attempt = "attempt"
+	Events  = "events"
 	// Framing is how the end of an endpoint's answer is marked: length, chunks, or close
 	// when it ends with the connection. End is how the answer ended: complete, closed
 	// when the connection ended without proof that the answer is complete, or broken.
