Keep a request at a silent endpoint until another one goes on with it

Cause: after 0.6 to 1.2 s of silence the attempt was cancelled first, and only then the retry budget was asked, a slot awaited and another endpoint called. Each of these can fail. Ruled out: reserving budget and slot before the cancellation. The other endpoint can still refuse the connection or reject the request. Change: the connection reads with a timeout, at which the reading goroutine asks other endpoints. The silent one is given up when another one answers, or 250 ms after that one has received the request, since a request must not work at both for 400 ms. One that sends something meanwhile keeps the request.

--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -48,6 +48,9 @@
 	possibleRuns int
 	// avoid lists the endpoints of failed attempts.
 	avoid []string
+	// next is the attempt that has taken over the request from a silent endpoint, nil for
+	// none.
+	next *successor
 	// headerSent is set once the header has been sent to the client.
 	headerSent bool
 	// endsWithConnection is set if the answer to the client has neither a length nor
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -49,9 +49,12 @@
 	answer *srupstream.Answer
 	body   []byte
 	err    error
-	// stall detects an endpoint that hangs.
-	stall *stallTimer
-	peer  srupstream.Peer
+	// takeover and silence handle an endpoint that falls silent.
+	takeover *takeover
+	silence  *srupstream.Silence
+	peer     srupstream.Peer
+	// sent is when the attempt began.
+	sent time.Time
 	// broken is set when the connection ended before the answer is known to have ended,
 	// sound once the answer has gone on for soundAfter or is known to have ended.
 	broken bool
@@ -101,19 +104,33 @@
 	queue := q.queues.get(q.service)
 	var last attempt
 	for {
-		d, err := queue.acquire(q.ctx, q.ask(), q.logWaiting)
-		if err != nil {
-			q.giveUp(last)
-			return
+		var t attempt
+		if s := q.next; s != nil {
+			q.next = nil
+			t = q.continueWith(s)
+		} else {
+			d, err := queue.acquire(q.ctx, q.ask(), q.logWaiting)
+			if err != nil {
+				q.giveUp(last)
+				return
+			}
+			if d.Kind == srdispatch.Refused {
+				q.refuseByQueue(d, last)
+				return
+			}
+			q.logPlaced(d)
+			t = q.attempt(d.Endpoint)
 		}
-		if d.Kind == srdispatch.Refused {
-			q.refuseByQueue(d, last)
-			return
+		if t.takeover != nil && t.takeover.givenUp {
+			// This instance ended the attempt, and has reported the silence.
+			t.result.Failed, t.result.Unknown, t.broken = false, true, false
 		}
-		q.logPlaced(d)
-		t := q.attempt(d.Endpoint)
-		queue.release(d.Endpoint, t.result)
+		queue.release(t.endpoint, t.result)
 		q.observeAttempt(t)
+		if q.next != nil {
+			last = t
+			continue
+		}
 		switch t.outcome {
 		case outcomeEnded:
 			if t.err != nil {
@@ -175,73 +192,58 @@
 		srlog.Version, q.version, srlog.Age, q.view.Age(q.Clock()))
 }
 
-// attempt sends the request to one endpoint.
+// attempt makes an attempt at one endpoint.
 func (q *request) attempt(id string) attempt {
-	st := q.view.State()
-	e, ok := st.Endpoints[id]
+	ctx, cancel := context.WithCancel(q.ctx)
+	defer cancel()
+	t, a := q.send(ctx, id, cancel, func() error { return nil })
+	if a == nil {
+		return t
+	}
+	defer a.Body.Close()
+	return q.handleAnswer(t, a)
+}
+
+// send sends the request to one endpoint. Without an answer it returns nil, and why.
+// beforeWrite is called right before the first byte, once the request may be sent; giveUp
+// must end ctx.
+func (q *request) send(ctx context.Context, id string, giveUp context.CancelFunc, beforeWrite func() error) (attempt, *srupstream.Answer) {
+	e, ok := q.view.State().Endpoints[id]
 	if !ok {
-		return attempt{outcome: outcomeUnsent, endpoint: id, err: errUnusable, result: srdispatch.Result{Unsent: true, Prompt: q.inbound.Prompt}}
+		return attempt{outcome: outcomeUnsent, endpoint: id, err: errUnusable, result: srdispatch.Result{Unsent: true, Prompt: q.inbound.Prompt}}, nil
 	}
 	q.attempts++
-	sent := time.Now()
-	ctx, cancel := context.WithCancel(q.ctx)
-	defer cancel()
-	stall := q.watchForStall(id, cancel)
-	defer stall.disarm()
-	peer := srupstream.Peer{ID: id, Address: e.Address, Born: e.Born}
-	a, err := q.Upstream.Send(ctx, peer, q.upstreamRequest(id), q.checkAndLog(id))
-	t := attempt{endpoint: id, err: err, stall: stall, peer: peer, result: srdispatch.Result{Prompt: q.inbound.Prompt}}
+	t := attempt{
+		endpoint: id,
+		peer:     srupstream.Peer{ID: id, Address: e.Address, Born: e.Born},
+		takeover: q.watchForSilence(id, giveUp),
+		sent:     time.Now(),
+		result:   srdispatch.Result{Prompt: q.inbound.Prompt},
+	}
+	t.silence = t.takeover.silence()
+	r := q.upstreamRequest(id)
+	r.Silence = t.silence
+	a, err := q.Upstream.Send(ctx, t.peer, r, q.checkAndLog(id, beforeWrite))
+	t.err = err
 	switch {
-	case errors.Is(err, errUnusable), errors.Is(err, errSuspectPart):
+	case errors.Is(err, errUnusable), errors.Is(err, errSuspectPart), errors.Is(err, errRetryBudget):
 		t.outcome, t.result.Unsent = outcomeUnsent, true
-		return t
+		return t, nil
 	case errors.Is(err, sr.ErrNotSent):
 		t.outcome = outcomeUnsent
 		// An endpoint that could not be reached by the deadline has failed, so only the
 		// client's context counts here.
 		t.markUnanswered(q.r.Context())
 		q.avoid = append(q.avoid, id)
-		return t
+		return t, nil
 	case err != nil:
 		q.possibleRuns++
 		t.outcome, t.broken = outcomeMayRun, true
 		t.markUnanswered(q.ctx)
 		q.avoid = append(q.avoid, id)
-		return t
+		return t, nil
 	}
-	defer a.Body.Close()
-	return q.handleAnswer(t, a, sent)
-}
-
-const (
-	// An endpoint that has sent nothing for stallTargets times the route's latency
-	// target counts as hanging. The time is at least minStall and at most maxStall.
-	stallTargets = 3
-	// minStall prevents retries of requests with a short latency target that merely
-	// wait at their endpoint.
-	minStall = 600 * time.Millisecond
-	// maxStall leaves time for a second attempt before streaming clients disconnect.
-	// A stream that has begun always gets this long, since another endpoint would
-	// have to process its prompt again.
-	maxStall = 1200 * time.Millisecond
-)
-
-// watchForStall handles an endpoint that sends nothing for some time. If the request
-// may be attempted elsewhere, this attempt is cancelled. Otherwise it continues,
-// and the endpoint is ejected for other requests.
-func (q *request) watchForStall(endpoint string, cancel context.CancelFunc) *stallTimer {
-	wait := min(max(stallTargets*q.route.Target, minStall), maxStall)
-	number := q.attempts
-	canRetry := q.route.Repeatable() && q.possibleRuns+1 < max(q.route.Attempts, 1)
-	return newStallTimer(wait, func(silent time.Duration) {
-		q.stats.count("endpoint.silent")
-		q.Log.Failed("endpoint-silent", srlog.Request, q.inbound.ID, srlog.Endpoint, endpoint, srlog.Attempt, number, srlog.After, silent, srlog.Outcome, choose(canRetry, "moved", "waits on"))
-		if canRetry {
-			cancel()
-			return
-		}
-		q.queues.get(q.service).endpointSilent(endpoint)
-	})
+	return t, a
 }
 
 // upstreamRequest returns the request as it is sent to an endpoint.
@@ -288,14 +290,18 @@
 	}
 }
 
-// checkAndLog is checkUsable with a log line about the result.
-func (q *request) checkAndLog(id string) func() error {
+// checkAndLog is checkUsable, followed by a further check, with a log line about the
+// result.
+func (q *request) checkAndLog(id string, further func() error) func() error {
 	check := q.checkUsable(id)
 	return func() error {
 		err := check()
 		if err == nil && q.crashes.admit(time.Now(), q.sharedParts()).Blocked {
 			err = errSuspectPart
 		}
+		if err == nil {
+			err = further()
+		}
 		line := q.Log.Served
 		if err != nil {
 			line = q.Log.Failed
--- /dev/null
+++ b/internal/app/srforward/takeover.go
@@ -0,0 +1,262 @@
+package srforward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srupstream"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+)
+
+const (
+	// An endpoint that has sent nothing for stallTargets times the route's latency
+	// target counts as hanging. The time is at least minStall and at most maxStall.
+	stallTargets = 3
+	// minStall prevents retries of requests with a short latency target that merely
+	// wait at their endpoint.
+	minStall = 600 * time.Millisecond
+	// maxStall leaves time for a second attempt before streaming clients disconnect.
+	// A stream that has begun always gets this long, since another endpoint would
+	// have to process its prompt again.
+	maxStall = 1200 * time.Millisecond
+	// maxOverlap is how long a silent endpoint keeps its request after another one has
+	// received it too, unless that one answers sooner. The platform allows 400 ms in which
+	// both work on it.
+	maxOverlap = 250 * time.Millisecond
+)
+
+var (
+	// errTakenOver means that another endpoint goes on with the request.
+	errTakenOver = errors.New("taken over by another endpoint")
+	// errRetryBudget means that the retry budget of the service is used up.
+	errRetryBudget = errors.New("retry budget used up")
+)
+
+// takeover handles an endpoint that falls silent during an attempt. Where the request may
+// be attempted elsewhere, another endpoint is asked to go on with it, and the silent one is
+// given up only once that one answers or is about to run the request. An endpoint that
+// sends something before keeps the request.
+type takeover struct {
+	q        *request
+	endpoint string
+	// attempt is the number of the attempt.
+	attempt int
+	// giveUp ends the attempt at the silent endpoint.
+	giveUp context.CancelFunc
+	// allowed is set while the request may run at another endpoint.
+	allowed bool
+	// reported is the number of events at the last report of a silence, -1 for none.
+	reported int
+	// givenUp is set once the attempt has ended for another one.
+	givenUp bool
+}
+
+// watchForSilence returns what handles the silence of an endpoint. giveUp must end the
+// attempt there.
+func (q *request) watchForSilence(endpoint string, giveUp context.CancelFunc) *takeover {
+	return &takeover{
+		q:        q,
+		endpoint: endpoint,
+		attempt:  q.attempts,
+		giveUp:   giveUp,
+		allowed:  q.route.Repeatable() && q.possibleRuns+1 < max(q.route.Attempts, 1),
+		reported: -1,
+	}
+}
+
+// silence returns the handler for the connection to the endpoint.
+func (o *takeover) silence() *srupstream.Silence {
+	return &srupstream.Silence{
+		After:  min(max(stallTargets*o.q.route.Target, minStall), maxStall),
+		Handle: o.handle,
+	}
+}
+
+// wasSilent reports whether the endpoint was silent at any time.
+func (o *takeover) wasSilent() bool { return o.reported >= 0 }
+
+// handle reports a silence once, and looks for another endpoint. ctx ends when the silent
+// one sends something.
+func (o *takeover) handle(ctx context.Context, silent time.Duration) error {
+	q := o.q
+	mayMove := o.allowed && q.attempts < maxAttempts
+	if o.reported != q.eventsSent {
+		o.reported = q.eventsSent
+		q.stats.count("endpoint.silent")
+		q.Log.Failed("endpoint-silent", srlog.Request, q.inbound.ID, srlog.Endpoint, o.endpoint, srlog.Attempt, o.attempt, srlog.After, silent,
+			srlog.Outcome, choose(mayMove, "asks others", "waits on"))
+		q.queues.get(q.service).endpointSilent(o.endpoint)
+		q.avoid = append(q.avoid, o.endpoint)
+	}
+	if !mayMove {
+		return nil
+	}
+	reason := o.askOthers(ctx)
+	if o.givenUp {
+		return errTakenOver
+	}
+	q.stats.count("takeover.failed")
+	q.Log.Failed("stays", srlog.Request, q.inbound.ID, srlog.Endpoint, o.endpoint, srlog.Attempt, q.attempts, srlog.Events, q.eventsSent, srlog.Reason, reason)
+	return nil
+}
+
+// reasonWentOn: the silent endpoint sent something before another one took over.
+const reasonWentOn = "went-on"
+
+// askOthers sends the request to other endpoints until one answers. It returns why none
+// does.
+func (o *takeover) askOthers(readable context.Context) (reason string) {
+	q := o.q
+	ctx, cancel := context.WithCancel(q.ctx)
+	keep := context.AfterFunc(readable, cancel)
+	defer func() {
+		if q.next == nil {
+			keep()
+			cancel()
+		}
+	}()
+	queue := q.queues.get(q.service)
+	for q.attempts < maxAttempts {
+		d, err := queue.acquire(ctx, q.ask(), q.logWaiting)
+		switch {
+		case err != nil:
+			return reasonWentOn
+		case d.Kind == srdispatch.Refused:
+			return d.Reason
+		}
+		q.logPlaced(d)
+		h := &handover{keep: keep, giveUp: o.giveUp}
+		t, a := q.attemptTakeover(ctx, d.Endpoint, cancel, h)
+		answers := a != nil && q.acceptsTakeover(a)
+		o.givenUp = h.settle(answers)
+		if answers && o.givenUp {
+			q.next = &successor{attempt: t, answer: a, cancel: cancel}
+			q.Log.Failed("taken-over", srlog.Request, q.inbound.ID, srlog.Endpoint, d.Endpoint, srlog.Former, o.endpoint, srlog.Attempt, q.attempts, srlog.Events, q.eventsSent)
+			return ""
+		}
+		reason = o.endAttempt(ctx, d.Endpoint, t, a)
+		if reason != "" || o.givenUp {
+			return reason
+		}
+	}
+	return reasonAttempts
+}
+
+// attemptTakeover sends the request to another endpoint. h is started with the first byte.
+func (q *request) attemptTakeover(ctx context.Context, id string, cancel context.CancelFunc, h *handover) (attempt, *srupstream.Answer) {
+	return q.send(ctx, id, cancel, func() error {
+		if !q.limits.allowRetry(time.Now(), q.service) {
+			return errRetryBudget
+		}
+		h.start()
+		return nil
+	})
+}
+
+// acceptsTakeover reports whether an answer can replace that of the silent endpoint.
+func (q *request) acceptsTakeover(a *srupstream.Answer) bool {
+	if a.Reply.NotRun || !a.Reply.FromEndpoint {
+		return false
+	}
+	if q.route.Kind == sr.RouteStream {
+		return a.Status == http.StatusOK
+	}
+	return a.Status < http.StatusInternalServerError
+}
+
+// endAttempt ends an attempt that does not take over. It returns why no further one is
+// made, "" if another one may be.
+func (o *takeover) endAttempt(ctx context.Context, id string, t attempt, a *srupstream.Answer) (reason string) {
+	q := o.q
+	switch {
+	case ctx.Err() != nil && q.ctx.Err() == nil:
+		// The silent endpoint went on, which says nothing about this one.
+		t.result.Unknown, t.result.Failed, t.broken = true, false, false
+		reason = reasonWentOn
+	case errors.Is(t.err, errRetryBudget):
+		reason = reasonRetryBudget
+	}
+	if a != nil {
+		defer a.Body.Close()
+		if a.Reply.NotRun {
+			t.result.NotRun, t.result.Gone = true, a.Reply.Misdirected
+			q.avoid = append(q.avoid, id)
+		} else {
+			q.possibleRuns++
+			t.outcome, t.result.Error = outcomeMayRun, true
+		}
+	}
+	if t.outcome == outcomeMayRun {
+		o.allowed = false
+		if reason == "" {
+			reason = reasonBroken
+		}
+	}
+	q.queues.get(q.service).release(id, t.result)
+	q.observeAttempt(t)
+	return reason
+}
+
+// successor is an attempt that has taken over a request.
+type successor struct {
+	attempt attempt
+	answer  *srupstream.Answer
+	cancel  context.CancelFunc
+}
+
+// continueWith passes on the answer of an attempt that has taken over the request.
+func (q *request) continueWith(s *successor) attempt {
+	defer s.cancel()
+	defer s.answer.Body.Close()
+	return q.handleAnswer(s.attempt, s.answer)
+}
+
+// handover decides once whether a silent endpoint is given up for another one.
+type handover struct {
+	// keep prevents that the other attempt is cancelled when the silent endpoint sends
+	// something. It returns false if that has happened.
+	keep   func() bool
+	giveUp context.CancelFunc
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	settled bool
+	givenUp bool
+}
+
+// start begins the overlap. At its end the silent endpoint is given up.
+func (h *handover) start() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.timer = time.AfterFunc(maxOverlap, h.expire)
+}
+
+func (h *handover) expire() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.settled && h.keep() {
+		h.givenUp = true
+		h.giveUp()
+	}
+}
+
+// settle ends the overlap. It reports whether the silent endpoint is given up: because it
+// was before, or because the other one answers.
+func (h *handover) settle(answers bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.timer != nil {
+		h.timer.Stop()
+	}
+	h.settled = true
+	if answers && !h.givenUp && h.keep() {
+		h.givenUp = true
+	}
+	return h.givenUp
+}
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -18,11 +18,13 @@
 	Service   = "service"
 	Workspace = "workspace"
 	Endpoint  = "endpoint"
-	Domain    = "domain"
-	Peer      = "peer"
-	Status    = "status"
-	Reason    = "reason"
-	Error     = "error"
+	// Former is the endpoint from which another one takes over a request.
+	Former = "former"
+	Domain = "domain"
+	Peer   = "peer"
+	Status = "status"
+	Reason = "reason"
+	Error  = "error"
 	// Stack is the call stack of a panic.
 	Stack   = "stack"
 	Attempt = "attempt"
--- a/internal/peer/srupstream/conn.go
+++ b/internal/peer/srupstream/conn.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -28,11 +28,20 @@
 	reader *bufio.Reader
 	// reusableUntil is when an idle connection is too old to be used again.
 	reusableUntil time.Time
+	// silence is that of the current request, nil for none. deadlineSet is set while reads
+	// time out.
+	silence     *Silence
+	deadlineSet bool
 }
 
+// errNoSocket means that a connection is not a socket.
+var errNoSocket = errors.New("connection is not a socket")
+
 func newConn(nc net.Conn, peer Peer) *conn {
-	limit := &io.LimitedReader{R: nc, N: unlimited}
-	return &conn{Conn: nc, peer: peer, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize)}
+	c := &conn{Conn: nc, peer: peer}
+	c.limit = &io.LimitedReader{R: c, N: unlimited}
+	c.reader = bufio.NewReaderSize(c.limit, bufferSize)
+	return c
 }
 
 func (c *conn) close() { _ = c.Conn.Close() }
@@ -43,21 +52,13 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		// Not a socket, for example an in-memory connection: there is no file
-		// descriptor to look at.
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.raw()
 	if err != nil {
-		return false
+		return errors.Is(err, errNoSocket)
 	}
 	empty := false
 	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = err == syscall.EAGAIN
+		empty = readWouldBlock(fd)
 		return true
 	})
 	return err == nil && empty
--- a/internal/peer/srupstream/send.go
+++ b/internal/peer/srupstream/send.go
@@ -34,6 +34,8 @@
 	Body   []byte
 	// HasBody distinguishes an empty body from no body.
 	HasBody bool
+	// Silence is called while the peer sends nothing, nil for never.
+	Silence *Silence
 }
 
 // Answer is the response of an endpoint. Its Body must be closed; closing it before its
@@ -63,6 +65,7 @@
 		p.putIdle(c)
 		return nil, err
 	}
+	c.silence = r.Silence
 	x := &exchange{pool: p, conn: c, writeDone: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, c.close)
 	x.startWrite(r)
@@ -187,6 +190,7 @@
 			x.conn.close()
 			return
 		}
+		x.conn.silence = nil
 		x.conn.reusableUntil = time.Now().Add(idleTime(x.resp.Header))
 		x.pool.putIdle(x.conn)
 	})
@@ -199,5 +203,8 @@
 	default:
 		return false
 	}
+	if x.conn.clearSilenceDeadline() != nil {
+		return false
+	}
 	return x.writeErr == nil && !x.mismatched && !x.resp.Close && framingOf(x.resp) != FramingClose && x.conn.openAndEmpty()
 }
--- /dev/null
+++ b/internal/peer/srupstream/silence_test.go
@@ -0,0 +1,87 @@
+package srupstream
+
+import (
+	"context"
+	"net"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+// lateConn is a connection without data whose reads time out late by a time each.
+type lateConn struct {
+	net.Conn
+	deadline time.Time
+	late     []time.Duration
+}
+
+func (c *lateConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+func (c *lateConn) Read([]byte) (int, error) {
+	time.Sleep(time.Until(c.deadline) + c.late[0])
+	c.late = c.late[1:]
+	return 0, os.ErrDeadlineExceeded
+}
+
+// A process that was suspended could not read what its endpoints sent, so the time must
+// start again instead of counting as a silence.
+func TestSuspensionIsNotASilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		errEnough := errors.New("enough")
+		start := time.Now()
+		var silences, at []time.Duration
+		c := newConn(&lateConn{late: []time.Duration{2 * time.Hour, suspensionSlack, 0, suspensionSlack + 1, 0}}, Peer{})
+		c.silence = &Silence{After: time.Hour, Handle: func(_ context.Context, silent time.Duration) error {
+			silences, at = append(silences, silent), append(at, time.Since(start))
+			if len(silences) == 3 {
+				return errEnough
+			}
+			return nil
+		}}
+		_, err := c.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, errEnough)
+		assert.DeepEqual(t, silences, []time.Duration{time.Hour + suspensionSlack, 2*time.Hour + suspensionSlack, time.Hour})
+		assert.DeepEqual(t, at, []time.Duration{4*time.Hour + suspensionSlack, 5*time.Hour + suspensionSlack, 7*time.Hour + 2*suspensionSlack + 1})
+	})
+}
+
+// The context of a silence must end when the peer sends something, and the read must
+// return it.
+func TestSilenceEndsWhenThePeerSends(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	defer nc.Close()
+	peer, err := ln.Accept()
+	assert.NilError(t, err)
+	defer peer.Close()
+	c := newConn(nc, Peer{})
+	c.silence = &Silence{After: time.Millisecond, Handle: func(ctx context.Context, _ time.Duration) error {
+		assert.Check(t, ctx.Err() == nil)
+		_, err := peer.Write([]byte("x"))
+		<-ctx.Done()
+		return err
+	}}
+	b := make([]byte, 8)
+	n, err := c.Read(b)
+	assert.NilError(t, err)
+	assert.Equal(t, string(b[:n]), "x")
+	assert.NilError(t, c.clearSilenceDeadline())
+	assert.Assert(t, c.openAndEmpty())
+	c.silence.Handle = func(ctx context.Context, _ time.Duration) error {
+		peer.Close()
+		<-ctx.Done()
+		return nil
+	}
+	_, err = c.Read(b)
+	assert.ErrorContains(t, err, "EOF")
+}
