Do not close an idle connection under a request that arrives

Callers got neither an answer nor a refusal for a request that had been read, and may have run (LOST). A change of the configuration that lowers the limit on idle time ends many connections at once. Ruled out: closing under a lock that reads take. A read that has returned from the system but does not have the lock yet has taken the request. The goroutine that reads requests then closes the connection, or has the request and resets the deadline.

--- a/internal/app/srforward/connections.go
+++ b/internal/app/srforward/connections.go
@@ -82,15 +82,31 @@
 				conn.refuseHeader(now)
 				slow++
 			}
-		case !idleSince.IsZero() && limits.IdleTime > 0 && now.Sub(idleSince) > limits.IdleTime+idleGrace:
-			// An idle connection carries no data that an error could affect.
-			_ = conn.Close()
+		case !idleSince.IsZero() && limits.IdleTime > 0 && now.Sub(idleSince) > limits.IdleTime+idleGrace && conn.endIdle():
 			idle++
 		}
 	}
 	return slow, idle
 }
 
+// endIdle ends all idle connections.
+func (c *clients) endIdle() {
+	for _, conn := range c.all() {
+		conn.endIdle()
+	}
+}
+
+// serving returns the number of connections with a request that has no answer yet.
+func (c *clients) serving() int {
+	n := 0
+	for _, conn := range c.all() {
+		if conn.isServing() {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *clients) all() []*clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -145,6 +161,27 @@
 	return nil
 }
 
+// endIdle ends the connection if it is idle and no byte of a request has arrived. The
+// server's pending read times out, so that the goroutine that reads requests closes the
+// connection, which cannot happen while it handles one. The server resets the deadline
+// when a request arrives at the same time.
+func (c *clientConn) endIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.serving || c.idleSince.IsZero() || !c.headerSince.IsZero() {
+		return false
+	}
+	// A connection on which no deadline can be set has ended.
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
+func (c *clientConn) isServing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.serving
+}
+
 func (c *clientConn) setState(serving bool, idle time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
