Do not close idle connections under requests while draining

Found by reading; no run of a process shows it, and the function is the one that TestIdleConnectionIsNotClosedUnderARequest checks. Change: draining closes the listener and lets the reads of idle connections time out. It waits for every connection with a request whose header has been read, not only for running handlers.

--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -62,8 +62,6 @@
 	clientTimeouts *clientTimeouts
 	transfers      *transfers
 	crashes        *crashWatch
-	// running counts the client requests in flight.
-	running atomic.Int64
 	// draining is set at the stop signal. refusing is set later, once the balancer
 	// has had time to notice, and makes the instance refuse new requests.
 	draining atomic.Bool
--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -235,19 +235,19 @@
 	p.instance.refusing.Store(true)
 	ctx, cancel := context.WithDeadline(ctx, closeBy)
 	defer cancel()
-	// Shutdown closes the listener and idle connections. It also waits for
-	// connections that have not sent a request yet, so drain does not wait for it.
-	go func() { _ = p.clientServer.Shutdown(ctx) }()
+	// http.Server.Shutdown would close idle connections while requests arrive on them.
+	p.listen.clients.Close()
 	if n := p.waitIdle(ctx); n > 0 {
 		p.log.State("drain-cut", srlog.Count, n, srlog.Total, time.Since(start))
 	}
 }
 
-// waitIdle waits until no request is in flight or ctx ends, and returns the number
-// of requests that are still in flight.
-func (p *Process) waitIdle(ctx context.Context) int64 {
+// waitIdle ends idle connections until no request is in flight or ctx ends, and returns
+// the number of requests that are still in flight.
+func (p *Process) waitIdle(ctx context.Context) int {
 	for {
-		n := p.instance.running.Load()
+		p.clients.endIdle()
+		n := p.clients.serving()
 		if n == 0 || srtimer.Wait(ctx, drainPollInterval) != nil {
 			return n
 		}
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -109,8 +109,6 @@
 
 // ServeHTTP implements http.Handler for clients.
 func (n *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	n.running.Add(1)
-	defer n.running.Add(-1)
 	q := &request{Instance: n, w: w, r: r, ctx: r.Context(), start: time.Now()}
 	defer func() { n.bodyMemory.release(q.reserved) }()
 	if ref := q.admit(); ref != nil {
