Take no answer without ID on a reused connection

Clients were told that a request has not run that ran, or it ran at a second runner too.

Cause: an answer without ID was taken as the expected one on any connection. A refusal without ID in front of the real answer led to a second run; a signed answer of another request was passed on. Ruled out: ending the connection at such an answer, which leaves the client with 502 although the real answer follows. Keeping the IDs that each connection has carried: a request is not sent to an endpoint again that refused it. Change: an answer without ID belongs to a request only if it is the first one of its connection. Later ones are skipped like those that name another request, two at most, and the connection is not used again. If nothing else comes, the request may have run (502 for one that may run once). A connection is not used for a request with the ID of its last one. An endpoint that keeps a connection and never names its requests is served until the deadline at most (504).

--- a/internal/peer/srupstream/conn.go
+++ b/internal/peer/srupstream/conn.go
@@ -26,6 +26,9 @@
 	peer   Peer
 	limit  *io.LimitedReader
 	reader *bufio.Reader
+	// lastID is the ID of the last request that was written, "" for a connection that has
+	// carried none.
+	lastID string
 	// reusableUntil is when an idle connection is too old to be used again.
 	reusableUntil time.Time
 }
--- a/internal/peer/srupstream/pool.go
+++ b/internal/peer/srupstream/pool.go
@@ -11,7 +11,8 @@
 //	defer a.Body.Close()
 //
 // A connection is reused only if the request was written in full, the response ended
-// as its framing states, and no further data has arrived.
+// as its framing states, and no further data has arrived. On a reused connection only the
+// ID shows that a response belongs to the request.
 package srupstream
 
 import (
@@ -114,14 +115,16 @@
 	p.CloseIdleExcept(nil, time.Now())
 }
 
-// getConn returns the most recently used idle connection, or opens a connection.
-func (p *Pool) getConn(ctx context.Context, peer Peer) (*conn, error) {
+// getConn returns the most recently used idle connection, or opens a connection. It does not
+// return one whose last request had the same ID: its answer may arrive once more.
+func (p *Pool) getConn(ctx context.Context, peer Peer, id string) (*conn, error) {
 	for {
 		c := p.popIdle(peer)
 		if c == nil {
 			return p.dial(ctx, peer)
 		}
-		if time.Now().Before(c.reusableUntil) && c.openAndEmpty() {
+		sentBefore := c.lastID != "" && c.lastID == id
+		if !sentBefore && time.Now().Before(c.reusableUntil) && c.openAndEmpty() {
 			return c, nil
 		}
 		c.close()
--- a/internal/peer/srupstream/send.go
+++ b/internal/peer/srupstream/send.go
@@ -24,7 +24,7 @@
 
 // Request is an HTTP request to an endpoint.
 type Request struct {
-	// ID is the request ID that the response must name, if it names one.
+	// ID is the request ID that the response names.
 	ID     string
 	Method string
 	// URI is the request target exactly as the client sent it.
@@ -55,7 +55,7 @@
 // nothing is sent and Send returns that error. ErrNotSent means that no byte was sent,
 // ErrConnectionLost that the request may run. The end of ctx closes the connection.
 func (p *Pool) Send(ctx context.Context, peer Peer, r Request, beforeWrite func() error) (*Answer, error) {
-	c, err := p.getConn(ctx, peer)
+	c, err := p.getConn(ctx, peer, r.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -63,7 +63,8 @@
 		p.putIdle(c)
 		return nil, err
 	}
-	x := &exchange{pool: p, conn: c, writeDone: make(chan struct{})}
+	x := &exchange{pool: p, conn: c, reused: c.lastID != "", writeDone: make(chan struct{})}
+	c.lastID = r.ID
 	x.stop = context.AfterFunc(ctx, c.close)
 	x.startWrite(r)
 	resp, reply, err := x.receive(r, p.opts.Reply)
@@ -87,13 +88,15 @@
 	// context has already ended.
 	stop func() bool
 	resp *http.Response
+	// reused is set when the connection has carried an earlier request.
+	reused bool
 
 	// writeDone is closed when the write of the request has ended; bytesWritten and
 	// writeErr are set before.
 	writeDone    chan struct{}
 	bytesWritten int
 	writeErr     error
-	// mismatched is set when a response to another request arrived.
+	// mismatched is set when a response that does not belong to the request arrived.
 	mismatched bool
 	// endOnce ensures that the connection is closed or returned to the pool only once.
 	endOnce sync.Once
@@ -127,8 +130,9 @@
 	return b.Bytes()
 }
 
-// receive reads responses until one belongs to the request. A response without a
-// request ID is taken as the expected one.
+// receive reads responses until one belongs to the request. A response without a request
+// ID does if it is the first one of the connection. A later one may be a copy of an earlier
+// response.
 func (x *exchange) receive(r Request, readReply func(int, http.Header) sr.Reply) (*http.Response, sr.Reply, error) {
 	for range maxMismatched + 1 {
 		resp, err := x.conn.readHeader(r.Method)
@@ -136,13 +140,14 @@
 			return nil, sr.Reply{}, err
 		}
 		reply := readReply(resp.StatusCode, resp.Header)
-		if reply.Request == "" || reply.Request == r.ID {
+		first := !x.reused && !x.mismatched
+		if reply.Request == r.ID || reply.Request == "" && first {
 			return resp, reply, nil
 		}
 		x.mismatched = true
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBytes))
 		if err != nil || n == maxMismatchedBytes || resp.Close {
-			return nil, sr.Reply{}, errors.Errorf("received the response to request %q instead", reply.Request)
+			return nil, sr.Reply{}, errors.Errorf("received a response that names request %q instead", reply.Request)
 		}
 	}
 	return nil, sr.Reply{}, errors.New("too many responses to other requests")
