Cut a stream when the next answer is not its rest

Other operators report that a stream broke off, the next runner answered with an error, and clients found its text or its head in the middle of their stream, or an end as if it were complete.

Cause: any signed answer with status 200 was read as events. Texts, JSON, HTML, a head inside the body, events without ids or with other ids and later pieces were passed on after what the client had. An answer without later events, with a length or a last chunk, ended the stream as complete. Answers with another status were never passed on in a stream. Ruled out: asking that ids rise by one. Taking an answer without further events for the end when its endpoint says so: the stream broke off before its end, and which of the two is right cannot be seen. If it broke off between the last event and the end, a complete stream is cut. Change: the rest of a stream has the type of a stream, or none, and numeric ids that go on. What does not is not passed on; the attempt counts as one that may have run, and the client's answer is cut unless another endpoint may go on. A first answer of another type is handled as a plain answer. Conclusion: bytes that a runner writes into a first answer are passed on as its own.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -46,7 +46,7 @@
 		return t
 	}
 	q.possibleRuns++
-	if q.route.Kind == sr.RouteStream && a.Status == http.StatusOK {
+	if q.route.Kind == sr.RouteStream && isEventStream(a) {
 		return q.handleStream(t, a, sent)
 	}
 	return q.handlePlain(t, a, sent)
@@ -76,7 +76,8 @@
 		}
 	case q.headerSent:
 		// The attempt to resume a stream got a plain answer.
-		t.outcome, t.err = outcomeMayRun, errors.Errorf("status %d instead of the rest of a stream", a.Status)
+		t.outcome, t.err = outcomeMayRun, errors.Wrapf(errNotRest, "status %d, type %q", a.Status, a.Header.Get("Content-Type"))
+		q.avoid = append(q.avoid, t.endpoint)
 		return t
 	}
 	t.outcome, t.broken = outcomeEnded, a.Framing == srupstream.FramingClose
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -54,7 +54,9 @@
 	// lastEvent is the id of the last event sent to the client.
 	lastEvent  string
 	eventsSent int
-	firstByte  time.Duration
+	// idGaps is set unless each id of an event is one more than that of the event before.
+	idGaps    bool
+	firstByte time.Duration
 }
 
 // refusal is an error response of this instance.
--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -31,7 +31,7 @@
 // after the last complete event.
 func (q *request) handleStream(t attempt, a *srupstream.Answer, sent time.Time) attempt {
 	r := bufio.NewReaderSize(a.Body, streamBuffer)
-	before := q.eventsSent
+	before, resumed := q.eventsSent, q.headerSent
 	var first time.Time
 	for {
 		if q.headerSent {
@@ -41,6 +41,8 @@
 		t.stall.disarm()
 		if err == io.EOF {
 			err = q.checkEnd(a, event, q.eventsSent-before)
+		} else if err == nil && resumed {
+			err = q.checkRest(eventID(event), q.eventsSent == before)
 		}
 		if err == nil {
 			if first.IsZero() {
@@ -64,12 +66,15 @@
 			t.broken = !t.sound
 			return q.endStream(t, a)
 		}
-		t.end, t.broken = endBroken, !errors.Is(err, errEventSize)
-		if errors.Is(err, errUnprovenEnd) {
-			t.end = endClosed
+		t.end, t.broken = endBroken, !errors.Is(err, errEventSize) && !errors.Is(err, errNotRest)
+		t.result.Failed = q.ctx.Err() == nil
+		switch {
+		case errors.Is(err, errUnprovenEnd):
+			t.end, t.result.Failed = endClosed, false
+		case errors.Is(err, errNoRest):
+			t.end, t.broken, t.result.Failed = endOf(a), false, false
 		}
 		t.outcome, t.err = outcomeMayRun, errors.Wrap(err, "read stream")
-		t.result.Failed = q.ctx.Err() == nil && !errors.Is(err, errUnprovenEnd)
 		q.avoid = append(q.avoid, t.endpoint)
 		return t
 	}
@@ -82,6 +87,8 @@
 	switch {
 	case len(bytes.TrimSpace(rest)) > 0:
 		return io.ErrUnexpectedEOF
+	case q.headerSent && events == 0:
+		return errNoRest
 	case a.Framing != srupstream.FramingClose:
 		return io.EOF
 	case events == 0:
@@ -137,10 +144,7 @@
 	if err := control.Flush(); err != nil {
 		return err
 	}
-	q.eventsSent++
-	if id != "" {
-		q.lastEvent = id
-	}
+	q.recordEvent(id)
 	return nil
 }
 
