Resume no stream whose last event has no id

Cause: an endpoint was asked to go on after the last id that the client has, or, without any, to answer from the beginning. Events without id after that came twice. Change: such a stream is cut when it breaks off. Evidence: TestStreamWithoutIDsIsNotResumed failed before in both cases (no ids; the last event has none) and passes.

--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -51,7 +51,7 @@
 	// endsWithConnection is set if the answer to the client has neither a length nor
 	// chunks.
 	endsWithConnection bool
-	// lastEvent is the id of the last event sent to the client.
+	// lastEvent is the id of the last event sent to the client, "" if it had none.
 	lastEvent  string
 	eventsSent int
 	// idGaps is set unless each id of an event is one more than that of the event before.
--- a/internal/app/srforward/resume.go
+++ b/internal/app/srforward/resume.go
@@ -60,7 +60,8 @@
 		q.idGaps = q.idGaps || err != nil || errLast != nil || n != last+1
 	}
 	q.eventsSent++
-	if id != "" {
-		q.lastEvent = id
-	}
+	q.lastEvent = id
 }
+
+// canResume reports whether another endpoint can go on after what the client has.
+func (q *request) canResume() bool { return !q.headerSent || q.lastEvent != "" }
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -313,7 +313,7 @@
 	switch {
 	case q.attempts >= maxAttempts:
 		return reasonAttempts
-	case t.outcome == outcomeMayRun && !q.route.Repeatable():
+	case t.outcome == outcomeMayRun && !q.route.Repeatable(), !q.canResume():
 		return reasonBroken
 	case t.outcome == outcomeMayRun && q.possibleRuns >= max(q.route.Attempts, 1):
 		return reasonBroken
