Count an empty rest that ends with its connection as broken off again

Cause: took each answer without further events for one that has ended, so a crash of an endpoint that sends neither length nor chunks no longer counted for the parts of its prompt. Found by reading; no test shows it. Change: such an answer is broken off, as before. Evidence: the tests of streams, framings, crashes and rests in platform pass.

--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -87,12 +87,12 @@
 	switch {
 	case len(bytes.TrimSpace(rest)) > 0:
 		return io.ErrUnexpectedEOF
-	case q.headerSent && events == 0:
+	case events == 0 && a.Framing == srupstream.FramingClose:
+		return io.ErrUnexpectedEOF
+	case events == 0 && q.headerSent:
 		return errNoRest
 	case a.Framing != srupstream.FramingClose:
 		return io.EOF
-	case events == 0:
-		return io.ErrUnexpectedEOF
 	case q.headerSent && !q.endsWithConnection:
 		return errUnprovenEnd
 	}
