--- a/internal/app/srforward/takeover.go
+++ b/internal/app/srforward/takeover.go
@@ -85,7 +85,7 @@
 // one sends something.
 func (o *takeover) handle(ctx context.Context, silent time.Duration) error {
 	q := o.q
-	mayMove := o.allowed && q.attempts < maxAttempts
+	mayMove := o.allowed && q.canResume() && q.attempts < maxAttempts
 	if o.reported != q.eventsSent {
 		o.reported = q.eventsSent
 		q.stats.count("endpoint.silent")
@@ -165,7 +165,7 @@
 		return false
 	}
 	if q.route.Kind == sr.RouteStream {
-		return a.Status == http.StatusOK
+		return isEventStream(a)
 	}
 	return a.Status < http.StatusInternalServerError
 }
