Stop using an endpoint that announces in an answer that it leaves

Cause: Nothing read Server-Leaving, so an endpoint that the registry had as ready got requests until its registration changed.

Ruled out: Passing the announcement on in gossip. The rule binds the instance that got the answer, most endpoints that leave register it as well, and those that do not still serve what arrives for as long, so callers gain nothing. Removing the header from the client's answer: there is no reason to, and it is an end-to-end header.

Change: The view keeps the incarnations (ID and start time) that announced their leaving, until a minute after their registration is gone, and such an endpoint is not usable whatever its registration states. The check right before the first byte also compares the incarnation of the connection with the registered one. Only an answer to the request from that endpoint counts: one that is signed or states that the request has not run, and not 421. configure is serialized, so that an older state cannot replace a newer one in the queues.

An endpoint that restarts under its ID and announces its leaving before the instance has learned of the restart is taken for the earlier incarnation; answers do not state the start time.

--- a/forward.go
+++ b/forward.go
@@ -51,6 +51,8 @@
 	Misdirected bool
 	// FromEndpoint reports whether the endpoint itself wrote the answer.
 	FromEndpoint bool
+	// Leaving reports whether the endpoint announces that it leaves.
+	Leaving bool
 }
 
 // HeaderCodec translates between HTTP headers and Inbound, ForwardInfo and Reply. It
--- a/internal/app/srforward/dissemination_test.go
+++ b/internal/app/srforward/dissemination_test.go
@@ -506,11 +506,11 @@
 		for range 2 {
 			time.Sleep(bound)
 			assert.Assert(t, n.Ready())
-			assert.NilError(t, q.checkUsable("e-1")())
+			assert.NilError(t, q.checkUsable(srupstream.Peer{ID: "e-1"})())
 		}
 		f.put(testEndpoint("e-1", sr.EndpointLeaving))
 		time.Sleep(bound)
-		assert.Assert(t, errors.Is(q.checkUsable("e-1")(), errUnusable))
+		assert.Assert(t, errors.Is(q.checkUsable(srupstream.Peer{ID: "e-1"})(), errUnusable))
 		assert.Assert(t, !n.Ready())
 		f.cutOff.Store("")
 		time.Sleep(bound)
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -17,6 +17,7 @@
 package srforward
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,6 +63,9 @@
 	clientTimeouts *clientTimeouts
 	transfers      *transfers
 	crashes        *crashWatch
+	// configuring serializes configure, so that the queues never get an older state of the
+	// view after a newer one.
+	configuring sync.Mutex
 	// running counts the client requests in flight.
 	running atomic.Int64
 	// draining is set at the stop signal. refusing is set later, once the balancer
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -189,7 +189,7 @@
 	stall := q.watchForStall(id, cancel)
 	defer stall.disarm()
 	peer := srupstream.Peer{ID: id, Address: e.Address, Born: e.Born}
-	a, err := q.Upstream.Send(ctx, peer, q.upstreamRequest(id), q.checkAndLog(id))
+	a, err := q.Upstream.Send(ctx, peer, q.upstreamRequest(id), q.checkAndLog(peer))
 	t := attempt{endpoint: id, err: err, stall: stall, peer: peer, result: srdispatch.Result{Prompt: q.inbound.Prompt}}
 	switch {
 	case errors.Is(err, errUnusable), errors.Is(err, errSuspectPart):
@@ -210,6 +210,7 @@
 		return t
 	}
 	defer a.Body.Close()
+	q.observeReply(peer, a)
 	return q.handleAnswer(t, a, sent)
 }
 
@@ -269,10 +270,10 @@
 // checkUsable returns a function that checks, right before the first byte is sent,
 // whether the endpoint, the view and the key are still usable. They may have changed while
 // the request waited or the process was suspended.
-func (q *request) checkUsable(id string) func() error {
+func (q *request) checkUsable(peer srupstream.Peer) func() error {
 	return func() error {
 		st := q.view.State()
-		if !st.Usable(id, q.Clock()) {
+		if !st.Usable(peer.ID, q.Clock()) || st.Endpoints[peer.ID].Born != peer.Born {
 			return errors.Wrap(errUnusable, "endpoint")
 		}
 		if q.superseded() {
@@ -289,8 +290,8 @@
 }
 
 // checkAndLog is checkUsable with a log line about the result.
-func (q *request) checkAndLog(id string) func() error {
-	check := q.checkUsable(id)
+func (q *request) checkAndLog(peer srupstream.Peer) func() error {
+	check := q.checkUsable(peer)
 	return func() error {
 		err := check()
 		if err == nil && q.crashes.admit(time.Now(), q.sharedParts()).Blocked {
@@ -301,7 +302,7 @@
 			line = q.Log.Failed
 		}
 		position, age := q.view.AsOf(q.Clock())
-		line("sent", srlog.Request, q.inbound.ID, srlog.Endpoint, id, srlog.Attempt, q.attempts, srlog.Left, time.Until(q.deadline),
+		line("sent", srlog.Request, q.inbound.ID, srlog.Endpoint, peer.ID, srlog.Attempt, q.attempts, srlog.Left, time.Until(q.deadline),
 			srlog.Version, q.version, srlog.Era, position.Era, srlog.Revision, position.Revision, srlog.Age, age, srlog.Error, errorText(err))
 		return err
 	}
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -150,6 +150,8 @@
 // configure passes the usable endpoints to the queues and the quotas to the
 // limits.
 func (n *Instance) configure() {
+	n.configuring.Lock()
+	defer n.configuring.Unlock()
 	now := time.Now()
 	bootNow := n.Clock()
 	st := n.view.State()
--- a/internal/state/srview/view.go
+++ b/internal/state/srview/view.go
@@ -60,6 +60,8 @@
 	// Held is set while an endpoint is not used because the registry was restored from a
 	// copy in which it is registered, and it may have gone since.
 	Held bool
+	// Announced is set once the endpoint has announced in an answer that it leaves.
+	Announced bool
 }
 
 // State is an immutable snapshot of a View.
@@ -90,7 +92,7 @@
 // Usable reports whether an endpoint may receive requests.
 func (s *State) Usable(id string, now time.Time) bool {
 	e, ok := s.Endpoints[id]
-	return ok && e.State == sr.EndpointReady && !s.Evacuated[e.Domain] && !e.Held &&
+	return ok && e.State == sr.EndpointReady && !s.Evacuated[e.Domain] && !e.Held && !e.Announced &&
 		(e.RemoveAt.IsZero() || now.Before(e.RemoveAt))
 }
 
@@ -116,6 +118,9 @@
 
 	mu      sync.Mutex
 	entries map[entryKey]storedEntry
+	// leaving holds the incarnations that have announced that they leave, with the time at
+	// which they were last seen to be registered.
+	leaving map[incarnation]time.Time
 	// forgotten is the highest revision of a removal that is not known or no longer kept.
 	forgotten uint64
 	position  sr.Position
@@ -161,7 +166,7 @@
 
 // New returns an empty View.
 func New(o Options) *View {
-	v := &View{opts: o, entries: make(map[entryKey]storedEntry)}
+	v := &View{opts: o, entries: make(map[entryKey]storedEntry), leaving: make(map[incarnation]time.Time)}
 	v.publish()
 	return v
 }
@@ -341,7 +346,7 @@
 }
 
 // Sweep removes entries that were not renewed after an outage or a restore, and removals
-// that have been kept for tombstoneRetention.
+// that have been kept for tombstoneRetention, and outdated announcements of endpoints.
 func (v *View) Sweep(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -365,6 +370,7 @@
 	if changed {
 		v.publish()
 	}
+	v.sweepLeaving(now)
 }
 
 // store stores an entry and reports whether it changed the view. The removal of an
@@ -479,12 +485,14 @@
 			st.Evacuated[stored.entry.Name] = true
 		case sr.EntryEndpoint:
 			e := stored.entry.Endpoint
+			_, announced := v.leaving[incarnation{id: e.ID, born: e.Born}]
 			st.Endpoints[e.ID] = Endpoint{
 				LiveEndpoint: e,
 				Revision:     stored.entry.Revision,
 				ColdUntil:    stored.receivedAt.Add(e.ColdLeft),
 				RemoveAt:     stored.removeAt,
 				Held:         !stored.heldUntil.IsZero(),
+				Announced:    announced,
 			}
 			st.Services[e.Service] = append(st.Services[e.Service], e.ID)
 		}
--- a/internal/state/srview/view_test.go
+++ b/internal/state/srview/view_test.go
@@ -202,3 +202,33 @@
 	apply(v, 10*time.Second, sr.Changes{AsOf: 12, Relayed: true, Facts: []sr.RegistryEntry{gone("f", 12)}})
 	assert.Equal(t, v.State().Usable("f", at(10*time.Second)), false)
 }
+
+// TestAnnouncedEndpointIsUnusable checks that an endpoint that has announced in an answer
+// that it leaves is not used again, although its registration is ready, is renewed, or
+// expires and returns, until the endpoint has started again.
+func TestAnnouncedEndpointIsUnusable(t *testing.T) {
+	v := newView()
+	registered := func(revision uint64, born int64) sr.RegistryEntry {
+		e := ready("e", revision)
+		e.Endpoint.Born = born
+		return e
+	}
+	usable := func(d time.Duration) bool { return v.State().Usable("e", at(d)) }
+	apply(v, 0, sr.Changes{AsOf: 5, Whole: true, Facts: []sr.RegistryEntry{registered(5, 1)}})
+	assert.Assert(t, usable(0))
+	assert.Assert(t, v.MarkLeaving("e", 1, at(0)))
+	assert.Assert(t, !v.MarkLeaving("e", 1, at(0)))
+	assert.Assert(t, !usable(0))
+	apply(v, time.Second, sr.Changes{AsOf: 6, Facts: []sr.RegistryEntry{registered(6, 1)}})
+	v.Sweep(at(2 * time.Minute))
+	assert.Assert(t, !usable(2*time.Minute))
+	apply(v, 2*time.Minute, sr.Changes{AsOf: 7, Facts: []sr.RegistryEntry{gone("e", 7)}})
+	v.Sweep(at(2*time.Minute + time.Second))
+	apply(v, 2*time.Minute+2*time.Second, sr.Changes{AsOf: 8, Facts: []sr.RegistryEntry{registered(8, 1)}})
+	assert.Assert(t, !usable(2*time.Minute+2*time.Second))
+	apply(v, 3*time.Minute, sr.Changes{AsOf: 9, Facts: []sr.RegistryEntry{registered(9, 2)}})
+	assert.Assert(t, usable(3*time.Minute))
+	// The announcement of an earlier incarnation does not concern the next one.
+	v.MarkLeaving("e", 1, at(3*time.Minute))
+	assert.Assert(t, usable(3*time.Minute))
+}
