Send nothing to an endpoint until the retry time of its rejection

Cause: Nothing read Retry-After of an endpoint's 503, and an ejection ends after 200 ms at first, or at once when an earlier request ends well or most endpoints are ejected.

Ruled out: Dates in Retry-After, since the platform states seconds and clocks differ. Retry-After of 429, of which the platform says nothing. Ending the pause with a served request. Taking a pause as the length of the ejection: health has no say in it.

Change: srdispatch keeps the pause of each incarnation, up to 10 minutes, also while the endpoint is not usable. It is recorded as soon as the header of a 503 from any endpoint but another one at the address (421) arrives, and checked again right before the first byte. Paused endpoints do not count when most endpoints would be ejected. When all endpoints of a service are paused, a request that may wait for the first pause to end does; others are refused at once with the reason paused, to return after it, within the bounds of retry delays; a request without a further attempt gets the same time.

A rejection ejects the endpoint as before, so one that rejects often is out for longer than it asked for.

--- a/forward.go
+++ b/forward.go
@@ -53,6 +53,9 @@
 	FromEndpoint bool
 	// Leaving reports whether the endpoint announces that it leaves.
 	Leaving bool
+	// RetryAfter is the time for which the endpoint asks for no further requests from this
+	// instance, 0 when it does not.
+	RetryAfter time.Duration
 }
 
 // HeaderCodec translates between HTTP headers and Inbound, ForwardInfo and Reply. It
--- a/internal/app/srforward/queues.go
+++ b/internal/app/srforward/queues.go
@@ -153,6 +153,29 @@
 	s.logHealthChanges()
 }
 
+// pause records that an incarnation of an endpoint wants no requests for d, and returns the
+// time until it is used again.
+func (s *queue) pause(endpoint string, born int64, d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.Pause(time.Now(), endpoint, born, d)
+}
+
+// paused reports whether an endpoint wants no requests now.
+func (s *queue) paused(endpoint string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.Paused(time.Now(), endpoint)
+}
+
+// pauseDelay returns the retry delay of a caller while no endpoint wants requests, 0
+// otherwise.
+func (s *queue) pauseDelay(deadline time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.PauseDelay(time.Now(), deadline)
+}
+
 // release returns the slot of an attempt with the attempt's result.
 func (s *queue) release(endpoint string, r srdispatch.Result) {
 	s.update(func(now time.Time) []srdispatch.Decision { return s.dispatcher.Release(now, endpoint, r) })
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -1,6 +1,7 @@
 package srforward
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -276,6 +277,9 @@
 		if !st.Usable(peer.ID, q.Clock()) || st.Endpoints[peer.ID].Born != peer.Born {
 			return errors.Wrap(errUnusable, "endpoint")
 		}
+		if q.queues.get(q.service).paused(peer.ID) {
+			return errors.Wrap(errUnusable, "endpoint is paused")
+		}
 		if q.superseded() {
 			return errors.Wrap(errUnusable, "view")
 		}
@@ -329,7 +333,7 @@
 // refuseByQueue ends a request that the queue refused.
 func (q *request) refuseByQueue(d srdispatch.Decision, last attempt) {
 	q.Log.Failed("turned-away", srlog.Request, q.inbound.ID, srlog.Reason, d.Reason, srlog.Waited, d.Waited, srlog.Queue, d.Queue, srlog.Running, d.Running,
-		srlog.Others, d.Others, srlog.Usable, d.Usable, srlog.Out, d.Out, srlog.After, d.After, srlog.Attempt, q.attempts)
+		srlog.Others, d.Others, srlog.Usable, d.Usable, srlog.Out, d.Out, srlog.Paused, d.Paused, srlog.After, d.After, srlog.Attempt, q.attempts)
 	if q.possibleRuns > 0 || q.headerSent {
 		q.fail(last, d.Reason)
 		return
@@ -380,7 +384,8 @@
 	case reason == reasonTimeout:
 		q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason})
 	default:
-		q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: shortRetryAfter})
+		after := cmp.Or(q.queues.get(q.service).pauseDelay(q.deadline), shortRetryAfter)
+		q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: after})
 	}
 }
 
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -170,7 +170,7 @@
 				continue
 			}
 			e := st.Endpoints[id]
-			d := srdispatch.Endpoint{ID: id, Domain: e.Domain, Slots: e.Slots}
+			d := srdispatch.Endpoint{ID: id, Domain: e.Domain, Born: e.Born, Slots: e.Slots}
 			if d.Slots == 0 {
 				d.Slots = cfg.Slots
 			}
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -83,9 +83,11 @@
 	Fleet = "fleet"
 	Slots = "slots"
 	// Usable counts the endpoints of a service that may be used, Out those of them
-	// that are ejected as unhealthy, Others the requests of the other instances.
+	// that are ejected as unhealthy, Paused those that have asked for no requests for some
+	// time, Others the requests of the other instances.
 	Usable = "usable"
 	Out    = "out"
+	Paused = "paused"
 	Others = "others"
 	// Failures is the number of consecutive failures of an endpoint.
 	Failures = "failures"
--- a/internal/policy/srdispatch/endpoint.go
+++ b/internal/policy/srdispatch/endpoint.go
@@ -26,6 +26,8 @@
 	health
 	// coldNext is when a cold endpoint may get its next request.
 	coldNext time.Time
+	// pausedUntil is when a pause that the endpoint has asked for ends.
+	pausedUntil time.Time
 }
 
 // configure applies the configured properties of the endpoint.
@@ -33,6 +35,9 @@
 	if c.Slots <= 0 {
 		c.Slots = defaultSlots
 	}
+	if c.Born != e.Born {
+		e.pausedUntil = time.Time{}
+	}
 	if c.ColdRate > 0 && e.ColdRate == 0 {
 		e.coldNext = now
 	}
@@ -86,9 +91,15 @@
 	return max(free, e.Share) - e.ownInFlight
 }
 
+// forgettable reports whether nothing about an endpoint has to be remembered while it is
+// not usable.
+func (e *endpoint) forgettable(now time.Time) bool {
+	return !e.usable && e.ownInFlight == 0 && !e.paused(now)
+}
+
 // available reports whether the endpoint may get a request now.
 func (e *endpoint) available(now time.Time) bool {
-	if !e.usable || e.freeSlots() <= 0 {
+	if !e.usable || e.paused(now) || e.freeSlots() <= 0 {
 		return false
 	}
 	return e.ColdRate == 0 || !now.Before(e.coldNext)
--- a/internal/policy/srdispatch/place.go
+++ b/internal/policy/srdispatch/place.go
@@ -73,15 +73,21 @@
 }
 
 // skipsUnhealthy reports whether unhealthy endpoints are skipped. They are not when more
-// than maxEjectedShare of the endpoints are unhealthy.
+// than maxEjectedShare of the endpoints are unhealthy. Paused endpoints do not count: they
+// get no requests in either case.
 func (s *Service) skipsUnhealthy(now time.Time) bool {
-	out := 0
+	out, all := 0, 0
 	for _, id := range s.endpointIDs {
-		if !s.endpoints[id].healthy(now) {
+		e := s.endpoints[id]
+		if e.paused(now) {
+			continue
+		}
+		all++
+		if !e.healthy(now) {
 			out++
 		}
 	}
-	return float64(out) <= maxEjectedShare*float64(len(s.endpointIDs))
+	return float64(out) <= maxEjectedShare*float64(all)
 }
 
 // preferredEndpoints returns the endpoints with the highest rendezvous hash for a prompt
--- a/internal/policy/srdispatch/refuse.go
+++ b/internal/policy/srdispatch/refuse.go
@@ -93,6 +93,10 @@
 	if w.Resumed {
 		return nil
 	}
+	if s.pausedBeyondLimit(now, w, s.pauseLeft(now)) {
+		s.Withdraw(w.ID)
+		return []Decision{s.refuse(now, w, ReasonPaused)}
+	}
 	s.throughput.advance(now, s.running)
 	rate := s.throughput.rate(s.running)
 	if rate == 0 {
@@ -122,40 +126,58 @@
 	return n
 }
 
-// expire refuses the asks that have reached their wait limit.
+// expire refuses the asks that have reached their wait limit, or that no endpoint accepts
+// before it.
 func (s *Service) expire(now time.Time) []Decision {
 	var out []Decision
+	pause := s.pauseLeft(now)
 	for i := 0; i < len(s.queue); {
 		w := s.queue[i]
-		if now.Before(s.waitLimit(w)) {
+		paused := s.pausedBeyondLimit(now, w, pause)
+		if now.Before(s.waitLimit(w)) && !paused {
 			i++
 			continue
 		}
+		reason := ReasonLate
+		if paused {
+			reason = ReasonPaused
+		}
 		s.remove(i)
-		out = append(out, s.refuse(now, w, ReasonLate))
+		out = append(out, s.refuse(now, w, reason))
 	}
 	return out
 }
 
-// refuse refuses an ask. Each refused caller gets a different return time, spaced by the
-// rate at which slots become free, so that they do not return together.
+// refuse refuses an ask.
 func (s *Service) refuse(now time.Time, w *queuedAsk, reason string) Decision {
+	return s.complete(now, w, Decision{Kind: Refused, Reason: reason, After: s.returnDelay(now, w.Deadline)})
+}
+
+// returnDelay returns the retry delay of a refused caller. Each one gets a different return
+// time, spaced by the rate at which slots become free, so that they do not return together.
+// While all endpoints are paused, it lies after the first pause if the caller waits that long.
+func (s *Service) returnDelay(now, deadline time.Time) time.Duration {
 	s.throughput.advance(now, s.running)
 	gap := time.Duration(float64(time.Second) / max(s.throughput.rate(s.running), minReturnRate))
-	earliest := now.Add(minRetryAfter)
+	pause := s.pauseLeft(now)
+	earliest := now.Add(min(max(minRetryAfter, pause), maxRetryAfter))
 	if s.lastReturn.Before(earliest) {
 		s.lastReturn = earliest
 	}
 	s.lastReturn = s.lastReturn.Add(gap)
-	maxAfter := min(maxRetryAfter, max(w.Deadline.Sub(now)/retryAfterDivisor, minRetryAfter))
+	maxAfter := min(maxRetryAfter, max(deadline.Sub(now)/retryAfterDivisor, minRetryAfter))
 	after := s.lastReturn.Sub(now)
 	if after > maxAfter {
 		// The next free return time is too late for this caller: pick a random one in the
-		// later half of its range.
-		after = maxAfter/2 + time.Duration(s.rand.Float64()*float64(maxAfter/2))
+		// later half of its range, and after the pause if that is within the range.
+		first := maxAfter / 2
+		if pause < maxAfter {
+			first = max(first, pause)
+		}
+		after = first + time.Duration(s.rand.Float64()*float64(maxAfter-first))
 	}
 	if after > maxRetryAfter {
 		s.lastReturn = earliest
 	}
-	return s.complete(now, w, Decision{Kind: Refused, Reason: reason, After: after})
+	return after
 }
--- a/internal/policy/srdispatch/replay_test.go
+++ b/internal/policy/srdispatch/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -561,3 +562,104 @@
 	assert.Equal(t, placed(srdispatch.Endpoint{ID: "e", Slots: 8}, 5), 0)
 	assert.Equal(t, placed(srdispatch.Endpoint{ID: "e", Slots: 8, ColdRate: 5}, 0), 0)
 }
+
+// newPair returns a Service with the endpoints a and b, and a function that adds an ask and
+// returns the decision about it, if there is one.
+func newPair(now *time.Time) (s *srdispatch.Service, list []srdispatch.Endpoint, add func(target time.Duration, avoid ...string) srdispatch.Decision) {
+	s = srdispatch.New(srdispatch.Options{Seed: 1})
+	list = []srdispatch.Endpoint{{ID: "a", Slots: 40, Share: 40, Born: 1}, {ID: "b", Slots: 40, Share: 40, Born: 1}}
+	s.Configure(*now, list)
+	id := uint64(0)
+	return s, list, func(target time.Duration, avoid ...string) srdispatch.Decision {
+		id++
+		d := s.Add(*now, srdispatch.Ask{ID: id, Target: now.Add(target), Deadline: now.Add(9 * time.Second), Avoid: avoid})
+		if len(d) == 0 {
+			return srdispatch.Decision{}
+		}
+		return d[0]
+	}
+}
+
+// TestPausedEndpointGetsNothing covers an endpoint that rejects a request and asks for a
+// pause of 2 s. Neither its own health, which recovers with an earlier request, nor that of
+// the other endpoint, nor a shorter pause brings it back sooner.
+func TestPausedEndpointGetsNothing(t *testing.T) {
+	now := time.Unix(0, 0)
+	s, list, add := newPair(&now)
+	for range 3 {
+		assert.Equal(t, add(time.Second, "b").Endpoint, "a")
+	}
+	s.Release(now, "a", srdispatch.Result{NotRun: true})
+	assert.Equal(t, s.Pause(now, "a", 1, 2*time.Second), 2*time.Second)
+	assert.Equal(t, s.Pause(now, "a", 1, time.Second), 2*time.Second)
+	s.AnswerStarted(now, "a", 0, 0)
+	s.Release(now, "a", srdispatch.Result{})
+	for ; now.Before(time.Unix(2, 0)); now = now.Add(10 * time.Millisecond) {
+		assert.Assert(t, s.Paused(now, "a"))
+		if d := add(time.Second); d.Kind == srdispatch.Placed {
+			assert.Equal(t, d.Endpoint, "b")
+			s.Release(now, "b", srdispatch.Result{Failed: true})
+		}
+		// An evacuation that is taken back does not end the pause.
+		s.Configure(now, list[1:])
+		s.Configure(now, list)
+		for _, d := range s.Tick(now) {
+			assert.Assert(t, d.Endpoint != "a", "%v", now)
+		}
+	}
+	assert.Assert(t, !s.Paused(now, "a"))
+	assert.Equal(t, add(time.Second, "b").Endpoint, "a")
+}
+
+// TestNextIncarnationIsNotPaused checks that a pause ends with the incarnation that asked
+// for it, also when it is reported after the next one has registered.
+func TestNextIncarnationIsNotPaused(t *testing.T) {
+	now := time.Unix(0, 0)
+	s, list, add := newPair(&now)
+	assert.Equal(t, add(time.Second, "b").Endpoint, "a")
+	s.Pause(now, "a", 1, time.Hour)
+	assert.Equal(t, add(time.Second, "b").Kind, srdispatch.DecisionKind(0))
+	list[0].Born = 2
+	assert.Equal(t, s.Configure(now, list)[0].Endpoint, "a")
+	assert.Equal(t, s.Pause(now, "a", 1, time.Hour), time.Duration(0))
+	assert.Equal(t, add(time.Second, "b").Endpoint, "a")
+}
+
+// TestCallersReturnAfterThePauseOfAllEndpoints checks that an ask waits for the end of the
+// pause if it may, and that its caller is told to return after it otherwise.
+func TestCallersReturnAfterThePauseOfAllEndpoints(t *testing.T) {
+	now := time.Unix(0, 0)
+	s, _, add := newPair(&now)
+	assert.Equal(t, add(time.Second).Kind, srdispatch.Placed)
+	s.Pause(now, "a", 1, 2*time.Second)
+	s.Pause(now, "b", 1, 1500*time.Millisecond)
+	waits := add(4 * time.Second)
+	assert.Equal(t, waits.Kind, srdispatch.DecisionKind(0))
+	for range 20 {
+		d := add(time.Second)
+		assert.Equal(t, d.Reason, srdispatch.ReasonPaused)
+		assert.Equal(t, d.Paused, 2)
+		// Callers do not wait for more than a third of the time they have left.
+		assert.Assert(t, d.After >= 1500*time.Millisecond && d.After <= 3*time.Second, "%v", d.After)
+	}
+	after := s.PauseDelay(now, now.Add(9*time.Second))
+	assert.Assert(t, after >= 1500*time.Millisecond && after <= 3*time.Second, "%v", after)
+	// The longer pause keeps the ask from waiting any longer.
+	s.Pause(now, "b", 1, 3*time.Second)
+	s.Pause(now, "a", 1, 3*time.Second)
+	list := s.Tick(now)
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].Reason, srdispatch.ReasonPaused)
+	now = now.Add(3 * time.Second)
+	assert.Equal(t, add(time.Second).Kind, srdispatch.Placed)
+	assert.Equal(t, s.PauseDelay(now, now.Add(9*time.Second)), time.Duration(0))
+}
+
+// TestPauseIsBounded checks that an endpoint which states an absurd time is tried again.
+func TestPauseIsBounded(t *testing.T) {
+	now := time.Unix(0, 0)
+	s, _, add := newPair(&now)
+	assert.Equal(t, s.Pause(now, "a", 1, math.MaxInt64), 10*time.Minute)
+	now = now.Add(10 * time.Minute)
+	assert.Equal(t, add(time.Second, "b").Endpoint, "a")
+}
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -25,6 +25,9 @@
 //   - An endpoint that rejects requests or fails them at once. It looks idle and would
 //     attract all requests, so it is ejected for an increasing time, unless most
 //     endpoints fail (health.go).
+//   - An endpoint that states when it accepts requests again. It gets none until then,
+//     whatever its health. When all endpoints do, requests that cannot wait so long are
+//     refused at once, to return after the first pause (pause.go).
 //   - An endpoint that hangs. Each request there keeps its slot up to its deadline, so
 //     the endpoint is ejected as soon as one request has waited too long, while that
 //     request goes on waiting (ReportSilent).
@@ -68,6 +71,8 @@
 type Endpoint struct {
 	ID     string
 	Domain string
+	// Born is the start time of the endpoint, which distinguishes its incarnations.
+	Born int64
 	// Slots is how many requests the endpoint runs at once.
 	Slots int
 	// Share is the number of slots that this instance may use regardless of the other
@@ -95,6 +100,9 @@
 	ReasonFull = "full"
 	// ReasonLate: the request has waited up to its limit.
 	ReasonLate = "late"
+	// ReasonPaused: all endpoints have asked for a pause that is longer than the request may
+	// wait.
+	ReasonPaused = "paused"
 	// ReasonEmpty: the service has no usable endpoint.
 	ReasonEmpty = "empty"
 )
@@ -114,10 +122,11 @@
 	Queue   int
 	Running int
 	// Usable is the number of usable endpoints, Out the number of those that are ejected
-	// or being probed, Others the number of requests known to be in flight there from
-	// other instances.
+	// or being probed, Paused the number of those that are paused, Others the number of
+	// requests known to be in flight there from other instances.
 	Usable int
 	Out    int
+	Paused int
 	Others int
 }
 
@@ -132,8 +141,8 @@
 type Service struct {
 	opts Options
 	rand *rand.Rand
-	// endpoints holds the usable endpoints, and the unusable ones with requests in
-	// flight, by ID. endpointIDs lists the usable ones.
+	// endpoints holds the usable endpoints, and the unusable ones that have requests in
+	// flight or are paused, by ID. endpointIDs lists the usable ones.
 	endpoints   map[string]*endpoint
 	endpointIDs []string
 	queue       []*queuedAsk
@@ -174,7 +183,7 @@
 	}
 	for id, e := range s.endpoints {
 		e.usable = usable[id]
-		if !e.usable && e.ownInFlight == 0 {
+		if e.forgettable(now) {
 			delete(s.endpoints, id)
 		}
 	}
@@ -260,7 +269,7 @@
 	s.throughput.completions++
 	s.running--
 	s.trackHealth(now, e, func() { e.finishRequest(now, r) })
-	if !e.usable && e.ownInFlight == 0 {
+	if e.forgettable(now) {
 		delete(s.endpoints, id)
 	}
 	return s.dispatch(now)
@@ -380,6 +389,9 @@
 		if !e.healthy(now) {
 			d.Out++
 		}
+		if e.paused(now) {
+			d.Paused++
+		}
 	}
 	return d
 }
