--- a/forward.go
+++ b/forward.go
@@ -51,6 +51,11 @@
 	Misdirected bool
 	// FromEndpoint reports whether the endpoint itself wrote the answer.
 	FromEndpoint bool
+	// Leaving reports whether the endpoint announces that it leaves.
+	Leaving bool
+	// RetryAfter is the time for which the endpoint asks for no further requests from this
+	// instance, 0 when it does not.
+	RetryAfter time.Duration
 }
 
 // HeaderCodec translates between HTTP headers and Inbound, ForwardInfo and Reply. It
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -1,6 +1,7 @@
 package srforward
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -223,7 +224,7 @@
 	t.silence = t.takeover.silence()
 	r := q.upstreamRequest(id)
 	r.Silence = t.silence
-	a, err := q.Upstream.Send(ctx, t.peer, r, q.checkAndLog(id, beforeWrite))
+	a, err := q.Upstream.Send(ctx, t.peer, r, q.checkAndLog(t.peer, beforeWrite))
 	t.err = err
 	switch {
 	case errors.Is(err, errUnusable), errors.Is(err, errSuspectPart), errors.Is(err, errRetryBudget):
@@ -243,6 +244,7 @@
 		q.avoid = append(q.avoid, id)
 		return t, nil
 	}
+	q.observeReply(t.peer, a)
 	return t, a
 }
 
@@ -271,12 +273,15 @@
 // checkUsable returns a function that checks, right before the first byte is sent,
 // whether the endpoint, the view and the key are still usable. They may have changed while
 // the request waited or the process was suspended.
-func (q *request) checkUsable(id string) func() error {
+func (q *request) checkUsable(peer srupstream.Peer) func() error {
 	return func() error {
 		st := q.view.State()
-		if !st.Usable(id, q.Clock()) {
+		if !st.Usable(peer.ID, q.Clock()) || st.Endpoints[peer.ID].Born != peer.Born {
 			return errors.Wrap(errUnusable, "endpoint")
 		}
+		if q.queues.get(q.service).paused(peer.ID) {
+			return errors.Wrap(errUnusable, "endpoint is paused")
+		}
 		if q.superseded() {
 			return errors.Wrap(errUnusable, "view")
 		}
@@ -292,8 +297,8 @@
 
 // checkAndLog is checkUsable, followed by a further check, with a log line about the
 // result.
-func (q *request) checkAndLog(id string, further func() error) func() error {
-	check := q.checkUsable(id)
+func (q *request) checkAndLog(peer srupstream.Peer, further func() error) func() error {
+	check := q.checkUsable(peer)
 	return func() error {
 		err := check()
 		if err == nil && q.crashes.admit(time.Now(), q.sharedParts()).Blocked {
@@ -307,7 +312,7 @@
 			line = q.Log.Failed
 		}
 		position, age := q.view.AsOf(q.Clock())
-		line("sent", srlog.Request, q.inbound.ID, srlog.Endpoint, id, srlog.Attempt, q.attempts, srlog.Left, time.Until(q.deadline),
+		line("sent", srlog.Request, q.inbound.ID, srlog.Endpoint, peer.ID, srlog.Attempt, q.attempts, srlog.Left, time.Until(q.deadline),
 			srlog.Version, q.version, srlog.Era, position.Era, srlog.Revision, position.Revision, srlog.Age, age, srlog.Error, errorText(err))
 		return err
 	}
@@ -334,7 +339,7 @@
 // refuseByQueue ends a request that the queue refused.
 func (q *request) refuseByQueue(d srdispatch.Decision, last attempt) {
 	q.Log.Failed("turned-away", srlog.Request, q.inbound.ID, srlog.Reason, d.Reason, srlog.Waited, d.Waited, srlog.Queue, d.Queue, srlog.Running, d.Running,
-		srlog.Others, d.Others, srlog.Usable, d.Usable, srlog.Out, d.Out, srlog.After, d.After, srlog.Attempt, q.attempts)
+		srlog.Others, d.Others, srlog.Usable, d.Usable, srlog.Out, d.Out, srlog.Paused, d.Paused, srlog.After, d.After, srlog.Attempt, q.attempts)
 	if q.possibleRuns > 0 || q.headerSent {
 		q.fail(last, d.Reason)
 		return
@@ -385,7 +390,8 @@
 	case reason == reasonTimeout:
 		q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason})
 	default:
-		q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: shortRetryAfter})
+		after := cmp.Or(q.queues.get(q.service).pauseDelay(q.deadline), shortRetryAfter)
+		q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: after})
 	}
 }
 
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -150,6 +150,8 @@
 // configure passes the usable endpoints to the queues and the quotas to the
 // limits.
 func (n *Instance) configure() {
+	n.configuring.Lock()
+	defer n.configuring.Unlock()
 	now := time.Now()
 	bootNow := n.Clock()
 	st := n.view.State()
@@ -168,7 +170,7 @@
 				continue
 			}
 			e := st.Endpoints[id]
-			d := srdispatch.Endpoint{ID: id, Domain: e.Domain, Slots: e.Slots}
+			d := srdispatch.Endpoint{ID: id, Domain: e.Domain, Born: e.Born, Slots: e.Slots}
 			if d.Slots == 0 {
 				d.Slots = cfg.Slots
 			}
