Keep what other endpoints have of a request when a silent one ends

A review of the takeover of requests from silent endpoints found cases in which it cuts a request, or runs it too often. Cause: the run at the silent endpoint was counted only with its header, so that three or four endpoints got a request of a route with two attempts. Any byte of the silent endpoint, and the end of its connection, ended the attempt of the other one, which counted as a run. Endpoints that could not be reached used up the attempts of the request. A silence within a line was not noticed. Change: a run counts from its first byte, and is taken back with a rejection. A silent endpoint goes on when it has sent an empty line, which ends a header, an event or the last chunk.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -34,18 +34,17 @@
 	t.framing = a.Framing
 	switch {
 	case a.Reply.NotRun:
+		q.possibleRuns--
 		t.outcome, t.err = outcomeNotRun, errors.Wrapf(errRejected, "status %d", a.Status)
 		// If another endpoint now has the address, the intended one is gone.
 		t.result.NotRun, t.result.Gone = true, a.Reply.Misdirected
 		q.avoid = append(q.avoid, t.endpoint)
 		return t
 	case !a.Reply.FromEndpoint:
-		q.possibleRuns++
 		t.outcome, t.err, t.result.Failed = outcomeMayRun, errors.Wrapf(errNotFromEndpoint, "status %d", a.Status), true
 		q.avoid = append(q.avoid, t.endpoint)
 		return t
 	}
-	q.possibleRuns++
 	if q.route.Kind == sr.RouteStream && isEventStream(a) {
 		return q.handleStream(t, a)
 	}
--- a/internal/app/srforward/crash.go
+++ b/internal/app/srforward/crash.go
@@ -131,7 +131,7 @@
 	switch {
 	case t.sound:
 		q.logSuspects(q.crashes.addSound(time.Now(), q.sharedParts()), "")
-	case !t.broken || t.takeover.wasSilent() || q.ctx.Err() != nil:
+	case !t.broken || t.takeover.isSilent() || q.ctx.Err() != nil:
 		return
 	case q.crashes.add(t.peer, q.sharedParts()):
 		go q.examineCrash(t.peer, time.Now())
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -43,7 +43,7 @@
 	cost float64
 
 	// attempts counts the endpoints that the request was sent to, possibleRuns those
-	// that may have run it.
+	// that may run it now or may have run it, from the first byte on.
 	attempts     int
 	possibleRuns int
 	// avoid lists the endpoints of failed attempts.
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -99,6 +99,14 @@
 	t.result.Failed = !t.result.Unknown
 }
 
+// markGivenUp records that this instance ended the attempt because of a silence, if so. The
+// silence has been reported.
+func (t *attempt) markGivenUp() {
+	if t.takeover != nil && t.takeover.givenUp {
+		t.result.Failed, t.result.Unknown, t.broken = false, true, false
+	}
+}
+
 // run attempts the request at one endpoint after the other until it has ended.
 func (q *request) run() {
 	q.limits.countRequest(time.Now(), q.service)
@@ -122,10 +130,7 @@
 			q.logPlaced(d)
 			t = q.attempt(d.Endpoint)
 		}
-		if t.takeover != nil && t.takeover.givenUp {
-			// This instance ended the attempt, and has reported the silence.
-			t.result.Failed, t.result.Unknown, t.broken = false, true, false
-		}
+		t.markGivenUp()
 		queue.release(t.endpoint, t.result)
 		q.observeAttempt(t)
 		if q.next != nil {
@@ -224,13 +229,21 @@
 	t.silence = t.takeover.silence()
 	r := q.upstreamRequest(id)
 	r.Silence = t.silence
-	a, err := q.Upstream.Send(ctx, t.peer, r, q.checkAndLog(t.peer, beforeWrite))
+	runs := q.possibleRuns
+	a, err := q.Upstream.Send(ctx, t.peer, r, q.checkAndLog(t.peer, func() error {
+		if err := beforeWrite(); err != nil {
+			return err
+		}
+		q.possibleRuns++
+		return nil
+	}))
 	t.err = err
 	switch {
 	case errors.Is(err, errUnusable), errors.Is(err, errSuspectPart), errors.Is(err, errRetryBudget):
 		t.outcome, t.result.Unsent = outcomeUnsent, true
 		return t, nil
 	case errors.Is(err, sr.ErrNotSent):
+		q.possibleRuns = runs
 		t.outcome = outcomeUnsent
 		// An endpoint that could not be reached by the deadline has failed, so only the
 		// client's context counts here.
@@ -238,7 +251,6 @@
 		q.avoid = append(q.avoid, id)
 		return t, nil
 	case err != nil:
-		q.possibleRuns++
 		t.outcome, t.broken = outcomeMayRun, true
 		t.markUnanswered(q.ctx)
 		q.avoid = append(q.avoid, id)
--- a/internal/peer/srupstream/conn.go
+++ b/internal/peer/srupstream/conn.go
@@ -51,17 +51,18 @@
 
 // openAndEmpty reports whether the connection is open and has no unread data. Data on
 // an idle connection does not belong to the next request.
-func (c *conn) openAndEmpty() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
+func (c *conn) openAndEmpty() bool { return c.reader.Buffered() == 0 && c.socketOpenAndEmpty() }
+
+// socketOpenAndEmpty is openAndEmpty without regard to data that has been buffered.
+func (c *conn) socketOpenAndEmpty() bool {
 	raw, err := c.raw()
 	if err != nil {
 		return errors.Is(err, errNoSocket)
 	}
 	empty := false
 	err = raw.Read(func(fd uintptr) bool {
-		empty = readWouldBlock(fd)
+		data, open := peek(fd, 1)
+		empty = open && len(data) == 0
 		return true
 	})
 	return err == nil && empty
--- a/internal/peer/srupstream/silence.go
+++ b/internal/peer/srupstream/silence.go
@@ -1,6 +1,7 @@
 package srupstream
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"os"
@@ -19,8 +20,7 @@
 	// may be changed between two reads.
 	After time.Duration
 	// Handle is called by the reading goroutine, again after each further After of the
-	// same silence. ctx ends once the peer has sent something or the connection has
-	// ended. An error ends the read.
+	// same silence. ctx ends once the peer has gone on. An error ends the read.
 	Handle func(ctx context.Context, silent time.Duration) error
 }
 
@@ -75,17 +75,18 @@
 	if err := c.clearSilenceDeadline(); err != nil {
 		return err
 	}
-	if !c.openAndEmpty() {
+	if !c.socketOpenAndEmpty() {
 		return nil
 	}
-	ctx, stop := c.untilReadable()
+	ctx, stop := c.untilGoingOn()
 	defer stop()
 	return c.silence.Handle(ctx, silent)
 }
 
-// untilReadable returns a context that ends when there is something to read. stop must be
-// called before the next read.
-func (c *conn) untilReadable() (ctx context.Context, stop func()) {
+// untilGoingOn returns a context that ends when the peer has sent an empty line, as at the
+// end of a header, an event, or the last chunk. A part of these says little, and the end of
+// the connection that the peer does not go on. stop must be called before the next read.
+func (c *conn) untilGoingOn() (ctx context.Context, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	raw, err := c.raw()
 	if err != nil {
@@ -94,8 +95,14 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		defer cancel()
-		_ = raw.Read(func(fd uintptr) bool { return !readWouldBlock(fd) })
+		_ = raw.Read(func(fd uintptr) bool {
+			data, open := peek(fd, peekSize)
+			if hasEmptyLine(data) {
+				cancel()
+				return true
+			}
+			return !open
+		})
 	}()
 	return ctx, func() {
 		// A deadline in the past ends the wait. If it cannot be set, the connection is
@@ -103,6 +110,7 @@
 		c.deadlineSet = true
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 		<-done
+		cancel()
 	}
 }
 
@@ -116,9 +124,16 @@
 	return sc.SyscallConn()
 }
 
-// readWouldBlock reports whether a socket is open and has nothing to read.
-func readWouldBlock(fd uintptr) bool {
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == syscall.EAGAIN
+// peekSize is how many bytes of what a silent peer sends are looked at. An event is smaller.
+const peekSize = 4 << 10
+
+func hasEmptyLine(b []byte) bool {
+	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
+}
+
+// peek returns the first bytes that can be read from a socket, and whether it is open.
+func peek(fd uintptr, size int) (data []byte, open bool) {
+	data = make([]byte, size)
+	n, _, err := syscall.Recvfrom(int(fd), data, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return data[:max(n, 0)], n > 0 || err == syscall.EAGAIN
 }
