Log what a request has in common with one that comes again

Cause: a request that crashes endpoints comes again with the same path, caller and body, at any instance.

--- a/internal/app/srforward/crash.go
+++ b/internal/app/srforward/crash.go
@@ -32,31 +32,36 @@
 type crashWatch struct {
 	mu       sync.Mutex
 	suspects *srsuspect.Suspects
-	// broken holds the shared parts of these requests by endpoint, while they are being
-	// collected.
-	broken map[srupstream.Peer][][]string
+	// broken holds these requests by endpoint, while they are being collected.
+	broken map[srupstream.Peer][]brokenRequest
+}
+
+// brokenRequest is a request whose connection to an endpoint broke.
+type brokenRequest struct {
+	parts    []string
+	identity string
 }
 
 func newCrashWatch(rank func(part string) int) *crashWatch {
 	return &crashWatch{
 		suspects: srsuspect.New(srsuspect.Options{Rank: rank}),
-		broken:   make(map[srupstream.Peer][][]string),
+		broken:   make(map[srupstream.Peer][]brokenRequest),
 	}
 }
 
 // add adds a request, and reports whether it is the first one of its endpoint.
-func (w *crashWatch) add(peer srupstream.Peer, parts []string) (first bool) {
+func (w *crashWatch) add(peer srupstream.Peer, r brokenRequest) (first bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	list, ok := w.broken[peer]
 	if len(list) < maxBroken {
-		w.broken[peer] = append(list, parts)
+		w.broken[peer] = append(list, r)
 	}
 	return !ok
 }
 
 // take removes and returns the requests of an endpoint.
-func (w *crashWatch) take(peer srupstream.Peer) [][]string {
+func (w *crashWatch) take(peer srupstream.Peer) []brokenRequest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	list := w.broken[peer]
@@ -133,7 +138,7 @@
 		q.logSuspects(q.crashes.addSound(time.Now(), q.sharedParts()), "")
 	case !t.broken || t.stall.hasStalled() || q.ctx.Err() != nil:
 		return
-	case q.crashes.add(t.peer, q.sharedParts()):
+	case q.crashes.add(t.peer, brokenRequest{parts: q.sharedParts(), identity: q.identity}):
 		go q.examineCrash(t.peer, time.Now())
 	}
 }
@@ -142,12 +147,16 @@
 func (n *Instance) examineCrash(peer srupstream.Peer, at time.Time) {
 	_ = srtimer.Wait(context.Background(), crashCollect)
 	crashed := n.Upstream.Refuses(context.Background(), peer)
-	requests := n.crashes.take(peer)
+	var parts [][]string
+	var identities []string
+	for _, r := range n.crashes.take(peer) {
+		parts, identities = append(parts, r.parts), append(identities, r.identity)
+	}
 	now := time.Now()
-	n.Log.State("connections-broken", srlog.Endpoint, peer.ID, srlog.Count, len(requests), srlog.Parts, formatParts(slices.Concat(requests...)),
-		srlog.Outcome, choose(crashed, "crashed", "alive"), srlog.Age, now.Sub(at))
+	n.Log.State("connections-broken", srlog.Endpoint, peer.ID, srlog.Count, len(parts), srlog.Parts, formatParts(slices.Concat(parts...)),
+		srlog.Identities, formatParts(identities), srlog.Outcome, choose(crashed, "crashed", "alive"), srlog.Age, now.Sub(at))
 	if crashed {
-		n.logSuspects(n.crashes.addCrash(now, sr.Crash{Endpoint: peer.ID, Born: peer.Born, Age: now.Sub(at), Requests: requests}), "")
+		n.logSuspects(n.crashes.addCrash(now, sr.Crash{Endpoint: peer.ID, Born: peer.Born, Age: now.Sub(at), Requests: parts}), "")
 	}
 }
 
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -35,6 +35,8 @@
 	deadline time.Time
 	body     []byte
 	hasBody  bool
+	// identity is what the request has in common with one that comes again.
+	identity string
 	// reserved is the memory reserved for the body, in bytes.
 	reserved int64
 	// cost is what the request took from its workspace's quota.
@@ -145,6 +147,7 @@
 	if ref := q.readBody(st.Routing.Limits); ref != nil {
 		return ref
 	}
+	q.identity = q.identify()
 	if ref := q.blockedPart(q.crashes.check(time.Now(), q.sharedParts())); ref != nil {
 		return ref
 	}
@@ -155,7 +158,7 @@
 	q.Log.Served("admitted",
 		srlog.Request, q.inbound.ID, srlog.Route, q.route.Name, srlog.Rank, q.route.Rank, srlog.Service, q.service, srlog.Workspace, q.workspace.Name,
 		srlog.Cost, q.cost, srlog.Waited, time.Since(q.start), srlog.Left, time.Until(q.deadline),
-		srlog.Parts, formatParts(q.sharedParts()), srlog.Version, q.version, srlog.Age, q.view.Age(q.Clock()))
+		srlog.Parts, formatParts(q.sharedParts()), srlog.Identity, q.identity, srlog.Version, q.version, srlog.Age, q.view.Age(q.Clock()))
 }
 
 // resolve determines the route, the service and the workspace.
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -246,14 +246,10 @@
 
 // upstreamRequest returns the request as it is sent to an endpoint.
 func (q *request) upstreamRequest(id string) srupstream.Request {
-	uri := q.r.RequestURI
-	if q.r.URL.IsAbs() {
-		uri = q.r.URL.RequestURI()
-	}
 	return srupstream.Request{
 		ID:     q.inbound.ID,
 		Method: q.r.Method,
-		URI:    uri,
+		URI:    q.uri(),
 		Host:   q.r.Host,
 		Header: q.Codec.EndpointHeader(q.r.Header, sr.ForwardInfo{
 			Endpoint:  id,
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -13,6 +13,10 @@
 	// Parts are the IDs of the parts of a prompt without the last one, Part is one of them.
 	Parts = "parts"
 	Part  = "part"
+	// Identity is what a request has in common with one that comes again, Identities those
+	// of several requests.
+	Identity   = "identity"
+	Identities = "identities"
 	// Crashes is the number of crashes that are attributed to a part.
 	Crashes   = "crashes"
 	Service   = "service"
--- /dev/null
+++ b/internal/policy/srsuspect/identity.go
@@ -0,0 +1,12 @@
+package srsuspect
+
+import (
+	"fmt"
+)
+
+// identityPrefix marks the identity of a request among the parts of prompts, whose IDs
+// contain no colon.
+const identityPrefix = "request:"
+
+// Identity returns the ID by which a request with this hash is known.
+func Identity(hash uint64) string { return fmt.Sprintf("%s%016x", identityPrefix, hash) }
