Refuse a request that crashes endpoints when it comes again

Cause: srsuspect knew parts of prompts only. A plain request has none, so each instance and each attempt met it anew, and crashes within 150 ms of each other, as those of one request's attempts are, counted as one. Ruled out: suspecting at two crashes, since a request beside the cause is often sent to the next endpoint together with it; no spacing for identities at all, since many clients may send the same request, and endpoints that fail together then make it a suspect (the test of quick succession); the id or the key in the identity, since both may change; remembering the sound answers of all identities, which would crowd out the parts. Change: a request has an identity, a hash of method, host, path, workspace, parts and body, that takes part in srsuspect like the last part of its prompt. For an identity, a crash also counts as separate when the request was sent after the one before; reports carry for how long each request had run. On a tie the identity is likelier than a part, and of two identities the one that had run shorter. A request whose connections broke twice, or whose identity was at a known crash, waits up to 60 ms before its next attempt, until the endpoint has been checked. Candidates are collected once for each change instead of once for each suspect, and 256 instead of 64 parts or requests can be suspected.

--- a/crash.go
+++ b/crash.go
@@ -10,8 +10,11 @@
 	// Age is the time since the crash.
 	Age time.Duration
 	// Requests are the requests that ended with it before they had begun to answer, each
-	// as the list of the IDs of its prompt's parts without the last one.
+	// as the list of the IDs of its prompt's parts without the last one, and its identity.
 	Requests [][]string
+	// Ran is, for each request, the time from sending it to the crash. Instances of earlier
+	// versions send none.
+	Ran []time.Duration
 }
 
 // SoundPart is a part of prompts whose requests are answered soundly.
--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -30,7 +30,7 @@
 )
 
 // handleAnswer evaluates the header of an answer and passes on the rest.
-func (q *request) handleAnswer(t attempt, a *srupstream.Answer, sent time.Time) attempt {
+func (q *request) handleAnswer(t attempt, a *srupstream.Answer) attempt {
 	t.framing = a.Framing
 	switch {
 	case a.Reply.NotRun:
@@ -47,17 +47,17 @@
 	}
 	q.possibleRuns++
 	if q.route.Kind == sr.RouteStream && a.Status == http.StatusOK {
-		return q.handleStream(t, a, sent)
+		return q.handleStream(t, a)
 	}
-	return q.handlePlain(t, a, sent)
+	return q.handlePlain(t, a)
 }
 
 // handlePlain passes on an answer that is not a stream.
-func (q *request) handlePlain(t attempt, a *srupstream.Answer, sent time.Time) attempt {
+func (q *request) handlePlain(t attempt, a *srupstream.Answer) attempt {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBody))
 	t.stall.disarm()
 	complete := err == nil && len(body) < maxBufferedBody
-	t.result.Pace = time.Since(sent)
+	t.result.Pace = time.Since(t.sent)
 	if complete {
 		t.end = endOf(a)
 	}
--- a/internal/app/srforward/crash.go
+++ b/internal/app/srforward/crash.go
@@ -21,6 +21,9 @@
 	// crashCollect is the time in which the broken connections to an endpoint are
 	// collected before it is checked.
 	crashCollect = 30 * time.Millisecond
+	// crashWait limits the wait for the check of an endpoint. It leaves time to connect
+	// after crashCollect, which takes a few milliseconds within a region.
+	crashWait = 2 * crashCollect
 	// maxBroken limits the requests that are collected of one endpoint.
 	maxBroken = 64
 	// maxLoggedParts limits the parts in a log line.
@@ -28,45 +31,65 @@
 )
 
 // crashWatch collects the requests whose connections to an endpoint broke, and knows
-// which parts of prompts are suspected of crashing endpoints.
+// which requests are suspected of crashing endpoints.
 type crashWatch struct {
 	mu       sync.Mutex
 	suspects *srsuspect.Suspects
-	// broken holds these requests by endpoint, while they are being collected.
-	broken map[srupstream.Peer][]brokenRequest
+	// broken holds these requests by endpoint, until it has been checked.
+	broken map[srupstream.Peer]*brokenConns
 }
 
-// brokenRequest is a request whose connection to an endpoint broke.
+// brokenConns is the requests whose connections to an endpoint broke.
+type brokenConns struct {
+	requests []brokenRequest
+	// checked is closed when it is known whether the endpoint has crashed.
+	checked chan struct{}
+}
+
+// brokenRequest is one of them, with the time since it was sent.
 type brokenRequest struct {
 	parts    []string
 	identity string
+	ran      time.Duration
 }
 
 func newCrashWatch(rank func(part string) int) *crashWatch {
 	return &crashWatch{
 		suspects: srsuspect.New(srsuspect.Options{Rank: rank}),
-		broken:   make(map[srupstream.Peer][]brokenRequest),
+		broken:   make(map[srupstream.Peer]*brokenConns),
 	}
 }
 
-// add adds a request, and reports whether it is the first one of its endpoint.
-func (w *crashWatch) add(peer srupstream.Peer, r brokenRequest) (first bool) {
+// add adds a request, and reports whether it is the first one of its endpoint. The channel
+// is closed when the endpoint has been checked.
+func (w *crashWatch) add(peer srupstream.Peer, r brokenRequest) (checked <-chan struct{}, first bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	list, ok := w.broken[peer]
-	if len(list) < maxBroken {
-		w.broken[peer] = append(list, r)
+	b, ok := w.broken[peer]
+	if !ok {
+		b = &brokenConns{checked: make(chan struct{})}
+		w.broken[peer] = b
+	}
+	if len(b.requests) < maxBroken {
+		b.requests = append(b.requests, r)
 	}
-	return !ok
+	return b.checked, !ok
 }
 
 // take removes and returns the requests of an endpoint.
-func (w *crashWatch) take(peer srupstream.Peer) []brokenRequest {
+func (w *crashWatch) take(peer srupstream.Peer) *brokenConns {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	list := w.broken[peer]
+	b := w.broken[peer]
 	delete(w.broken, peer)
-	return list
+	return b
+}
+
+// isInvolved reports whether a known crash ended a request with this identity.
+func (w *crashWatch) isInvolved(identity string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.suspects.IsInvolved(identity)
 }
 
 // addCrash records a crash of an endpoint.
@@ -76,15 +99,15 @@
 	return w.suspects.AddCrash(now, c)
 }
 
-// addSound records a sound answer to a request with shared parts.
+// addSound records a sound answer to a request with these shared parts and identity.
 func (w *crashWatch) addSound(now time.Time, parts []string) []srsuspect.Change {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.suspects.AddSound(now, parts)
 }
 
-// check returns whether a request with shared parts is blocked, admit the same for one
-// that is about to be sent.
+// check returns whether a request with these shared parts and identity is blocked, admit the
+// same for one that is about to be sent.
 func (w *crashWatch) check(now time.Time, parts []string) srsuspect.Verdict {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -120,12 +143,16 @@
 // which are all but the last one.
 func (q *request) sharedParts() []string {
 	var out []string
-	for i := range len(q.inbound.Parts) - 1 {
+	for i := range min(len(q.inbound.Parts), srsuspect.MaxParts) - 1 {
 		out = append(out, q.inbound.Parts[i].ID)
 	}
 	return out
 }
 
+// suspectable returns the IDs by which the request may be suspected: its shared parts and
+// its identity.
+func (q *request) suspectable() []string { return append(q.sharedParts(), q.identity) }
+
 func formatParts(parts []string) string {
 	return strings.Join(parts[:min(len(parts), maxLoggedParts)], ",")
 }
@@ -133,35 +160,60 @@
 // observeAttempt notes a sound answer, or a connection that broke before the answer had
 // gone on, since the request may have crashed its endpoint.
 func (q *request) observeAttempt(t attempt) {
-	switch {
-	case t.sound:
-		q.logSuspects(q.crashes.addSound(time.Now(), q.sharedParts()), "")
-	case !t.broken || t.stall.hasStalled() || q.ctx.Err() != nil:
+	now := time.Now()
+	if t.sound {
+		q.logSuspects(q.crashes.addSound(now, q.suspectable()), "")
+		return
+	}
+	if !t.broken || t.stall.hasStalled() || q.ctx.Err() != nil {
+		return
+	}
+	checked, first := q.crashes.add(t.peer, brokenRequest{parts: q.sharedParts(), identity: q.identity, ran: now.Sub(t.sent)})
+	if first {
+		go q.examineCrash(t.peer, now)
+	}
+	q.breaks++
+	if q.breaks > 1 || q.crashes.isInvolved(q.identity) {
+		q.checked = checked
+	}
+}
+
+// awaitCheck lets a request that may have crashed several endpoints wait, before its next
+// attempt, until the last one has been checked: it may be suspected then.
+func (q *request) awaitCheck() {
+	if q.checked == nil {
 		return
-	case q.crashes.add(t.peer, brokenRequest{parts: q.sharedParts(), identity: q.identity}):
-		go q.examineCrash(t.peer, time.Now())
 	}
+	select {
+	case <-q.checked:
+	case <-q.ctx.Done():
+	case <-time.After(crashWait):
+	}
+	q.checked = nil
 }
 
 // examineCrash checks whether an endpoint whose connections broke has crashed.
 func (n *Instance) examineCrash(peer srupstream.Peer, at time.Time) {
 	_ = srtimer.Wait(context.Background(), crashCollect)
 	crashed := n.Upstream.Refuses(context.Background(), peer)
-	var parts [][]string
-	var identities []string
-	for _, r := range n.crashes.take(peer) {
-		parts, identities = append(parts, r.parts), append(identities, r.identity)
-	}
+	b := n.crashes.take(peer)
+	defer close(b.checked)
 	now := time.Now()
-	n.Log.State("connections-broken", srlog.Endpoint, peer.ID, srlog.Count, len(parts), srlog.Parts, formatParts(slices.Concat(parts...)),
+	c := sr.Crash{Endpoint: peer.ID, Born: peer.Born, Age: now.Sub(at)}
+	var parts, identities []string
+	for _, r := range b.requests {
+		c.Requests, c.Ran = append(c.Requests, append(slices.Clone(r.parts), r.identity)), append(c.Ran, r.ran)
+		parts, identities = append(parts, r.parts...), append(identities, r.identity)
+	}
+	n.Log.State("connections-broken", srlog.Endpoint, peer.ID, srlog.Count, len(b.requests), srlog.Parts, formatParts(parts),
 		srlog.Identities, formatParts(identities), srlog.Outcome, choose(crashed, "crashed", "alive"), srlog.Age, now.Sub(at))
 	if crashed {
-		n.logSuspects(n.crashes.addCrash(now, sr.Crash{Endpoint: peer.ID, Born: peer.Born, Age: now.Sub(at), Requests: parts}), "")
+		n.logSuspects(n.crashes.addCrash(now, c), "")
 	}
 }
 
-// logSuspects logs the parts that became suspected or were cleared. source is the
-// address of the instance whose report changed them, "" for this one.
+// logSuspects logs the parts and identities that became suspected or were cleared. source
+// is the address of the instance whose report changed them, "" for this one.
 func (n *Instance) logSuspects(list []srsuspect.Change, source string) {
 	for _, c := range list {
 		if c.Suspected {
@@ -173,7 +225,8 @@
 	}
 }
 
-// blockedPart returns the refusal of a request with a suspected part, nil when it has none.
+// blockedPart returns the refusal of a request that has a suspected part or identity, nil
+// when it has none.
 func (q *request) blockedPart(v srsuspect.Verdict) *refusal {
 	if !v.Blocked {
 		return nil
--- a/internal/app/srforward/identity.go
+++ b/internal/app/srforward/identity.go
@@ -1,20 +1,24 @@
 package srforward
 
 import (
+	"strings"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srsuspect"
 )
 
 // identify returns the ID that the request shares with one that comes again: the same
-// method, host, path, workspace and body, whatever its id, key and timeout. The request must
-// have been resolved and its body read.
+// method, host, path, workspace, parts of its prompt and body, whatever its id, key and
+// timeout. The request must have been resolved and its body read.
 func (q *request) identify() string {
 	d := xxhash.New()
-	// Neither the request line nor a header contains the separator.
-	for _, text := range []string{q.r.Method, q.r.Host, q.uri(), q.workspace.Name} {
-		_, _ = d.WriteString(text + "\x00")
+	fields := []string{q.r.Method, q.r.Host, q.uri(), q.workspace.Name}
+	for _, p := range q.inbound.Parts {
+		fields = append(fields, p.ID)
 	}
+	// Neither the request line nor a header contains the separators.
+	_, _ = d.WriteString(strings.Join(fields, "\x00") + "\x01")
 	_, _ = d.Write(q.body)
 	return srsuspect.Identity(d.Sum64())
 }
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -46,6 +46,11 @@
 	// that may have run it.
 	attempts     int
 	possibleRuns int
+	// breaks counts the attempts whose connection broke.
+	breaks int
+	// checked is closed when the endpoint of the last of them has been checked, nil when the
+	// next attempt need not wait for that.
+	checked <-chan struct{}
 	// avoid lists the endpoints of failed attempts.
 	avoid []string
 	// headerSent is set once the header has been sent to the client.
@@ -96,7 +101,8 @@
 	// reasonBroken: the request may have run, and must not be attempted again.
 	reasonBroken     = "broken"
 	reasonClientGone = "client-gone"
-	// reasonSuspectPart: a part of the prompt is suspected of crashing endpoints.
+	// reasonSuspectPart: the request or a part of its prompt is suspected of crashing
+	// endpoints.
 	reasonSuspectPart = "suspect-part"
 )
 
@@ -148,7 +154,7 @@
 		return ref
 	}
 	q.identity = q.identify()
-	if ref := q.blockedPart(q.crashes.check(time.Now(), q.sharedParts())); ref != nil {
+	if ref := q.blockedPart(q.crashes.check(time.Now(), q.suspectable())); ref != nil {
 		return ref
 	}
 	return q.spendQuota()
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -17,9 +17,9 @@
 // request was about to be sent.
 var errUnusable = errors.New("no longer usable")
 
-// errSuspectPart means that a part of the prompt became suspected of crashing endpoints
-// before the request was sent.
-var errSuspectPart = errors.New("part of the prompt is suspected")
+// errSuspectPart means that the request or a part of its prompt became suspected of crashing
+// endpoints before the request was sent.
+var errSuspectPart = errors.New("request or part of its prompt is suspected")
 
 // outcome is the result of one attempt.
 type outcome uint8
@@ -52,6 +52,7 @@
 	// stall detects an endpoint that hangs.
 	stall *stallTimer
 	peer  srupstream.Peer
+	sent  time.Time
 	// broken is set when the connection ended before the answer is known to have ended,
 	// sound once the answer has gone on for soundAfter or is known to have ended.
 	broken bool
@@ -139,6 +140,7 @@
 		}
 		q.Log.Failed("again", srlog.Request, q.inbound.ID, srlog.Endpoint, t.endpoint, srlog.Attempt, q.attempts, srlog.Error, errorText(t.err), srlog.State, t.outcome.String(), srlog.Events, q.eventsSent,
 			srlog.Framing, t.framing.String(), srlog.End, t.end.String())
+		q.awaitCheck()
 	}
 }
 
@@ -190,7 +192,7 @@
 	defer stall.disarm()
 	peer := srupstream.Peer{ID: id, Address: e.Address, Born: e.Born}
 	a, err := q.Upstream.Send(ctx, peer, q.upstreamRequest(id), q.checkAndLog(id))
-	t := attempt{endpoint: id, err: err, stall: stall, peer: peer, result: srdispatch.Result{Prompt: q.inbound.Prompt}}
+	t := attempt{endpoint: id, err: err, stall: stall, peer: peer, sent: sent, result: srdispatch.Result{Prompt: q.inbound.Prompt}}
 	switch {
 	case errors.Is(err, errUnusable), errors.Is(err, errSuspectPart):
 		t.outcome, t.result.Unsent = outcomeUnsent, true
@@ -210,7 +212,7 @@
 		return t
 	}
 	defer a.Body.Close()
-	return q.handleAnswer(t, a, sent)
+	return q.handleAnswer(t, a)
 }
 
 const (
@@ -289,7 +291,7 @@
 	check := q.checkUsable(id)
 	return func() error {
 		err := check()
-		if err == nil && q.crashes.admit(time.Now(), q.sharedParts()).Blocked {
+		if err == nil && q.crashes.admit(time.Now(), q.suspectable()).Blocked {
 			err = errSuspectPart
 		}
 		line := q.Log.Served
@@ -332,9 +334,9 @@
 	q.refuse(refusal{status: http.StatusServiceUnavailable, reason: d.Reason, retryAfter: d.After})
 }
 
-// refuseSuspectPart ends a request whose part became suspected after it was admitted.
+// refuseSuspectPart ends a request that became suspected after it was admitted.
 func (q *request) refuseSuspectPart(last attempt) {
-	ref := q.blockedPart(q.crashes.check(time.Now(), q.sharedParts()))
+	ref := q.blockedPart(q.crashes.check(time.Now(), q.suspectable()))
 	if ref == nil || q.possibleRuns > 0 || q.headerSent {
 		q.fail(last, reasonSuspectPart)
 		return
--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -29,7 +29,7 @@
 // handleStream passes on a stream of events, each as soon as it is complete. A stream
 // that breaks between events, or within one, can be resumed at another endpoint
 // after the last complete event.
-func (q *request) handleStream(t attempt, a *srupstream.Answer, sent time.Time) attempt {
+func (q *request) handleStream(t attempt, a *srupstream.Answer) attempt {
 	r := bufio.NewReaderSize(a.Body, streamBuffer)
 	before := q.eventsSent
 	var first time.Time
@@ -46,7 +46,7 @@
 			if first.IsZero() {
 				first = time.Now()
 				t.result.Prompt = 0
-				q.queues.get(q.service).answerStarted(t.endpoint, q.inbound.Prompt, first.Sub(sent))
+				q.queues.get(q.service).answerStarted(t.endpoint, q.inbound.Prompt, first.Sub(t.sent))
 			}
 			t.sound = t.sound || time.Since(first) >= soundAfter
 			if werr := q.writeEvent(a, event); werr != nil {
--- a/internal/policy/srsuspect/replay_test.go
+++ b/internal/policy/srsuspect/replay_test.go
@@ -19,9 +19,10 @@
 	// the platform states it.
 	contact = 3 * time.Second
 	// allowedCrashes is the number of crashes after which requests with their cause must
-	// stop, allowedAfter the number of such requests that may still be sent later than
-	// contact after it.
+	// stop, allowedSame that for one request that comes again, allowedAfter the number of
+	// such requests that may still be sent later than contact after it.
 	allowedCrashes = 5
+	allowedSame    = 3
 	allowedAfter   = 3
 	// startDelay is the time from sending a request to the start of its answer, soundDelay
 	// from there until it counts as sound, downtime that of a crashed endpoint.
@@ -247,3 +248,252 @@
 		})
 	}
 }
+
+// repeats describes the requests of a replay in which requests are sent again.
+type repeats struct {
+	instances int
+	endpoints int
+	gossip    time.Duration
+	perSecond float64
+	// deadly is the number of requests that crash each endpoint and come again. Each coming
+	// has a second attempt at the same instance, and a retry of the client at another one.
+	deadly int
+	// popular is the share of the sound requests that are one and the same.
+	popular float64
+	// parts is the number of different shared parts, 0 when requests have none.
+	parts int
+	// random is the rate, per second, of crashes without a cause in a request, outage a time
+	// at which all endpoints crash together, 0 for none.
+	random float64
+	outage time.Duration
+	// restart is a time at which all instances but the first one forget everything.
+	restart time.Duration
+}
+
+const (
+	// retryDelay is the time after which a client retries, returnDelay that after which a
+	// deadly request comes again at least.
+	retryDelay  = 250 * time.Millisecond
+	returnDelay = 2 * time.Second
+	// attemptDelay is the time between the attempts of an instance.
+	attemptDelay = step
+	// checkDelay is the time until an instance knows of a crash.
+	checkDelay = 40 * time.Millisecond
+	duration   = 30 * time.Second
+)
+
+// sending is a request at one of its attempts, to be sent at a time.
+type sending struct {
+	at       time.Duration
+	instance int
+	// attempt counts the attempts of the instance, retry those of the client, from 0.
+	attempt, retry int
+	deadly         int
+	parts          []string
+	startsAt       time.Duration
+	soundAt        time.Duration
+}
+
+// repeated is what a replay with repeated requests observed.
+type repeated struct {
+	crashes int
+	// late is, of all deadly requests, the largest number of attempts sent later than
+	// contact after the allowed crashes.
+	late int
+	// sound counts the sound requests, refused those of them that were blocked.
+	sound, refused int
+}
+
+// replayRepeats replays requests that are sent again after a crash.
+func replayRepeats(seed uint64, l repeats) (out repeated) {
+	r := rand.New(rand.NewPCG(seed, seed))
+	start := time.Unix(1_000_000, 0)
+	newInstance := func(i int) *srsuspect.Suspects {
+		return srsuspect.New(srsuspect.Options{Rank: func(string) int { return i }})
+	}
+	var all []*srsuspect.Suspects
+	for i := range l.instances {
+		all = append(all, newInstance(i))
+	}
+	atEndpoint := make([][]sending, l.endpoints)
+	upAt := make([]time.Duration, l.endpoints)
+	caused, late, lateFrom := make([]int, l.deadly+1), make([]int, l.deadly+1), make([]time.Duration, l.deadly+1)
+	// reports holds the crashes that the instances have not noticed yet.
+	var reports []func()
+	var reportAt []time.Duration
+	newParts := func(hash uint64) (parts []string) {
+		if l.parts > 0 {
+			parts = append(parts, fmt.Sprint("first", r.IntN(l.parts)))
+		}
+		return append(parts, srsuspect.Identity(hash))
+	}
+	var due []sending
+	for i := range l.deadly {
+		due = append(due, sending{at: time.Duration(i) * time.Second, deadly: i + 1, parts: newParts(uint64(i))})
+	}
+	next := uint64(l.deadly)
+	const popularRequest = 1_000_000
+	again := func(now time.Duration, q sending) {
+		switch {
+		case q.attempt == 0:
+			q.attempt, q.at = 1, now+attemptDelay
+		case q.retry == 0:
+			q.attempt, q.retry, q.at, q.instance = 0, 1, now+retryDelay, r.IntN(l.instances)
+		case q.deadly > 0:
+			q.attempt, q.retry, q.at, q.instance = 0, 0, now+returnDelay+time.Duration(r.IntN(3000))*time.Millisecond, r.IntN(l.instances)
+		default:
+			return
+		}
+		due = append(due, q)
+	}
+	crash := func(now time.Duration, e int) {
+		out.crashes++
+		byInstance := make(map[int]sr.Crash)
+		for _, q := range atEndpoint[e] {
+			if q.deadly > 0 && now >= q.startsAt {
+				if caused[q.deadly]++; caused[q.deadly] == allowedSame {
+					lateFrom[q.deadly] = now + contact
+				}
+			}
+			c := byInstance[q.instance]
+			c.Requests, c.Ran = append(c.Requests, q.parts), append(c.Ran, now-q.at)
+			byInstance[q.instance] = c
+			again(now, q)
+		}
+		for i, c := range byInstance {
+			c.Endpoint, c.Born, c.Age = fmt.Sprint("e", e), int64(now), checkDelay
+			reports, reportAt = append(reports, func() { all[i].AddCrash(start.Add(now+checkDelay), c) }), append(reportAt, now+checkDelay)
+		}
+		atEndpoint[e], upAt[e] = nil, now+downtime
+	}
+	for now := time.Duration(0); now < duration; now += step {
+		if l.restart > 0 && now == l.restart {
+			for i := 1; i < l.instances; i++ {
+				all[i] = newInstance(i)
+			}
+		}
+		for len(reports) > 0 && reportAt[0] <= now {
+			reports[0]()
+			reports, reportAt = reports[1:], reportAt[1:]
+		}
+		for e := range atEndpoint {
+			begins := slices.ContainsFunc(atEndpoint[e], func(q sending) bool { return q.deadly > 0 && now >= q.startsAt })
+			if begins || r.Float64() < l.random*step.Seconds()/float64(l.endpoints) || l.outage > 0 && now == l.outage {
+				crash(now, e)
+			}
+			atEndpoint[e] = slices.DeleteFunc(atEndpoint[e], func(q sending) bool {
+				if now >= q.soundAt {
+					all[q.instance].AddSound(start.Add(now), q.parts)
+				}
+				return now >= q.soundAt
+			})
+		}
+		for i := range all {
+			if (now+time.Duration(i)*step)%l.gossip == 0 {
+				report := all[i].Report(start.Add(now))
+				for j := range all {
+					if j != i {
+						all[j].Receive(start.Add(now), report)
+					}
+				}
+				all[i].Sweep(start.Add(now))
+			}
+		}
+		if r.Float64() < l.perSecond*step.Seconds() {
+			q := sending{at: now, instance: r.IntN(l.instances), parts: newParts(next)}
+			next++
+			if r.Float64() < l.popular {
+				q.parts = newParts(popularRequest)
+			}
+			due = append(due, q)
+		}
+		ready := slices.Clone(due)
+		due = slices.DeleteFunc(due, func(q sending) bool { return q.at <= now })
+		for _, q := range ready {
+			if q.at > now {
+				continue
+			}
+			blocked := all[q.instance].Admit(start.Add(now), q.parts).Blocked
+			if q.deadly == 0 && q.attempt+q.retry == 0 {
+				out.sound++
+			}
+			if blocked {
+				if q.deadly == 0 {
+					out.refused++
+				} else {
+					again(now, q)
+				}
+				continue
+			}
+			var up []int
+			for e := range upAt {
+				if now >= upAt[e] {
+					up = append(up, e)
+				}
+			}
+			if len(up) == 0 {
+				again(now, q)
+				continue
+			}
+			if q.deadly > 0 && lateFrom[q.deadly] > 0 && now > lateFrom[q.deadly] {
+				late[q.deadly]++
+			}
+			q.at, q.startsAt, q.soundAt = now, now+step+time.Duration(r.IntN(50))*time.Millisecond, now+startDelay+soundDelay
+			e := up[r.IntN(len(up))]
+			atEndpoint[e] = append(atEndpoint[e], q)
+		}
+	}
+	out.late = slices.Max(late)
+	return out
+}
+
+var few = repeats{instances: 7, endpoints: 4, gossip: 200 * time.Millisecond, perSecond: 20, parts: 3, deadly: 1}
+
+func (l repeats) with(change func(*repeats)) repeats {
+	change(&l)
+	return l
+}
+
+// A request that crashes each endpoint and comes again must stop, and the requests beside it,
+// which are sent again with it, must go on.
+func TestCrashingRequestIsBlockedAndTheOthersAreNot(t *testing.T) {
+	for name, l := range map[string]repeats{
+		"one request":          few,
+		"several requests":     few.with(func(l *repeats) { l.deadly, l.endpoints, l.perSecond = 8, 12, 60 }),
+		"few endpoints":        few.with(func(l *repeats) { l.parts, l.endpoints, l.deadly = 0, 2, 2 }),
+		"beside other crashes": few.with(func(l *repeats) { l.random, l.endpoints, l.deadly = 0.5, 12, 3 }),
+		"restart":              few.with(func(l *repeats) { l.restart = 12 * time.Second }),
+		"popular request":      few.with(func(l *repeats) { l.popular, l.deadly, l.endpoints, l.perSecond = 0.3, 4, 12, 60 }),
+		"shared part":          few.with(func(l *repeats) { l.parts, l.deadly, l.endpoints = 1, 4, 12 }),
+		"large fleet": few.with(func(l *repeats) {
+			l.instances, l.endpoints, l.gossip, l.perSecond, l.deadly = 69, 30, 690*time.Millisecond, 90, 8
+		}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed <= seeds; seed++ {
+				got := replayRepeats(seed, l)
+				assert.Check(t, got.late <= allowedAfter, "seed %d: %+v", seed, got)
+				assert.Check(t, got.refused*50 <= got.sound, "seed %d: %+v", seed, got)
+			}
+		})
+	}
+}
+
+// Requests that are sent again during crashes without a cause must not be suspected, also
+// those that many clients send.
+func TestRepeatedRequestsBesideCrashesAreNotBlocked(t *testing.T) {
+	for name, l := range map[string]repeats{
+		"one after the other": few.with(func(l *repeats) { l.deadly, l.endpoints, l.random = 0, 12, 2 }),
+		"all at once":         few.with(func(l *repeats) { l.deadly, l.outage = 0, 10*time.Second }),
+		"popular request": few.with(func(l *repeats) {
+			l.deadly, l.endpoints, l.random, l.outage, l.popular, l.perSecond = 0, 12, 2, 10*time.Second, 0.5, 60
+		}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(1); seed <= seeds; seed++ {
+				got := replayRepeats(seed, l)
+				assert.Check(t, got.refused*100 <= got.sound, "seed %d: %+v", seed, got)
+			}
+		})
+	}
+}
--- a/internal/policy/srsuspect/suspects.go
+++ b/internal/policy/srsuspect/suspects.go
@@ -1,11 +1,13 @@
-// Package srsuspect decides which part of a prompt is suspected of crashing endpoints. It
-// does no input or output: the time is an argument, and the caller observes crashes and
-// answers and exchanges reports with the other instances.
+// Package srsuspect decides which requests are suspected of crashing endpoints: all with
+// some part of a prompt, or one that comes again, known by its identity. It does no input or
+// output: the time is an argument, and the caller observes crashes and answers and exchanges
+// reports with the other instances.
 //
 // # Usage
 //
 //	s := srsuspect.New(srsuspect.Options{Rank: rank})
-//	s.AddCrash(now, sr.Crash{Endpoint: id, Born: born, Requests: parts})
+//	parts = append(parts, srsuspect.Identity(hash))
+//	s.AddCrash(now, sr.Crash{Endpoint: id, Born: born, Requests: [][]string{parts}, Ran: ran})
 //	s.AddSound(now, parts)
 //	s.Receive(now, report)
 //	if v := s.Check(now, parts); v.Blocked { ... }
@@ -16,9 +18,13 @@
 //   - One part crashes each endpoint whose answer to it begins. Requests with it reach any
 //     instance, so one instance sees few crashes: crashes are exchanged, and a part is
 //     suspected after minCrashes of them without a sound answer in between.
+//   - One request crashes each endpoint that runs it. Its attempts and the client's retries
+//     follow each other within milliseconds: crashes count as separate for an identity when
+//     it was sent to the second endpoint after the first one had crashed.
 //   - Requests beside it, and with the same caller or other parts. Their parts are among
 //     those of the same crashes, but sound answers keep clearing them, and a crash that a
-//     suspected part explains does not count against the others.
+//     suspected part explains does not count against the others. Identities count as parts
+//     here; of two that were at the same crashes, the one is likelier that had run shorter.
 //   - Many endpoints crash at once, such as a failure domain without power. Popular parts
 //     are at many of them. Crashes within crashSpacing count as one.
 //   - A part that is suspected wrongly, or sound again. After a time that doubles with each
@@ -36,21 +42,21 @@
 )
 
 const (
-	// minCrashes is the number of crashes, crashSpacing apart, from which a part is
-	// suspected.
+	// minCrashes is the number of separate crashes from which a part is suspected. The
+	// platform's rules allow three before a request must stop.
 	minCrashes = 3
-	// crashSpacing is the time within which crashes count as one.
+	// crashSpacing is the time within which crashes count as one for a part of a prompt.
 	crashSpacing = 150 * time.Millisecond
 	// sameCrash is the largest difference between the times at which instances notice one
 	// crash. An endpoint is not back sooner.
 	sameCrash = time.Second
 	// crashRetention is how long a crash counts.
 	crashRetention = time.Minute
-	// maxCrashes limits the crashes that are kept, maxRequests the requests of each and
-	// maxParts the parts of each request.
+	// maxCrashes limits the crashes that are kept, maxRequests the requests of each.
 	maxCrashes  = 256
 	maxRequests = 64
-	maxParts    = 64
+	// MaxParts limits the parts of each request, with its identity.
+	MaxParts = 64
 	// maxPartID is the longest ID of a part that is kept, in bytes.
 	maxPartID = 64
 	// reportPeriod is for how long crashes and sound parts are reported to the other
@@ -62,8 +68,9 @@
 	maxSound = 4096
 	// soundRetention is how long a sound answer is remembered.
 	soundRetention = 10 * time.Minute
-	// maxSuspects limits the suspected parts.
-	maxSuspects = 64
+	// maxSuspects limits the suspected parts. Each request that crashes endpoints is one,
+	// and a large fleet may meet some in each second of a suspicion.
+	maxSuspects = 256
 	// baseSuspicion is the time without requests for a suspected part before the first
 	// trial. It doubles with each round, up to maxSuspicion.
 	baseSuspicion = time.Minute
@@ -106,9 +113,19 @@
 	endpoint string
 	born     int64
 	at       time.Time
-	requests [][]string
+	requests []crashed
 	// own holds the requests of this instance, which are reported.
-	own [][]string
+	own []crashed
+	// parts holds the parts of all requests.
+	parts map[string]bool
+}
+
+// crashed is a request that a crash ended.
+type crashed struct {
+	parts []string
+	// ran is the time from sending the request to the crash, of several with the same
+	// parts the shortest.
+	ran time.Duration
 }
 
 // suspect is a suspected part.
@@ -126,8 +143,8 @@
 type Suspects struct {
 	opts    Options
 	crashes []*crash
-	// involved holds the parts of the kept crashes.
-	involved map[string]bool
+	// involved holds the number of kept crashes by part.
+	involved map[string]int
 	// sound holds the time of the last sound answer by part.
 	sound    map[string]time.Time
 	suspects map[string]*suspect
@@ -140,7 +157,7 @@
 func New(o Options) *Suspects {
 	return &Suspects{
 		opts:     o,
-		involved: make(map[string]bool),
+		involved: make(map[string]int),
 		sound:    make(map[string]time.Time),
 		suspects: make(map[string]*suspect),
 		cleared:  make(map[string]time.Time),
@@ -156,26 +173,55 @@
 
 func (s *Suspects) addCrash(now time.Time, c sr.Crash, own bool) (changed bool) {
 	k := s.crashOf(c.Endpoint, c.Born, now.Add(-c.Age))
-	for _, parts := range c.Requests {
-		parts = limitParts(parts)
-		if own && len(parts) > 0 && len(k.own) < maxRequests && !containsRequest(k.own, parts) {
-			k.own = append(k.own, parts)
+	for i, parts := range c.Requests {
+		r := crashed{parts: limitParts(parts)}
+		if len(r.parts) == 0 {
+			continue
 		}
-		if len(parts) == 0 || len(k.requests) >= maxRequests || containsRequest(k.requests, parts) {
+		if i < len(c.Ran) {
+			r.ran = c.Ran[i]
+		}
+		if own {
+			k.own, _ = addRequest(k.own, r)
+		}
+		var added bool
+		k.requests, added = addRequest(k.requests, r)
+		if !added {
 			continue
 		}
-		k.requests, changed = append(k.requests, parts), true
-		for _, p := range parts {
-			s.involved[p] = true
+		changed = true
+		for _, p := range r.parts {
+			if !k.parts[p] {
+				k.parts[p] = true
+				s.involved[p]++
+			}
 		}
 	}
 	return changed
 }
 
+// addRequest adds a request to those of a crash. One with the same parts adds nothing but
+// its time, since parts are counted once for each crash.
+func addRequest(list []crashed, r crashed) (_ []crashed, added bool) {
+	i := slices.IndexFunc(list, func(o crashed) bool { return slices.Equal(o.parts, r.parts) })
+	switch {
+	case i >= 0:
+		list[i].ran = min(list[i].ran, r.ran)
+		return list, false
+	case len(list) >= maxRequests:
+		return list, false
+	}
+	return append(list, r), true
+}
+
 // crashOf returns the crash of an endpoint at a time, which it adds if necessary.
 func (s *Suspects) crashOf(endpoint string, born int64, at time.Time) *crash {
 	for _, k := range s.crashes {
 		if k.endpoint == endpoint && k.born == born && k.at.Sub(at).Abs() < sameCrash {
+			// The delay of a report makes a crash look later than it was.
+			if at.Before(k.at) {
+				k.at = at
+			}
 			return k
 		}
 	}
@@ -183,7 +229,7 @@
 		oldest := slices.MinFunc(s.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 		s.dropCrashes(func(k *crash) bool { return k == oldest })
 	}
-	k := &crash{endpoint: endpoint, born: born, at: at}
+	k := &crash{endpoint: endpoint, born: born, at: at, parts: make(map[string]bool)}
 	s.crashes = append(s.crashes, k)
 	return k
 }
@@ -197,23 +243,17 @@
 	}
 	clear(s.involved)
 	for _, c := range s.crashes {
-		for _, p := range slices.Concat(c.requests...) {
-			s.involved[p] = true
+		for p := range c.parts {
+			s.involved[p]++
 		}
 	}
 }
 
-// containsRequest reports whether one of the requests has the same parts. A second one
-// adds nothing, since parts are counted once for each crash.
-func containsRequest(requests [][]string, parts []string) bool {
-	return slices.ContainsFunc(requests, func(r []string) bool { return slices.Equal(r, parts) })
-}
-
 // limitParts returns the parts that are kept.
 func limitParts(parts []string) []string {
 	var out []string
 	for _, p := range parts {
-		if len(p) <= maxPartID && len(out) < maxParts {
+		if len(p) <= maxPartID && len(out) < MaxParts {
 			out = append(out, p)
 		}
 	}
@@ -224,10 +264,16 @@
 func (s *Suspects) AddSound(now time.Time, parts []string) []Change {
 	var out []Change
 	for _, p := range limitParts(parts) {
+		_, suspect := s.suspects[p]
+		known := suspect || s.involved[p] > 0
+		// Few requests come again, so the others need not be remembered.
+		if isIdentity(p) && !known {
+			continue
+		}
 		if change, ok := s.addSound(now, p, false); ok {
 			out = append(out, change)
 		}
-		if _, ok := s.suspects[p]; (ok || s.involved[p]) && len(s.cleared) < maxSound {
+		if known && len(s.cleared) < maxSound {
 			s.cleared[p] = now
 		}
 	}
@@ -258,14 +304,6 @@
 	maps.DeleteFunc(s.sound, func(_ string, at time.Time) bool { return !at.After(middle) })
 }
 
-func hasPart(requests [][]string, part string) bool {
-	return hasPartThat(requests, func(p string) bool { return p == part })
-}
-
-func hasPartThat(requests [][]string, ok func(part string) bool) bool {
-	return slices.ContainsFunc(requests, func(r []string) bool { return slices.ContainsFunc(r, ok) })
-}
-
 // suspected reports whether a part is suspected now, whether or not a trial is due.
 func (s *Suspects) suspected(part string) bool {
 	k, ok := s.suspects[part]
@@ -279,22 +317,23 @@
 	var out []Change
 	s.extendSuspicions()
 	found := make(map[string]bool)
+	candidates := s.candidates(now)
 	for {
-		c := s.likeliest(now, found)
+		c := likeliest(candidates)
 		if c == nil {
 			break
 		}
 		found[c.part] = true
-		if s.suspected(c.part) {
-			continue
-		}
-		if !s.makeRoom() {
-			break
+		if !s.suspected(c.part) {
+			if !s.makeRoom(now) {
+				break
+			}
+			k := s.suspect(c.part)
+			k.crashes, k.last = c.separate, c.last
+			k.rounds++
+			out = append(out, Change{Part: c.part, Suspected: true, Crashes: c.separate, Reported: reported})
 		}
-		k := s.suspect(c.part)
-		k.crashes, k.last = c.crashes, c.last
-		k.rounds++
-		out = append(out, Change{Part: c.part, Suspected: true, Crashes: c.crashes, Reported: reported})
+		candidates = withoutExplained(candidates, c)
 	}
 	for _, p := range slices.Sorted(maps.Keys(s.suspects)) {
 		if k := s.suspects[p]; k.crashes > 0 && !found[p] && s.explainedByOthers(p) {
@@ -320,17 +359,27 @@
 func (s *Suspects) explainedByOthers(part string) bool {
 	present := false
 	for _, c := range s.crashes {
-		if !hasPart(c.requests, part) {
+		if !c.parts[part] {
 			continue
 		}
 		present = true
-		if !hasPartThat(c.requests, func(p string) bool { return p != part && s.suspected(p) }) {
+		if !c.hasOther(part, s.suspected) {
 			return false
 		}
 	}
 	return present
 }
 
+// hasOther reports whether a part other than the given one fulfils a condition.
+func (c *crash) hasOther(part string, ok func(part string) bool) bool {
+	for p := range c.parts {
+		if p != part && ok(p) {
+			return true
+		}
+	}
+	return false
+}
+
 // extendSuspicions records the crashes at which a suspected part was.
 func (s *Suspects) extendSuspicions() {
 	for part, k := range s.suspects {
@@ -339,7 +388,7 @@
 		}
 		before := k.last
 		for _, c := range s.crashes {
-			if c.at.After(before) && hasPart(c.requests, part) {
+			if c.at.After(before) && c.parts[part] {
 				k.crashes++
 				if c.at.After(k.last) {
 					k.last = c.at
@@ -352,15 +401,16 @@
 	}
 }
 
-// makeRoom reports whether another part can become suspected. It drops the cleared part
-// with the oldest crash if necessary.
-func (s *Suspects) makeRoom() bool {
+// makeRoom reports whether another part can become suspected. If necessary it drops the one
+// with the oldest crash of those that were cleared or whose suspicion has ended.
+func (s *Suspects) makeRoom(now time.Time) bool {
 	if len(s.suspects) < maxSuspects {
 		return true
 	}
 	oldest := ""
 	for part, k := range s.suspects {
-		if k.crashes == 0 && (oldest == "" || k.last.Before(s.suspects[oldest].last)) {
+		over := k.crashes == 0 || now.Sub(k.last) > suspicion(k.rounds)
+		if over && (oldest == "" || k.last.Before(s.suspects[oldest].last)) {
 			oldest = part
 		}
 	}
@@ -375,41 +425,45 @@
 type candidate struct {
 	part  string
 	sound time.Time
-	times []time.Time
-	// crashes is the number of those times that are crashSpacing apart, last the last one.
-	crashes int
-	last    time.Time
+	runs  []run
+	// separate is the number of separate crashes, last the time of the last one.
+	separate int
+	last     time.Time
 	// requests is the number of different requests with the part at these crashes, depth
 	// the largest number of parts before it.
 	requests int
 	depth    int
 }
 
-// likeliest returns the candidate that most likely causes the crashes at which no part of
-// found was, nil if there is none with minCrashes.
-func (s *Suspects) likeliest(now time.Time, found map[string]bool) *candidate {
-	candidates := make(map[string]*candidate)
+// run is what a crash ended of the requests with a part.
+type run struct {
+	crash *crash
+	// ran is the shortest time that one of them had run.
+	ran time.Duration
+}
+
+// candidates returns the parts that were at enough crashes since their last sound answer.
+func (s *Suspects) candidates(now time.Time) []*candidate {
+	byPart := make(map[string]*candidate)
 	for _, c := range s.crashes {
-		if now.Sub(c.at) <= crashRetention && !hasPartThat(c.requests, func(p string) bool { return found[p] }) {
-			s.collect(c, candidates)
+		if now.Sub(c.at) <= crashRetention {
+			s.collect(c, byPart)
 		}
 	}
-	var best *candidate
-	for _, p := range slices.Sorted(maps.Keys(candidates)) {
-		k := candidates[p]
-		k.crashes, k.last = countSpaced(k.times)
-		if k.crashes >= minCrashes && (best == nil || k.likelier(best)) {
-			best = k
+	var out []*candidate
+	for _, p := range slices.Sorted(maps.Keys(byPart)) {
+		if k := byPart[p]; k.count() {
+			out = append(out, k)
 		}
 	}
-	return best
+	return out
 }
 
 // collect adds a crash to the candidates that were at it.
 func (s *Suspects) collect(c *crash, candidates map[string]*candidate) {
 	for _, r := range c.requests {
-		for depth, p := range r {
-			if !c.at.After(s.sound[p]) {
+		for depth, p := range r.parts {
+			if s.involved[p] < minCrashes || !c.at.After(s.sound[p]) {
 				continue
 			}
 			k, ok := candidates[p]
@@ -417,8 +471,10 @@
 				k = &candidate{part: p, sound: s.sound[p]}
 				candidates[p] = k
 			}
-			if len(k.times) == 0 || !k.times[len(k.times)-1].Equal(c.at) {
-				k.times = append(k.times, c.at)
+			if n := len(k.runs); n == 0 || k.runs[n-1].crash != c {
+				k.runs = append(k.runs, run{crash: c, ran: r.ran})
+			} else {
+				k.runs[n-1].ran = min(k.runs[n-1].ran, r.ran)
 			}
 			k.requests++
 			k.depth = max(k.depth, depth)
@@ -426,29 +482,62 @@
 	}
 }
 
-// likelier reports whether k is a likelier cause than o: a part that was never answered
-// soundly, or not for longer; then the one at more crashes; then the one in fewer of
-// their requests, since the others share the requests with it; then the one further back.
-func (k *candidate) likelier(o *candidate) bool {
+// count counts the separate crashes, and reports whether they are enough.
+func (k *candidate) count() bool {
+	slices.SortStableFunc(k.runs, func(a, b run) int { return a.crash.at.Compare(b.crash.at) })
+	k.separate = 0
+	var counted time.Time
+	for _, r := range k.runs {
+		at := r.crash.at
+		if k.separate == 0 || at.Sub(counted) >= crashSpacing || isIdentity(k.part) && at.Add(-r.ran).After(counted) {
+			k.separate, counted = k.separate+1, at
+		}
+		k.last = at
+	}
+	return k.separate >= minCrashes
+}
+
+// withoutExplained returns the candidates that still have enough crashes without those that
+// the one found explains.
+func withoutExplained(list []*candidate, found *candidate) []*candidate {
+	explained := make(map[*crash]bool)
+	for _, r := range found.runs {
+		explained[r.crash] = true
+	}
+	return slices.DeleteFunc(list, func(k *candidate) bool {
+		n := len(k.runs)
+		k.runs = slices.DeleteFunc(k.runs, func(r run) bool { return explained[r.crash] })
+		return len(k.runs) < n && !k.count()
+	})
+}
+
+// likeliest returns the candidate that most likely causes its crashes, nil if there is none.
+func likeliest(list []*candidate) *candidate {
+	if len(list) == 0 {
+		return nil
+	}
+	return slices.MinFunc(list, (*candidate).compare)
+}
+
+// compare orders the likelier candidate first: a part that was never answered soundly, or
+// not for longer; then the one at more crashes; then the one in fewer of their requests,
+// since the others share the requests with it; then the one further back, and the one whose
+// requests had run for the shorter time.
+func (k *candidate) compare(o *candidate) int {
 	return cmp.Or(
 		k.sound.Compare(o.sound),
-		cmp.Compare(len(o.times), len(k.times)),
+		cmp.Compare(len(o.runs), len(k.runs)),
 		cmp.Compare(k.requests, o.requests),
 		cmp.Compare(o.depth, k.depth),
-	) < 0
+		cmp.Compare(k.totalRun(), o.totalRun()),
+	)
 }
 
-// countSpaced returns the number of times that are crashSpacing apart, and the last time.
-func countSpaced(times []time.Time) (n int, last time.Time) {
-	slices.SortFunc(times, time.Time.Compare)
-	var counted time.Time
-	for _, t := range times {
-		if n == 0 || t.Sub(counted) >= crashSpacing {
-			n, counted = n+1, t
-		}
-		last = t
+func (k *candidate) totalRun() (sum time.Duration) {
+	for _, r := range k.runs {
+		sum += r.ran
 	}
-	return n, last
+	return sum
 }
 
 // Check returns whether a request with these parts is blocked.
@@ -505,7 +594,11 @@
 	var out sr.CrashReport
 	for _, c := range s.crashes {
 		if len(c.own) > 0 && now.Sub(c.at) <= reportPeriod {
-			out.Crashes = append(out.Crashes, sr.Crash{Endpoint: c.endpoint, Born: c.born, Age: now.Sub(c.at), Requests: c.own})
+			k := sr.Crash{Endpoint: c.endpoint, Born: c.born, Age: now.Sub(c.at)}
+			for _, r := range c.own {
+				k.Requests, k.Ran = append(k.Requests, r.parts), append(k.Ran, r.ran)
+			}
+			out.Crashes = append(out.Crashes, k)
 		}
 	}
 	for p, at := range s.cleared {
@@ -568,7 +661,7 @@
 		}
 		return Change{}, false
 	}
-	if s.explainedByOthers(p.ID) || !ok && !s.makeRoom() {
+	if s.explainedByOthers(p.ID) || !ok && !s.makeRoom(now) {
 		return Change{}, false
 	}
 	k = s.suspect(p.ID)
@@ -576,6 +669,9 @@
 	return Change{Part: p.ID, Suspected: true, Crashes: p.Crashes, Reported: true}, true
 }
 
+// IsInvolved reports whether a kept crash ended a request with this part or identity.
+func (s *Suspects) IsInvolved(part string) bool { return s.involved[part] > 0 }
+
 // Size returns the number of entries that are kept.
 func (s *Suspects) Size() int {
 	return len(s.crashes) + len(s.involved) + len(s.sound) + len(s.suspects) + len(s.cleared)
--- a/internal/policy/srsuspect/suspects_test.go
+++ b/internal/policy/srsuspect/suspects_test.go
@@ -1,6 +1,8 @@
 package srsuspect_test
 
 import (
+	"bytes"
+	"encoding/gob"
 	"fmt"
 	"testing"
 	"time"
@@ -116,3 +118,54 @@
 	s.Sweep(at(24 * time.Hour))
 	assert.Equal(t, s.Size(), 0)
 }
+
+// quickCrashes adds three crashes 5 ms apart, each of requests that had run for some time.
+func quickCrashes(s *srsuspect.Suspects, ran time.Duration, parts ...string) (last []srsuspect.Change) {
+	for i := range 3 {
+		d := time.Duration(i) * 5 * time.Millisecond
+		last = s.AddCrash(at(d), sr.Crash{Endpoint: fmt.Sprint("e", d), Requests: [][]string{parts}, Ran: []time.Duration{ran}})
+	}
+	return last
+}
+
+// The attempts of a request follow each other quickly. Endpoints that fail together do so
+// as well, but the requests were at them before.
+func TestAttemptsInQuickSuccessionAreSeparateCrashes(t *testing.T) {
+	id := srsuspect.Identity(1)
+	want := []srsuspect.Change{{Part: id, Suspected: true, Crashes: 3}}
+	assert.DeepEqual(t, quickCrashes(newSuspects(0), time.Millisecond, "a", id), want)
+	assert.Equal(t, len(quickCrashes(newSuspects(0), 100*time.Millisecond, "a", id)), 0)
+	assert.Equal(t, len(quickCrashes(newSuspects(0), time.Millisecond, "a")), 0)
+}
+
+// One request at all crashes explains them better than a part that others may share.
+func TestRequestIsSuspectedBeforeItsParts(t *testing.T) {
+	s := newSuspects(0)
+	id := srsuspect.Identity(1)
+	crashes(s, 0, 4, "a", id)
+	assert.Assert(t, s.Check(at(5*time.Second), []string{"a", id}).Blocked)
+	assert.Assert(t, !s.Check(at(5*time.Second), []string{"a", srsuspect.Identity(2)}).Blocked)
+}
+
+// Instances of an earlier version know neither identities nor for how long a request ran.
+func TestReportsOfDifferentVersionsAreUnderstood(t *testing.T) {
+	type crash struct {
+		Endpoint string
+		Born     int64
+		Age      time.Duration
+		Requests [][]string
+	}
+	type report struct{ Crashes []crash }
+	s := newSuspects(0)
+	quickCrashes(s, time.Millisecond, "a", srsuspect.Identity(1))
+	var b bytes.Buffer
+	assert.NilError(t, gob.NewEncoder(&b).Encode(s.Report(at(time.Second))))
+	var old report
+	assert.NilError(t, gob.NewDecoder(&b).Decode(&old))
+	assert.Equal(t, len(old.Crashes), 3)
+	assert.NilError(t, gob.NewEncoder(&b).Encode(report{Crashes: []crash{{Endpoint: "e", Requests: [][]string{{"a"}}}}}))
+	var r sr.CrashReport
+	assert.NilError(t, gob.NewDecoder(&b).Decode(&r))
+	assert.Equal(t, len(s.Receive(at(2*time.Second), r)), 0)
+	assert.Assert(t, !s.Check(at(2*time.Second), []string{"a"}).Blocked)
+}
