--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -37,6 +37,8 @@
 	deadline time.Time
 	body     []byte
 	hasBody  bool
+	// identity is what the request has in common with one that comes again.
+	identity string
 	// reserved is the memory reserved for the body, in bytes.
 	reserved int64
 	// cost is what the request took from its workspace's quota.
@@ -46,6 +48,11 @@
 	// that may run it now or may have run it, from the first byte on.
 	attempts     int
 	possibleRuns int
+	// breaks counts the attempts whose connection broke.
+	breaks int
+	// checked is closed when the endpoint of the last of them has been checked, nil when the
+	// next attempt need not wait for that.
+	checked <-chan struct{}
 	// avoid lists the endpoints of failed attempts.
 	avoid []string
 	// next is the attempt that has taken over the request from a silent endpoint, nil for
@@ -101,7 +108,8 @@
 	// reasonBroken: the request may have run, and must not be attempted again.
 	reasonBroken     = "broken"
 	reasonClientGone = "client-gone"
-	// reasonSuspectPart: a part of the prompt is suspected of crashing endpoints.
+	// reasonSuspectPart: the request or a part of its prompt is suspected of crashing
+	// endpoints.
 	reasonSuspectPart = "suspect-part"
 )
 
@@ -165,7 +173,8 @@
 	if ref := q.readBody(st.Routing.Limits); ref != nil {
 		return ref
 	}
-	if ref := q.blockedPart(q.crashes.check(time.Now(), q.sharedParts())); ref != nil {
+	q.identity = q.identify()
+	if ref := q.blockedPart(q.crashes.check(time.Now(), q.suspectable())); ref != nil {
 		return ref
 	}
 	return q.spendQuota()
@@ -175,7 +184,7 @@
 	q.Log.Served("admitted",
 		srlog.Request, q.inbound.ID, srlog.Route, q.route.Name, srlog.Rank, q.route.Rank, srlog.Service, q.service, srlog.Workspace, q.workspace.Name,
 		srlog.Cost, q.cost, srlog.Waited, time.Since(q.start), srlog.Left, time.Until(q.deadline),
-		srlog.Parts, formatParts(q.sharedParts()), srlog.Version, q.version, srlog.Age, q.view.Age(q.Clock()))
+		srlog.Parts, formatParts(q.sharedParts()), srlog.Identity, q.identity, srlog.Version, q.version, srlog.Age, q.view.Age(q.Clock()))
 }
 
 // resolve determines the route, the service and the workspace.
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -18,9 +18,9 @@
 // request was about to be sent.
 var errUnusable = errors.New("no longer usable")
 
-// errSuspectPart means that a part of the prompt became suspected of crashing endpoints
-// before the request was sent.
-var errSuspectPart = errors.New("part of the prompt is suspected")
+// errSuspectPart means that the request or a part of its prompt became suspected of crashing
+// endpoints before the request was sent.
+var errSuspectPart = errors.New("request or part of its prompt is suspected")
 
 // outcome is the result of one attempt.
 type outcome uint8
@@ -162,6 +162,7 @@
 		}
 		q.Log.Failed("again", srlog.Request, q.inbound.ID, srlog.Endpoint, t.endpoint, srlog.Attempt, q.attempts, srlog.Error, errorText(t.err), srlog.State, t.outcome.String(), srlog.Events, q.eventsSent,
 			srlog.Framing, t.framing.String(), srlog.End, t.end.String())
+		q.awaitCheck()
 	}
 }
 
@@ -262,14 +263,10 @@
 
 // upstreamRequest returns the request as it is sent to an endpoint.
 func (q *request) upstreamRequest(id string) srupstream.Request {
-	uri := q.r.RequestURI
-	if q.r.URL.IsAbs() {
-		uri = q.r.URL.RequestURI()
-	}
 	return srupstream.Request{
 		ID:     q.inbound.ID,
 		Method: q.r.Method,
-		URI:    uri,
+		URI:    q.uri(),
 		Host:   q.r.Host,
 		Header: q.Codec.EndpointHeader(q.r.Header, sr.ForwardInfo{
 			Endpoint:  id,
@@ -313,7 +310,7 @@
 	check := q.checkUsable(peer)
 	return func() error {
 		err := check()
-		if err == nil && q.crashes.admit(time.Now(), q.sharedParts()).Blocked {
+		if err == nil && q.crashes.admit(time.Now(), q.suspectable()).Blocked {
 			err = errSuspectPart
 		}
 		if err == nil {
@@ -359,9 +356,9 @@
 	q.refuse(refusal{status: http.StatusServiceUnavailable, reason: d.Reason, retryAfter: d.After})
 }
 
-// refuseSuspectPart ends a request whose part became suspected after it was admitted.
+// refuseSuspectPart ends a request that became suspected after it was admitted.
 func (q *request) refuseSuspectPart(last attempt) {
-	ref := q.blockedPart(q.crashes.check(time.Now(), q.sharedParts()))
+	ref := q.blockedPart(q.crashes.check(time.Now(), q.suspectable()))
 	if ref == nil || q.possibleRuns > 0 || q.headerSent {
 		q.fail(last, reasonSuspectPart)
 		return
