Do not handle a request whose header is refused as too late

Callers could be told 408, which says that the request has not run, for one that runs. A header that is completed in between was handled all the same. The same class as idle connections closed under a request. Change: refusing and handling exclude each other under the lock of the connection. Evidence: without the two checks TestRefusedHeaderIsNotHandled fails: 1,994 requests handled and 107 answered of 2,000, and 1,995 and 91. With them it passes three times with the race detector, with about 1,380 headers refused.

--- a/internal/app/srforward/connections.go
+++ b/internal/app/srforward/connections.go
@@ -77,9 +77,8 @@
 		idleSince, header := conn.timestamps()
 		switch {
 		case !header.IsZero():
-			if limits.HeaderTime > 0 && now.Sub(header) > limits.HeaderTime && conn.lateAgain() {
+			if limits.HeaderTime > 0 && now.Sub(header) > limits.HeaderTime && conn.lateAgain() && conn.refuseHeader(now) {
 				c.log.Failed("header-slow", srlog.Address, conn.RemoteAddr().String(), srlog.After, now.Sub(header))
-				conn.refuseHeader(now)
 				slow++
 			}
 		case !idleSince.IsZero() && limits.IdleTime > 0 && now.Sub(idleSince) > limits.IdleTime+idleGrace && conn.endIdle():
@@ -137,6 +136,8 @@
 	// the next header arrived. Both are zero when not applicable.
 	idleSince   time.Time
 	headerSince time.Time
+	// refused is set once the header has been refused as too late.
+	refused bool
 	// lateHeader is the headerSince of the header that the last sweep found late.
 	lateHeader time.Time
 }
@@ -219,12 +220,38 @@
 	return again
 }
 
-// refuseHeader responds to an incomplete header and closes the connection.
-func (c *clientConn) refuseHeader(now time.Time) {
+// refuseHeader responds to an incomplete header and closes the connection. It does nothing
+// if the header has been completed.
+func (c *clientConn) refuseHeader(now time.Time) bool {
+	c.mu.Lock()
+	refused := !c.serving && !c.headerSince.IsZero()
+	c.refused = c.refused || refused
+	c.mu.Unlock()
+	if !refused {
+		return false
+	}
 	// The client may have disconnected; the connection is closed in any case.
 	_ = c.SetWriteDeadline(now.Add(sweepInterval))
 	_, _ = io.WriteString(c.Conn, headerTimeoutResponse)
 	_ = c.Close()
+	return true
+}
+
+func (c *clientConn) isRefused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
+// guard returns a handler that handles no request whose header was refused while its last
+// bytes were being read.
+func (c *clients) guard(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(clientConnKey{}).(*clientConn); ok && conn.isRefused() {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // pruneConnections closes the idle connections to endpoints that are no longer
--- a/internal/app/srforward/connections_test.go
+++ b/internal/app/srforward/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -13,47 +14,92 @@
 	"gotest.tools/v3/assert"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
 )
 
-// A request that arrives on a kept connection while its idle time ends must either not be
-// read, or be answered.
-func TestIdleConnectionIsNotClosedUnderARequest(t *testing.T) {
+// sweepServer is a server whose connections are swept in a loop.
+type sweepServer struct {
+	address string
+	handled atomic.Int64
+	stop    func()
+}
+
+// newSweepServer starts a server with limits that every connection exceeds.
+func newSweepServer(t *testing.T, limits sr.ClientLimits) *sweepServer {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	c := newClients(nil)
-	var handled, answered atomic.Int64
-	server := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		handled.Add(1)
+	log := srlog.New(io.Discard, srlog.Options{})
+	t.Cleanup(log.Close)
+	c := newClients(log)
+	s := &sweepServer{address: ln.Addr().String()}
+	server := newServer(c.guard(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.handled.Add(1)
 		w.WriteHeader(http.StatusOK)
-	}))
+	})))
 	server.ConnState = c.connState
+	server.ConnContext = withClientConn
 	go func() { _ = server.Serve(c.wrap(ln)) }()
-	defer server.Close()
-
+	t.Cleanup(func() { server.Close() })
 	stop := make(chan struct{})
-	var sweeps, senders sync.WaitGroup
+	var sweeps sync.WaitGroup
 	sweeps.Go(func() {
 		for {
 			select {
 			case <-stop:
 				return
 			default:
-				c.sweep(time.Now().Add(time.Hour), sr.ClientLimits{IdleTime: time.Second})
+				c.sweep(time.Now().Add(time.Hour), limits)
 			}
 		}
 	})
+	s.stop = sync.OnceFunc(func() {
+		close(stop)
+		sweeps.Wait()
+	})
+	t.Cleanup(s.stop)
+	return s
+}
+
+// A request that arrives on a kept connection while its idle time ends must either not be
+// read, or be answered.
+func TestIdleConnectionIsNotClosedUnderARequest(t *testing.T) {
+	s := newSweepServer(t, sr.ClientLimits{IdleTime: time.Second})
+	var answered atomic.Int64
+	var senders sync.WaitGroup
 	const clients, connections = 4, 300
 	for range clients {
 		senders.Go(func() {
 			for range connections {
-				sendUntilClosed(t, ln.Addr().String(), &answered)
+				sendUntilClosed(t, s.address, &answered)
 			}
 		})
 	}
 	senders.Wait()
-	close(stop)
-	sweeps.Wait()
-	assert.Equal(t, handled.Load(), answered.Load())
+	s.stop()
+	assert.Equal(t, s.handled.Load(), answered.Load())
+}
+
+// A header that is completed while it is refused as too late must not be handled as well.
+func TestRefusedHeaderIsNotHandled(t *testing.T) {
+	s := newSweepServer(t, sr.ClientLimits{HeaderTime: time.Second})
+	var answered, refused int64
+	for range 2000 {
+		conn, err := net.Dial("tcp", s.address)
+		assert.NilError(t, err)
+		fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n")
+		fmt.Fprint(conn, "\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		switch {
+		case err == nil && resp.StatusCode == http.StatusOK:
+			answered++
+		case err == nil && resp.StatusCode == http.StatusRequestTimeout:
+			refused++
+		}
+		conn.Close()
+	}
+	s.stop()
+	t.Logf("%d answered, %d refused", answered, refused)
+	assert.Equal(t, s.handled.Load(), answered)
 }
 
 // sendUntilClosed sends requests on one connection until it ends, and counts the answers.
--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -279,7 +279,7 @@
 		return err
 	}
 	p.rpc = rpc
-	p.clientServer = newServer(p.handler())
+	p.clientServer = newServer(p.clients.guard(p.handler()))
 	p.clientServer.ConnState = p.clients.connState
 	p.clientServer.ConnContext = withClientConn
 	ready, operate := newServer(p.instance.readyHandler()), newServer(p.instance.operatorHandler())
