--- a/internal/app/srforward/takeover.go
+++ b/internal/app/srforward/takeover.go
@@ -28,7 +28,7 @@
 	maxStall = 1200 * time.Millisecond
 	// maxOverlap is how long a silent endpoint keeps its request after another one has
 	// received it too, unless that one answers sooner. The platform allows 400 ms in which
-	// both work on it.
+	// both work on a request; timers of a loaded process are late.
 	maxOverlap = 250 * time.Millisecond
 )
 
@@ -40,9 +40,9 @@
 )
 
 // takeover handles an endpoint that falls silent during an attempt. Where the request may
-// be attempted elsewhere, another endpoint is asked to go on with it, and the silent one is
-// given up only once that one answers or is about to run the request. An endpoint that
-// sends something before keeps the request.
+// be attempted elsewhere, another endpoint is asked to go on with it. The silent one is given
+// up once that one answers, or has had the request for maxOverlap. A silent endpoint that
+// goes on before keeps the request.
 type takeover struct {
 	q        *request
 	endpoint string
@@ -86,7 +86,7 @@
 }
 
 // handle reports a silence once, and looks for another endpoint. ctx ends when the silent
-// one sends something.
+// one goes on.
 func (o *takeover) handle(ctx context.Context, silent time.Duration) error {
 	q := o.q
 	mayMove := o.mayMove()
@@ -115,21 +115,21 @@
 
 // Reasons why a silent endpoint keeps its request, in addition to those of refusals.
 const (
-	// reasonWentOn: it sent something before another one took over.
+	// reasonWentOn: it went on before another one took over.
 	reasonWentOn = "went-on"
 	// reasonUnusable: another endpoint, the view or the key was no longer usable.
 	reasonUnusable = "unusable"
 )
 
-// askOthers sends the request to other endpoints until one answers. It returns why none
-// does.
-func (o *takeover) askOthers(readable context.Context) (reason string) {
+// askOthers sends the request to other endpoints until one answers, which becomes q.next.
+// It returns why none does. goesOn ends when the silent endpoint goes on.
+func (o *takeover) askOthers(goesOn context.Context) (reason string) {
 	q := o.q
 	ctx, cancel := context.WithCancel(q.ctx)
-	keep := context.AfterFunc(readable, cancel)
+	detach := context.AfterFunc(goesOn, cancel)
 	defer func() {
 		if q.next == nil {
-			keep()
+			detach()
 			cancel()
 		}
 	}()
@@ -147,7 +147,7 @@
 		}
 		q.logPlaced(d)
 		avoided := len(q.avoid)
-		h := &handover{keep: keep, giveUp: o.giveUp}
+		h := &handover{detach: detach, giveUp: o.giveUp}
 		t, a := q.attemptTakeover(ctx, d.Endpoint, cancel, h)
 		answers := a != nil && q.acceptsTakeover(a)
 		o.givenUp = h.settle(answers)
@@ -195,8 +195,8 @@
 	return a.Status < http.StatusInternalServerError
 }
 
-// endTakeover ends an attempt that does not take over. It returns why no further one is
-// made, "" if another one may be.
+// endTakeover ends an attempt that does not take over, at the endpoint id. a is its answer,
+// nil for none. It returns why no further attempt is made, "" if another one may be.
 func (q *request) endTakeover(id string, t attempt, a *srupstream.Answer) (reason string) {
 	switch {
 	case a != nil && a.Reply.NotRun:
@@ -242,9 +242,9 @@
 
 // handover decides once whether a silent endpoint is given up for another one.
 type handover struct {
-	// keep prevents that the other attempt is cancelled when the silent endpoint sends
-	// something. It returns false if that has happened.
-	keep   func() bool
+	// detach ends the rule that the other attempt is cancelled when the silent endpoint
+	// goes on. It returns false if that has happened.
+	detach func() bool
 	giveUp context.CancelFunc
 
 	mu      sync.Mutex
@@ -263,7 +263,7 @@
 func (h *handover) expire() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.settled && h.keep() {
+	if !h.settled && h.detach() {
 		h.givenUp = true
 		h.giveUp()
 	}
@@ -278,7 +278,7 @@
 		h.timer.Stop()
 	}
 	h.settled = true
-	if answers && !h.givenUp && h.keep() {
+	if answers && !h.givenUp && h.detach() {
 		h.givenUp = true
 	}
 	return h.givenUp
--- a/internal/peer/srupstream/silence.go
+++ b/internal/peer/srupstream/silence.go
@@ -90,6 +90,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	raw, err := c.raw()
 	if err != nil {
+		// Without a socket there is no way to look at data without reading it.
 		return ctx, cancel
 	}
 	done := make(chan struct{})
@@ -114,8 +115,8 @@
 	}
 }
 
-// raw returns access to the socket. It fails for connections that are none, such as those
-// in memory.
+// raw returns access to the socket. It returns errNoSocket for other connections, such as
+// those in memory.
 func (c *conn) raw() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
