--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -70,6 +70,8 @@
 	// has had time to notice, and makes the instance refuse new requests.
 	draining atomic.Bool
 	refusing atomic.Bool
+	// closing is set before the connections of the clients are closed at the end.
+	closing atomic.Bool
 	// wasSuperseded is the last logged state of superseded.
 	wasSuperseded atomic.Bool
 	// startedAt is when the instance was created. joined is set once it may serve.
--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -330,6 +330,7 @@
 }
 
 func (p *Process) close() {
+	p.instance.closing.Store(true)
 	for _, s := range p.servers {
 		s.Close()
 	}
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -369,6 +369,9 @@
 // giveUp ends a request whose deadline has passed or whose client has disconnected.
 func (q *request) giveUp(last attempt) {
 	if q.r.Context().Err() != nil {
+		if q.closing.Load() {
+			q.abort(last, reasonDraining)
+		}
 		q.stats.count("ended." + reasonClientGone)
 		q.Log.Failed("client-gone", srlog.Request, q.inbound.ID, srlog.Attempt, q.attempts, srlog.Total, time.Since(q.start))
 		q.refund()
