--- a/internal/peer/srupstream/silence_test.go
+++ b/internal/peer/srupstream/silence_test.go
@@ -37,7 +37,7 @@
 		errEnough := errors.New("enough")
 		start := time.Now()
 		var silences, at []time.Duration
-		c := newConn(&lateConn{late: []time.Duration{2 * time.Hour, suspensionSlack, 0, suspensionSlack + 1, 0}}, Peer{})
+		c := newConn(&lateConn{late: []time.Duration{2 * time.Hour, suspensionSlack, 0, suspensionSlack + 1, 0, 0}}, Peer{})
 		c.silence = &Silence{After: time.Hour, Handle: func(_ context.Context, silent time.Duration) error {
 			silences, at = append(silences, silent), append(at, time.Since(start))
 			if len(silences) == 3 {
@@ -49,6 +49,12 @@
 		assert.ErrorIs(t, err, errEnough)
 		assert.DeepEqual(t, silences, []time.Duration{time.Hour + suspensionSlack, 2*time.Hour + suspensionSlack, time.Hour})
 		assert.DeepEqual(t, at, []time.Duration{4*time.Hour + suspensionSlack, 5*time.Hour + suspensionSlack, 7*time.Hour + 2*suspensionSlack + 1})
+		// Without a time, the read has no deadline and reports no silence.
+		c.silence.After = 0
+		_, err = c.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		assert.Assert(t, c.Conn.(*lateConn).deadline.IsZero())
+		assert.Equal(t, len(silences), 3)
 	})
 }
 
