--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -76,7 +76,7 @@
 		}
 	case q.headerSent:
 		// The attempt to resume a stream got a plain answer.
-		t.outcome, t.err = outcomeMayRun, errors.Wrapf(errNotRest, "status %d, type %q", a.Status, a.Header.Get("Content-Type"))
+		t.outcome, t.err = outcomeMayRun, errors.Wrapf(errNotContinuation, "status %d, type %q", a.Status, a.Header.Get("Content-Type"))
 		q.avoid = append(q.avoid, t.endpoint)
 		return t
 	}
--- a/internal/app/srforward/resume.go
+++ b/internal/app/srforward/resume.go
@@ -13,17 +13,17 @@
 const (
 	// eventStream is the media type of a stream of events.
 	eventStream = "text/event-stream"
-	// minSteps is the number of events from which on ids without gaps are expected to go on
-	// so.
-	minSteps = 2
+	// minRegularIDs is the number of events without gaps between their ids after which a gap
+	// at a resumption means lost events.
+	minRegularIDs = 2
 )
 
 var (
-	// errNotRest means that an answer is not the rest of a stream that has begun.
-	errNotRest = errors.New("answer is not the rest of the stream")
-	// errNoRest means that an answer has nothing after the last event. Whether the stream
-	// ended there is not known: it broke off before its end.
-	errNoRest = errors.New("answer has no further events")
+	// errNotContinuation means that an answer does not continue a stream that has begun.
+	errNotContinuation = errors.New("answer does not continue the stream")
+	// errEmptyContinuation means that an answer has no event after the last one. It does not
+	// show whether the stream that broke off had ended there.
+	errEmptyContinuation = errors.New("answer has no further events")
 )
 
 // isEventStream reports whether an answer is a stream of events. One that states no type is
@@ -34,20 +34,20 @@
 	return a.Status == http.StatusOK && (kind == "" || strings.EqualFold(kind, eventStream))
 }
 
-// checkRest returns errNotRest if an event with this id cannot belong to the rest of the
+// checkContinuation returns errNotContinuation if an event with this id cannot continue the
 // stream that has begun. first is set until the answer has had a later event than the
 // client has. The ids rise, and an event may only be missing where they had gaps before.
-func (q *request) checkRest(id string, first bool) error {
+func (q *request) checkContinuation(id string, first bool) error {
 	n, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
-		return errors.Wrapf(errNotRest, "event id %q", id)
+		return errors.Wrapf(errNotContinuation, "event id %q", id)
 	}
 	last, err := strconv.ParseInt(q.lastEvent, 10, 64)
 	if err != nil {
-		return errors.Wrapf(errNotRest, "event id %q after %q", id, q.lastEvent)
+		return errors.Wrapf(errNotContinuation, "event id %q after %q", id, q.lastEvent)
 	}
-	if first && n > last+1 && q.eventsSent >= minSteps && !q.idGaps {
-		return errors.Wrapf(errNotRest, "event id %d after %d", n, last)
+	if first && n > last+1 && q.eventsSent >= minRegularIDs && !q.idGaps {
+		return errors.Wrapf(errNotContinuation, "event id %d after %d", n, last)
 	}
 	return nil
 }
--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -41,7 +41,7 @@
 		if err == io.EOF {
 			err = q.checkEnd(a, event, q.eventsSent-before)
 		} else if err == nil && resumed {
-			err = q.checkRest(eventID(event), q.eventsSent == before)
+			err = q.checkContinuation(eventID(event), q.eventsSent == before)
 		}
 		if err == nil {
 			if first.IsZero() {
@@ -65,12 +65,12 @@
 			t.broken = !t.sound
 			return q.endStream(t, a)
 		}
-		t.end, t.broken = endBroken, !errors.Is(err, errEventSize) && !errors.Is(err, errNotRest)
+		t.end, t.broken = endBroken, !errors.Is(err, errEventSize) && !errors.Is(err, errNotContinuation)
 		t.result.Failed = q.ctx.Err() == nil
 		switch {
 		case errors.Is(err, errUnprovenEnd):
 			t.end, t.result.Failed = endClosed, false
-		case errors.Is(err, errNoRest):
+		case errors.Is(err, errEmptyContinuation):
 			t.end, t.broken, t.result.Failed = endOf(a), false, false
 		}
 		t.outcome, t.err = outcomeMayRun, errors.Wrap(err, "read stream")
@@ -89,7 +89,7 @@
 	case events == 0 && a.Framing == srupstream.FramingClose:
 		return io.ErrUnexpectedEOF
 	case events == 0 && q.headerSent:
-		return errNoRest
+		return errEmptyContinuation
 	case a.Framing != srupstream.FramingClose:
 		return io.EOF
 	case q.headerSent && !q.endsWithConnection:
