--- a/review/lab/instance.go
+++ b/review/lab/instance.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -84,20 +85,16 @@
 	ended chan struct{}
 }
 
-// FreeAddress returns a loopback address with a free port.
-func FreeAddress() string {
-	ln := Listen()
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
-// NewInstances returns n instances in three zones. The first three are the seeds.
+// NewInstances returns n instances in three zones, each with a loopback address of its own. The
+// first three are the seeds.
 func NewInstances(n int, store, dir string) []*Instance {
+	network := fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), rand.IntN(256))
 	var out []*Instance
 	var seeds []string
 	for i := range n {
+		ip := network + itoa(i+1)
 		in := &Instance{
-			Name: "front-" + itoa(i+1), Clients: FreeAddress(), Ready: FreeAddress(), Peers: FreeAddress(), Operate: FreeAddress(),
+			Name: "front-" + itoa(i+1), Clients: ip + ":8221", Ready: ip + ":8224", Peers: ip + ":8229", Operate: ip + ":7600",
 			Store: store, Zone: "zone-" + string(rune('a'+i%3)), MemoryMB: 134, Dir: dir,
 		}
 		if i < 3 {
