--- a/review/lab/instance.go
+++ b/review/lab/instance.go
@@ -194,24 +194,6 @@
 	return i.ended
 }
 
-// Pid returns the id of the process.
-func (i *Instance) Pid() int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.cmd.Process.Pid
-}
-
-// MemoryKB returns a field of the status of the process in kB.
-func (i *Instance) MemoryKB(field string) int {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.Pid()))
-	_, rest, _ := strings.Cut(string(text), field+":")
-	if words := strings.Fields(rest); len(words) > 0 {
-		n, _ := strconv.Atoi(words[0])
-		return n
-	}
-	return 0
-}
-
 // WaitReady waits until the process says that it is ready.
 func (i *Instance) WaitReady() {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/lab/runner.go
+++ b/review/lab/runner.go
@@ -94,7 +94,7 @@
 	})
 }
 
-// Answer is an answer that a runner writes itself. Its Write sends chunks.
+// answer is an answer that a runner writes itself. Its Write sends chunks.
 type answer struct {
 	c      net.Conn
 	header http.Header
