--- a/internal/app/srforward/connections_test.go
+++ b/internal/app/srforward/connections_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srdownstream"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srforwardsettings"
 	"github.com/sassafrasrail/sassafrasrail/platform"
 )
 
@@ -25,3 +27,19 @@
 	r.n.stats.write(&metrics)
 	assert.Equal(t, metrics.String(), "connections.closed.client 1\nconnections.closed.draining 1\nconnections.unread.draining 1\n")
 }
+
+// Requests that end soon after a change are counted apart, and so are those that are cut.
+func TestEndsNearChangesAreCounted(t *testing.T) {
+	start := time.Now().Add(-time.Minute)
+	n := &Instance{Deps: Deps{Settings: srforwardsettings.Settings{ConfigTimeout: 3 * time.Second}}, stats: newStats(), changes: &changes{startedAt: start}}
+	for _, changed := range []time.Duration{0, time.Minute, 50 * time.Second} {
+		if changed > 0 {
+			n.changes.record(start.Add(changed))
+		}
+		n.countEnd(false)
+		n.countEnd(true)
+	}
+	var metrics bytes.Buffer
+	n.stats.write(&metrics)
+	assert.Equal(t, metrics.String(), "requests.changing 2\nrequests.cut.changing 1\nrequests.cut.settled 2\nrequests.settled 4\n")
+}
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -65,6 +65,7 @@
 	clientTimeouts *clientTimeouts
 	transfers      *transfers
 	crashes        *crashWatch
+	changes        *changes
 	// configuring serializes configure, so that the queues never get an older state of the
 	// view after a newer one.
 	configuring sync.Mutex
@@ -106,6 +107,7 @@
 		transfers:      newTransfers(),
 		startedAt:      time.Now(),
 	}
+	n.changes = &changes{startedAt: n.startedAt}
 	n.ending, n.end = context.WithCancel(context.Background())
 	n.crashes = newCrashWatch(func(part string) int { return n.members.rank(time.Now(), part) })
 	n.limits = newLimits(d.Settings, n.members.limitSharers(n.startedAt))
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -132,6 +132,16 @@
 
 // ServeHTTP implements http.Handler for clients.
 func (n *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	cut := true
+	defer func() { n.countEnd(cut) }()
+	n.serve(w, r)
+	// A request that is cut ends with a panic.
+	cut = false
+}
+
+// serve answers a request, or panics with http.ErrAbortHandler if its client gets no complete
+// answer.
+func (n *Instance) serve(w http.ResponseWriter, r *http.Request) {
 	q := &request{Instance: n, w: w, r: r, ctx: r.Context(), start: time.Now(), held: n.memory.Hold(), heldAnswer: n.memory.Hold(), unread: r.ContentLength != 0}
 	defer q.held.Release()
 	defer q.heldAnswer.Release()
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -124,6 +124,9 @@
 		n.configure()
 	}
 	for _, e := range update.Facts {
+		if e.Kind == sr.EntryRouting && e.Routing != nil {
+			n.changes.record(time.Now())
+		}
 		n.logEntry(e, source)
 	}
 }
