Give up a silent endpoint only once another one runs its request

What callers saw: a begun stream was cut although its endpoint was sound and only silent for a while. The next endpoint had rejected or failed the request later than 250 ms after it had received it; by then the silent one had been given up, and there was no way back: the retry budget was used up, or the endpoint had left. Cause: the silent endpoint was given up 250 ms after another one had received the request, before that one had done anything, since both must not work on it for 400 ms. A request begins to run with its first token, so a request that another one has queued or reads is not at work there. Ruled out: taking the retry for the way back in advance, which moves fewer streams and leaves an endpoint that has left; a limit from the header on, which comes together with the first event. Change: another endpoint replaces the silent one by its answer, a stream by a further event, and by nothing else. The timer and what handled its expiry are gone. Tests: the stream keeps its endpoint in 12 cases of late failures; all failed before, eight of them with a cut stream, four since they had been moved (TestLateFailureOfTheNextEndpointDoesNotCutAStream). Three tests stated the limit of 250 ms and are replaced: the silent endpoint keeps the request until another one has an event, and is closed then; a stream returns to its former endpoint after its successor has had an event and breaks off, or is cut if the former one has left.

--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -178,9 +178,6 @@
 			q.refuseSuspectPart(last)
 			return
 		}
-		if t.takeover.gaveUp() {
-			q.keepFormer(t.endpoint)
-		}
 		if reason := q.noRetryReason(t); reason != "" {
 			q.fail(last, reason)
 			return
@@ -231,7 +228,7 @@
 func (q *request) attempt(id string) attempt {
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
-	t, a := q.send(ctx, id, cancel, func() error { return nil })
+	t, a := q.send(ctx, id, func() error { return nil })
 	if a == nil {
 		return t
 	}
@@ -240,9 +237,8 @@
 }
 
 // send sends the request to one endpoint. Without an answer it returns nil, and why.
-// beforeWrite is called right before the first byte, once the request may be sent; giveUp
-// must end ctx.
-func (q *request) send(ctx context.Context, id string, giveUp context.CancelFunc, beforeWrite func() error) (attempt, *srupstream.Answer) {
+// beforeWrite is called right before the first byte, once the request may be sent.
+func (q *request) send(ctx context.Context, id string, beforeWrite func() error) (attempt, *srupstream.Answer) {
 	e, ok := q.view.State().Endpoints[id]
 	if !ok {
 		q.avoid = append(q.avoid, id)
@@ -252,7 +248,7 @@
 	t := attempt{
 		endpoint: id,
 		peer:     srupstream.Peer{ID: id, Address: e.Address, Born: e.Born},
-		takeover: q.watchForSilence(id, giveUp),
+		takeover: q.watchForSilence(id),
 		resume:   q.lastEvent,
 		sent:     time.Now(),
 		result:   srdispatch.Result{Prompt: q.inbound.Prompt},
--- a/internal/app/srforward/takeover.go
+++ b/internal/app/srforward/takeover.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,10 +26,6 @@
 	// A stream that has begun always gets this long, since another endpoint would
 	// have to process its prompt again.
 	maxStall = 1200 * time.Millisecond
-	// maxOverlap is how long a silent endpoint keeps its request after another one has
-	// received it too, unless that one answers sooner. The platform allows 400 ms in which
-	// both work on a request; timers of a loaded process are late.
-	maxOverlap = 250 * time.Millisecond
 )
 
 var (
@@ -42,31 +37,23 @@
 
 // takeover handles an endpoint that falls silent during an attempt. Where the request may
 // be attempted elsewhere, another endpoint is asked to go on with it. The silent one is given
-// up once that one answers, or has had the request for maxOverlap. A silent endpoint that
-// goes on before keeps the request.
+// up once that one answers, a stream with a further event. Until then it keeps the request,
+// and goes on if it can: a request begins to run with its first event, so both do not work on
+// it for longer than that takes.
 type takeover struct {
 	q        *request
 	endpoint string
 	// attempt is the number of the attempt.
 	attempt int
-	// giveUp ends the attempt at the silent endpoint.
-	giveUp context.CancelFunc
 	// reported is the number of events at the last report of a silence, -1 for none.
 	reported int
 	// givenUp is set once the attempt has ended for another one.
 	givenUp bool
 }
 
-// watchForSilence returns what handles the silence of an endpoint. giveUp must end the
-// attempt there.
-func (q *request) watchForSilence(endpoint string, giveUp context.CancelFunc) *takeover {
-	return &takeover{
-		q:        q,
-		endpoint: endpoint,
-		attempt:  q.attempts,
-		giveUp:   giveUp,
-		reported: -1,
-	}
+// watchForSilence returns what handles the silence of an endpoint.
+func (q *request) watchForSilence(endpoint string) *takeover {
+	return &takeover{q: q, endpoint: endpoint, attempt: q.attempts, reported: -1}
 }
 
 // silence returns the handler for the connection to the endpoint.
@@ -151,39 +138,38 @@
 		}
 		q.logPlaced(d)
 		avoided := len(q.avoid)
-		h := &handover{detach: detach, giveUp: o.giveUp}
-		t, a := q.attemptTakeover(ctx, d.Endpoint, cancel, h)
+		t, a := q.attemptTakeover(ctx, d.Endpoint)
 		answers := a != nil && q.acceptsTakeover(a) && q.awaitEvent(ctx, &t, a)
-		o.givenUp = h.settle(answers)
-		if answers && o.givenUp {
+		// The other attempt is no longer cancelled when the silent endpoint goes on.
+		if answers && detach() {
+			o.givenUp = true
 			q.next = &successor{attempt: t, answer: a, cancel: cancel}
 			q.Log.Failed("taken-over", srlog.Request, q.inbound.ID, srlog.Endpoint, d.Endpoint, srlog.Former, o.endpoint, srlog.Attempt, q.attempts, srlog.Events, q.eventsSent)
 			return ""
 		}
-		if !o.givenUp && (answers || ctx.Err() != nil) {
+		if answers || ctx.Err() != nil {
 			// The silent endpoint went on, which says nothing about this one.
 			t.result.Unknown, t.result.Failed, t.broken = true, false, false
 			q.avoid = q.avoid[:avoided]
 			reason = reasonWentOn
 		}
 		reason = cmp.Or(reason, q.endTakeover(d.Endpoint, t, a))
-		if reason != "" || o.givenUp {
+		if reason != "" {
 			return reason
 		}
 	}
 	return reasonAttempts
 }
 
-// attemptTakeover sends the request to another endpoint. h is started with the first byte.
-func (q *request) attemptTakeover(ctx context.Context, id string, cancel context.CancelFunc, h *handover) (attempt, *srupstream.Answer) {
-	return q.send(ctx, id, cancel, func() error {
+// attemptTakeover sends the request to another endpoint.
+func (q *request) attemptTakeover(ctx context.Context, id string) (attempt, *srupstream.Answer) {
+	return q.send(ctx, id, func() error {
 		switch {
 		case ctx.Err() != nil:
 			return errors.Wrap(errUnusable, "no longer needed")
 		case !q.limits.allowRetry(time.Now(), q.service):
 			return errRetryBudget
 		}
-		h.start()
 		return nil
 	})
 }
@@ -267,47 +253,3 @@
 	defer s.answer.Body.Close()
 	return q.handleAnswer(s.attempt, s.answer)
 }
-
-// handover decides once whether a silent endpoint is given up for another one.
-type handover struct {
-	// detach ends the rule that the other attempt is cancelled when the silent endpoint
-	// goes on. It returns false if that has happened.
-	detach func() bool
-	giveUp context.CancelFunc
-
-	mu      sync.Mutex
-	timer   *time.Timer
-	settled bool
-	givenUp bool
-}
-
-// start begins the overlap. At its end the silent endpoint is given up.
-func (h *handover) start() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.timer = time.AfterFunc(maxOverlap, h.expire)
-}
-
-func (h *handover) expire() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.settled && h.detach() {
-		h.givenUp = true
-		h.giveUp()
-	}
-}
-
-// settle ends the overlap. It reports whether the silent endpoint is given up: because it
-// was before, or because the other one answers.
-func (h *handover) settle(answers bool) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.timer != nil {
-		h.timer.Stop()
-	}
-	h.settled = true
-	if answers && !h.givenUp && h.detach() {
-		h.givenUp = true
-	}
-	return h.givenUp
-}
