Give clients that do not read as long as for a write

Cause: the kernel ended a connection on which sent bytes had stayed unacknowledged for 2.5 s. It counts a client that does not read as one that does not acknowledge, so such a client got a reset in the middle of the answer of a sound endpoint, long before the 10 s of a write had passed. Change: on connections of clients the limit is that of a write. Other peers keep 2.5 s. A client that vanishes is noticed after 10 s instead of 2.5 s. TestSoundAnswerIsDelivered found no fault: ten ways to send a request, plain answers and streams in three framings, twice on each connection. Conclusion: the fault needs a client or link that stands still for 2.5 s. That it is what the users saw isn't shown.

--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -33,8 +33,10 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
-	// tcpUserTimeout is how long sent bytes may stay unacknowledged.
-	tcpUserTimeout = 2500 * time.Millisecond
+	// unackedTimeout is how long bytes sent to an endpoint, the registry or another instance may
+	// stay unacknowledged. The kernel counts the time for which a peer does not read, too, so
+	// clients have as long as for a write.
+	unackedTimeout = 2500 * time.Millisecond
 	// registryDialTimeout bounds the opening of a connection to the registry.
 	registryDialTimeout = 500 * time.Millisecond
 	// headerTimeout bounds the reading of a header regardless of the configuration.
@@ -123,37 +125,42 @@
 // newDialer returns a dialer whose connections detect an unresponsive peer by TCP
 // keep-alive probes and by a limit on unacknowledged data.
 func newDialer() *net.Dialer {
-	return &net.Dialer{KeepAliveConfig: keepAlive(), Control: setUserTimeout}
+	return &net.Dialer{KeepAliveConfig: keepAlive(), Control: userTimeout(unackedTimeout)}
 }
 
 func keepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var err error
-	ctl := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-	})
-	if ctl != nil {
-		return ctl
+// userTimeout returns a function that limits the time for which sent bytes may stay
+// unacknowledged on a socket, and on those that it accepts.
+func userTimeout(d time.Duration) func(_, _ string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		ctl := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		if ctl != nil {
+			return ctl
+		}
+		return err
 	}
-	return err
 }
 
 // openListeners opens all listeners, or none.
 func (p *Process) openListeners() error {
-	lc := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: setUserTimeout}
 	var opened []net.Listener
 	for _, socket := range []struct {
 		address string
+		timeout time.Duration
 		target  *net.Listener
 	}{
-		{p.cfg.Clients, &p.listen.clients},
-		{p.cfg.Ready, &p.listen.ready},
-		{p.cfg.Peers, &p.listen.peers},
-		{p.cfg.Operate, &p.listen.operate},
+		{p.cfg.Clients, writeTimeout, &p.listen.clients},
+		{p.cfg.Ready, unackedTimeout, &p.listen.ready},
+		{p.cfg.Peers, unackedTimeout, &p.listen.peers},
+		{p.cfg.Operate, unackedTimeout, &p.listen.operate},
 	} {
+		lc := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: userTimeout(socket.timeout)}
 		ln, err := lc.Listen(context.Background(), "tcp", socket.address)
 		if err != nil {
 			for _, open := range opened {
