Keep signals to reload from taking the place of those to stop

Cause: SIGHUP and SIGTERM shared a channel with room for four signals, and one that finds no room is dropped. While the settings are read, four signals to reload fill it, and the signal to stop is lost: the process goes on without draining and is killed at the end of the grace time, with all that it serves. Change: signals to reload have a channel of their own. One that waits stands for all. Conclusion: it takes five signals within the time of a reload. The platform isn't known to send that many.

--- a/internal/app/srcli/forward.go
+++ b/internal/app/srcli/forward.go
@@ -28,7 +28,11 @@
 // Run runs a forwarding instance until it ends or a signal stops it.
 func (c forwardCommand) Run(o *output) error {
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	// A signal that finds no room is dropped, so those to reload must not take the room of those
+	// to stop. One that waits stands for all.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE)
 	cfg, err := srforwardsettings.Load(c.Settings)
 	if err != nil {
@@ -38,10 +42,11 @@
 	log := srlog.New(o.out, srlog.Options{Name: cfg.Name, Quiet: c.Quiet})
 	defer log.Close()
 	p, err := srforward.New(cfg, srforward.Options{
-		Codec:    platform.Headers{},
-		Registry: openRegistry,
-		Reload:   func() (srforwardsettings.Settings, error) { return srforwardsettings.Load(c.Settings) },
-		Log:      log,
+		Codec:         platform.Headers{},
+		Registry:      openRegistry,
+		Reload:        func() (srforwardsettings.Settings, error) { return srforwardsettings.Load(c.Settings) },
+		ReloadSignals: reloads,
+		Log:           log,
 	})
 	if err != nil {
 		return err
--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -54,7 +54,9 @@
 	Registry func(address string, o srconn.Options) (sr.Registry, error)
 	// Reload reads the settings again.
 	Reload func() (srforwardsettings.Settings, error)
-	Log    *srlog.Log
+	// ReloadSignals asks for that at once, nil for never.
+	ReloadSignals <-chan os.Signal
+	Log           *srlog.Log
 }
 
 // Process is a forwarding instance with its listeners and servers.
@@ -210,11 +212,9 @@
 			return err
 		case <-reload.C:
 			p.reload("")
+		case s := <-p.opts.ReloadSignals:
+			p.reload(s.String())
 		case s := <-signals:
-			if s == syscall.SIGHUP {
-				p.reload(s.String())
-				continue
-			}
 			p.drain(ctx, s, signals)
 			return nil
 		}
