Go on after an accept that fails because of its connection

Cause: accept(2) passes on errors of the connection that it accepts, such as EPROTO or EHOSTUNREACH. net/http ends the server at these, and the process then ends at once, without draining, and cuts all that it serves. Change: such an accept is tried again, as one that fails for lack of resources. Figures: TestServerGoesOnAfterAFailedAccept with four more errors: before, connection reset by peer; after, passes (with -race).

--- a/internal/peer/srconn/accept.go
+++ b/internal/peer/srconn/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -16,7 +17,7 @@
 )
 
 // KeepAccepting returns a listener that tries again when an accept fails for lack of resources
-// or because the peer has left. A net/http server ends at some of these errors.
+// or because of the connection that it accepts. A net/http server ends at some of these errors.
 func KeepAccepting(ln net.Listener) net.Listener { return acceptor{ln} }
 
 type acceptor struct{ net.Listener }
@@ -32,12 +33,15 @@
 	}
 }
 
+// temporaryErrors are the errors after which an accept may succeed later. The second line has
+// those of the accepted connection, which accept(2) passes on.
+var temporaryErrors = []error{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR, syscall.EPERM,
+	syscall.ECONNABORTED, syscall.ECONNRESET, syscall.ENETDOWN, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EHOSTDOWN,
+	syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT,
+}
+
 // temporary reports whether an accept may succeed later.
 func temporary(err error) bool {
-	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR} {
-		if errors.Is(err, e) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(temporaryErrors, func(e error) bool { return errors.Is(err, e) })
 }
--- a/internal/peer/srdownstream/conns_test.go
+++ b/internal/peer/srdownstream/conns_test.go
@@ -602,23 +602,27 @@
 	assert.Equal(t, string(s.closed[0].Unread), next[1:])
 }
 
-// unableListener has no memory for its first connection.
+// unableListener fails once with each of some errors.
 type unableListener struct {
 	net.Listener
-	failed bool
+	errors []error
 }
 
 func (l *unableListener) Accept() (net.Conn, error) {
-	if !l.failed {
-		l.failed = true
-		return nil, &net.OpError{Op: "accept", Err: syscall.ENOBUFS}
+	if len(l.errors) > 0 {
+		err := l.errors[0]
+		l.errors = l.errors[1:]
+		return nil, &net.OpError{Op: "accept", Err: err}
 	}
 	return l.Listener.Accept()
 }
 
-// A machine without memory for a connection refuses no later ones. net/http would end the server.
+// A machine without memory for a connection, or whose new connection has failed, refuses no later
+// ones. net/http would end the server.
 func TestServerGoesOnAfterAFailedAccept(t *testing.T) {
-	s := newClientServer(t, Options{}, func(ln net.Listener) net.Listener { return &unableListener{Listener: ln} })
+	s := newClientServer(t, Options{}, func(ln net.Listener) net.Listener {
+		return &unableListener{ln, []error{syscall.ENOBUFS, syscall.EPROTO, syscall.EHOSTUNREACH, syscall.ECONNRESET, syscall.EPERM}}
+	})
 	conn := s.dial()
 	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	status, err := conn.readStatus()
