Let an endpoint answer while a long body is unread

What doesn't fit into its buffer stays unacknowledged meanwhile, and after 2.5 s of that the kernel ended the connection, so the answer of a sound endpoint was cut in the middle (broken-off), or the request failed with 502 before it. Ruled out: the longer limit for all endpoints, since it would notice a vanished one later also for short requests; the shorter one again after the answer, since the body may still be unread when the next request is sent. Change: from a body of more than 8 KiB on, a connection has the limit of a write, 10 s.

--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
@@ -35,7 +34,7 @@
 	keepAliveCount    = 3
 	// unackedTimeout is how long bytes sent to an endpoint, the registry or another instance may
 	// stay unacknowledged. The kernel counts the time for which a peer does not read, too, so
-	// clients have as long as for a write.
+	// clients, and endpoints with a long body, have writeTimeout.
 	unackedTimeout = 2500 * time.Millisecond
 	// registryDialTimeout bounds the opening of a connection to the registry.
 	registryDialTimeout = 500 * time.Millisecond
@@ -104,10 +103,14 @@
 		Codec:    o.Codec,
 		Registry: registry,
 		Fleet:    p.peers,
-		Upstream: srupstream.New(srupstream.Options{Dial: dialer.DialContext, Reply: o.Codec.Reply}),
-		Clock:    srclock.Now,
-		Seed:     seed,
-		Log:      o.Log,
+		Upstream: srupstream.New(srupstream.Options{
+			Dial:            dialer.DialContext,
+			Reply:           o.Codec.Reply,
+			LongBodyTimeout: writeTimeout,
+		}),
+		Clock: srclock.Now,
+		Seed:  seed,
+		Log:   o.Log,
 	})
 	p.reports = &clientReports{n: p.instance}
 	p.clients = srdownstream.New(srdownstream.Options{
@@ -127,26 +130,16 @@
 // newDialer returns a dialer whose connections detect an unresponsive peer by TCP
 // keep-alive probes and by a limit on unacknowledged data.
 func newDialer() *net.Dialer {
-	return &net.Dialer{KeepAliveConfig: keepAlive(), Control: userTimeout(unackedTimeout)}
+	return &net.Dialer{KeepAliveConfig: keepAlive(), Control: limitUnacked(unackedTimeout)}
 }
 
 func keepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
-// userTimeout returns a function that limits the time for which sent bytes may stay
-// unacknowledged on a socket, and on those that it accepts.
-func userTimeout(d time.Duration) func(_, _ string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var err error
-		ctl := c.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-		})
-		if ctl != nil {
-			return ctl
-		}
-		return err
-	}
+// limitUnacked returns a function that sets the timeout for unacknowledged bytes of a socket.
+func limitUnacked(d time.Duration) func(_, _ string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error { return srconn.SetUnackedTimeout(c, d) }
 }
 
 // openListeners opens all listeners, or none.
@@ -162,7 +155,7 @@
 		{p.cfg.Peers, unackedTimeout, &p.listen.peers},
 		{p.cfg.Operate, unackedTimeout, &p.listen.operate},
 	} {
-		lc := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: userTimeout(socket.timeout)}
+		lc := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: limitUnacked(socket.timeout)}
 		ln, err := lc.Listen(context.Background(), "tcp", socket.address)
 		if err != nil {
 			for _, open := range opened {
--- a/internal/peer/srconn/socket.go
+++ b/internal/peer/srconn/socket.go
@@ -4,8 +4,10 @@
 	"io"
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // ErrNoSocket means that a connection is not a socket, such as one in memory.
@@ -21,6 +23,19 @@
 	return sc.SyscallConn()
 }
 
+// SetUnackedTimeout limits the time for which bytes that were sent on a socket may stay
+// unacknowledged, also because the peer does not read. Accepted sockets inherit it.
+func SetUnackedTimeout(c syscall.RawConn, d time.Duration) error {
+	var err error
+	ctl := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if ctl != nil {
+		return ctl
+	}
+	return err
+}
+
 // Peek returns the first bytes that can be read from a socket, at most size. Without any it
 // returns io.EOF if the peer has closed its side, and another error if the connection was reset.
 // The socket reports a reset once only: later reads end with io.EOF.
--- a/internal/peer/srupstream/conn.go
+++ b/internal/peer/srupstream/conn.go
@@ -33,6 +33,8 @@
 	lastID string
 	// reusableUntil is when an idle connection is too old to be used again.
 	reusableUntil time.Time
+	// unread is for how long the peer may leave bytes unread, 0 for what Dial has set.
+	unread time.Duration
 	// silence is that of the current request, nil for none. deadlineSet is set while reads
 	// time out.
 	silence     *Silence
@@ -53,6 +55,19 @@
 
 func (c *conn) close() { _ = c.Conn.Close() }
 
+// allowUnread lets the peer leave bytes unread for d, from now on: a body may stay unread while
+// the next request is sent.
+func (c *conn) allowUnread(d time.Duration) {
+	if d == 0 || c.unread == d {
+		return
+	}
+	c.unread = d
+	if raw, err := srconn.Socket(c.Conn); err == nil {
+		// A socket that has failed shows that when it is used.
+		_ = srconn.SetUnackedTimeout(raw, d)
+	}
+}
+
 // openAndEmpty reports whether the connection is open and has no unread data. Data on
 // an idle connection does not belong to the next request.
 func (c *conn) openAndEmpty() bool { return c.reader.Buffered() == 0 && c.socketOpenAndEmpty() }
--- a/internal/peer/srupstream/pool.go
+++ b/internal/peer/srupstream/pool.go
@@ -36,6 +36,9 @@
 	// maxIdleTime is how long a connection may stay idle, unless the endpoint states a
 	// shorter time.
 	maxIdleTime = 4 * time.Second
+	// longBody is the size in bytes up to which bodies fit into the buffer of an endpoint that
+	// does not read.
+	longBody = 8 << 10
 	// dialTimeout limits the opening of a connection, which takes a few milliseconds
 	// within a region.
 	dialTimeout = 400 * time.Millisecond
@@ -57,6 +60,9 @@
 	Dial DialFunc
 	// Reply extracts the routing data from the status and the header of a response.
 	Reply func(status int, h http.Header) sr.Reply
+	// LongBodyTimeout is how long sent bytes may stay unacknowledged from a long body on, which
+	// an endpoint may leave unread until it has answered. 0 leaves what Dial has set.
+	LongBodyTimeout time.Duration
 }
 
 // Pool holds the idle connections to endpoints. It is safe for concurrent use.
--- a/internal/peer/srupstream/send.go
+++ b/internal/peer/srupstream/send.go
@@ -73,6 +73,9 @@
 	x := &exchange{pool: p, conn: c, reused: c.lastID != "", writeDone: make(chan struct{})}
 	c.lastID, c.silence = r.ID, r.Silence
 	x.stop = context.AfterFunc(ctx, c.close)
+	if len(r.Body) > longBody {
+		c.allowUnread(p.opts.LongBodyTimeout)
+	}
 	x.startWrite(r)
 	resp, reply, err := x.receive(r, p.opts.Reply)
 	if err != nil {
