Keep a stream while the view is too old to decide

Cause: a send that is not made because the view is too old, or its keys are unconfirmed, counted as an attempt. While the view was so, four of them passed within 2 ms, and a stream that had to go on at another endpoint was cut, reason "tries", though the view may be current again some 100 ms later.

Change: such a send is no attempt of a stream that has begun; it is tried again every 100 ms, up to the deadline. Requests that have not begun are refused as before.

--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -13,6 +13,7 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srupstream"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
 )
 
 // errUnusable means that the endpoint, the key or the view was no longer usable when the
@@ -23,6 +24,9 @@
 // may not know that yet.
 var errUnusableEndpoint = errors.WithMessage(errUnusable, "endpoint")
 
+// errStaleView is errUnusable if the view is too old to decide. It may soon be current again.
+var errStaleView = errors.WithMessage(errUnusable, "view")
+
 // errSuspectPart means that the request or a part of its prompt became suspected of crashing
 // endpoints before the request was sent.
 var errSuspectPart = errors.New("request or part of its prompt is suspected")
@@ -178,6 +182,10 @@
 			q.refuseSuspectPart(last)
 			return
 		}
+		stale := q.headerSent && errors.Is(t.err, errStaleView)
+		if stale {
+			q.attempts--
+		}
 		if reason := q.noRetryReason(t); reason != "" {
 			q.fail(last, reason)
 			return
@@ -185,6 +193,10 @@
 		q.Log.Failed("again", srlog.Request, q.inbound.ID, srlog.Endpoint, t.endpoint, srlog.Attempt, q.attempts, srlog.Error, errorText(t.err), srlog.State, t.outcome.String(), srlog.Events, q.eventsSent,
 			srlog.Framing, t.framing.String(), srlog.End, t.end.String())
 		q.awaitCheck()
+		if stale {
+			// If the deadline passes meanwhile, the next attempt notices.
+			_ = srtimer.Wait(q.ctx, staleViewDelay)
+		}
 	}
 }
 
@@ -325,14 +337,17 @@
 			return errors.Wrap(errUnusable, "endpoint is paused")
 		}
 		if q.superseded() {
-			return errors.Wrap(errUnusable, "view")
+			return errStaleView
 		}
 		if !q.keyed {
 			return nil
 		}
-		if w, ok := st.Workspace(q.inbound.Key); !ok || w.Name != q.workspace.Name || !q.keysCurrent() {
+		if w, ok := st.Workspace(q.inbound.Key); !ok || w.Name != q.workspace.Name {
 			return errors.Wrap(errUnusable, "key")
 		}
+		if !q.keysCurrent() {
+			return errors.Wrap(errStaleView, "key")
+		}
 		return nil
 	}
 }
--- a/internal/app/srforward/timing.go
+++ b/internal/app/srforward/timing.go
@@ -108,6 +108,9 @@
 	// maxAttempts limits the attempts of one request, rejections and failed
 	// connections included.
 	maxAttempts = 4
+	// staleViewDelay is the time between two attempts to go on with a stream while the view is
+	// too old to decide.
+	staleViewDelay = 100 * time.Millisecond
 	// maxTick is the longest time between two updates of a queue that is not empty.
 	maxTick = 20 * time.Millisecond
 )
