Give up both endpoints when a third one takes over during a silence

Cause: an endpoint that is asked because another one is silent may fall silent too. A third one then took over from it alone. The first one had been given up by the limit of 250 ms before; since nothing gave it up, so the request stayed with it while the third one ran it and nobody read its answer, up to the deadline. And the first one could go on without ending the attempt at the third. Routes with max_attempts of 3 or more are concerned. Change: a takeover from the second endpoint gives up the first one as well, and an endpoint that goes on ends all attempts that were made during its silence.

--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -260,7 +260,7 @@
 	t := attempt{
 		endpoint: id,
 		peer:     srupstream.Peer{ID: id, Address: e.Address, Born: e.Born},
-		takeover: q.watchForSilence(id),
+		takeover: q.watchForSilence(ctx, id),
 		resume:   q.lastEvent,
 		sent:     time.Now(),
 		result:   srdispatch.Result{Prompt: q.inbound.Prompt},
--- a/internal/app/srforward/takeover.go
+++ b/internal/app/srforward/takeover.go
@@ -43,6 +43,9 @@
 type takeover struct {
 	q        *request
 	endpoint string
+	// ctx is the context of the attempt. It also ends when another endpoint, during whose
+	// silence the attempt was made, goes on.
+	ctx context.Context
 	// attempt is the number of the attempt.
 	attempt int
 	// reported is the number of events at the last report of a silence, -1 for none.
@@ -51,9 +54,9 @@
 	givenUp bool
 }
 
-// watchForSilence returns what handles the silence of an endpoint.
-func (q *request) watchForSilence(endpoint string) *takeover {
-	return &takeover{q: q, endpoint: endpoint, attempt: q.attempts, reported: -1}
+// watchForSilence returns what handles the silence of an endpoint during an attempt with ctx.
+func (q *request) watchForSilence(ctx context.Context, endpoint string) *takeover {
+	return &takeover{q: q, endpoint: endpoint, ctx: ctx, attempt: q.attempts, reported: -1}
 }
 
 // silence returns the handler for the connection to the endpoint.
@@ -117,9 +120,15 @@
 func (o *takeover) askOthers(goesOn context.Context) (reason string) {
 	q := o.q
 	ctx, cancel := context.WithCancel(q.ctx)
-	detach := context.AfterFunc(goesOn, cancel)
+	stopGoesOn, stopAttempt := context.AfterFunc(goesOn, cancel), context.AfterFunc(o.ctx, cancel)
+	// detach keeps ctx from ending for either cause. It returns false if it has ended for one.
+	detach := func() bool {
+		goesOnStopped, attemptStopped := stopGoesOn(), stopAttempt()
+		return goesOnStopped && attemptStopped
+	}
+	takenOver := false
 	defer func() {
-		if q.next == nil {
+		if !takenOver {
 			detach()
 			cancel()
 		}
@@ -140,9 +149,14 @@
 		avoided := len(q.avoid)
 		t, a := q.attemptTakeover(ctx, d.Endpoint)
 		answers := a != nil && q.acceptsTakeover(a) && q.awaitEvent(ctx, &t, a)
+		if q.next != nil {
+			// The other one fell silent too, and a third one has taken over from it.
+			o.givenUp = true
+			return q.endTakeover(d.Endpoint, t, a)
+		}
 		// The other attempt is no longer cancelled when the silent endpoint goes on.
 		if answers && detach() {
-			o.givenUp = true
+			o.givenUp, takenOver = true, true
 			q.next = &successor{attempt: t, answer: a, cancel: cancel}
 			q.Log.Failed("taken-over", srlog.Request, q.inbound.ID, srlog.Endpoint, d.Endpoint, srlog.Former, o.endpoint, srlog.Attempt, q.attempts, srlog.Events, q.eventsSent)
 			return ""
