Count what a leaving instance spends until its last message

An instance takes requests for 2.7 s after its stop signal and charges them to its own bucket, but the others removed it from theirs, and gave its share to the rest, at the first message that says that it leaves; further totals were ignored. Ruled out: removing it at the end of its last connection. It spends nothing once it refuses requests. Change: messages of a leaving instance state when it spends no more (Gossip.Final). Until then its totals count and it keeps its share; after that its bucket entry stays, so that a late message changes nothing. One that ends without that message counts as silent, as one of an earlier version does: its share is kept until it returns, 30 s at most. TestLimitsAreSharedWithMembersThatOthersName expects the share to go with the last message, not with the first one. Silent and returning instances: checked, unchanged. A silent one is assumed to spend its share, one that returns under a new incarnation begins a new total.

--- a/internal/app/srforward/dissemination_test.go
+++ b/internal/app/srforward/dissemination_test.go
@@ -417,7 +417,10 @@
 }
 
 func (f *testFleet) start(ctx context.Context, address string, n *Instance) {
-	ctx, f.stop[address] = context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	f.mu.Lock()
+	f.stop[address] = cancel
+	f.mu.Unlock()
 	f.wg.Go(func() { n.sync(ctx) })
 	f.wg.Go(func() { n.gossip(ctx) })
 	f.wg.Go(func() { n.fetch(ctx) })
@@ -426,10 +429,10 @@
 
 // replace ends an instance, as a kill does, and starts another one at its address.
 func (f *testFleet) replace(ctx context.Context, address string) *Instance {
-	f.stop[address]()
 	const secondIncarnation = 1000
 	n := f.newInstance(address, secondIncarnation)
 	f.mu.Lock()
+	f.stop[address]()
 	f.instances[address] = n
 	f.mu.Unlock()
 	f.start(ctx, address, n)
--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -35,6 +35,7 @@
 		From:    n.Self,
 		Domain:  n.Settings.Domain,
 		Leaving: n.draining.Load(),
+		Final:   n.refusing.Load(),
 		Known:   n.members.knownIDs(now),
 		Usage: sr.Usage{
 			Spent:   n.limits.spent(),
@@ -68,11 +69,10 @@
 	if changed {
 		n.Log.State("member", srlog.Peer, g.From.Address, srlog.Domain, g.Domain, srlog.State, choose(g.Leaving, "leaving", "heard"), srlog.Fleet, n.members.fleetSize(now))
 	}
+	n.limits.receive(now, g)
 	if g.Leaving {
-		n.limits.remove(now, g.From.Address)
 		return nil
 	}
-	n.limits.receive(now, g)
 	n.logSuspects(n.crashes.receive(now, g.Crashes), g.From.Address)
 	if n.view.Extent().Lacks(extentOf(g)) {
 		n.transfers.request(now)
@@ -134,7 +134,7 @@
 	return sr.Extent{Position: sr.Position{Era: g.Era, Revision: g.AsOf}, Prior: g.Prior}
 }
 
-// announceLeaving notifies the members that this instance shuts down.
+// announceLeaving notifies the members that this instance shuts down, or spends no more.
 func (n *Instance) announceLeaving(ctx context.Context) {
 	var wg sync.WaitGroup
 	g := n.localGossip()
--- a/internal/app/srforward/limits.go
+++ b/internal/app/srforward/limits.go
@@ -136,19 +136,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, b := range l.buckets {
+		if g.Final {
+			b.ReceiveFinalTotal(now, g.From, g.Usage.Spent[name])
+			continue
+		}
 		b.ReceiveTotal(now, g.From, g.Usage.Spent[name])
 	}
 }
 
-// remove removes an instance that has announced its shutdown.
-func (l *limits) remove(now time.Time, address string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, b := range l.buckets {
-		b.RemovePeer(now, address)
-	}
-}
-
 // countRequest counts a new request for a service towards its retry budget.
 func (l *limits) countRequest(now time.Time, service string) {
 	l.mu.Lock()
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -39,9 +39,15 @@
 	// last did.
 	firstContact time.Time
 	lastJoin     time.Time
-	// left holds the incarnations that announced their shutdown, with the time of the
-	// announcement.
-	left map[sr.InstanceID]time.Time
+	// left holds the incarnations that announced their shutdown.
+	left map[sr.InstanceID]leaver
+}
+
+// leaver is an instance that shuts down.
+type leaver struct {
+	lastContact time.Time
+	// final is set once it spends no more of the limits.
+	final bool
 }
 
 // member is another instance.
@@ -77,7 +83,7 @@
 		usageMemory: srmemory.New(usageBytes),
 		seeds:       seeds,
 		byAddress:   make(map[string]*member),
-		left:        make(map[sr.InstanceID]time.Time),
+		left:        make(map[sr.InstanceID]leaver),
 	}
 }
 
@@ -98,7 +104,7 @@
 		return false, nil
 	}
 	if g.Leaving {
-		return m.recordLeft(now, g.From), nil
+		return m.recordLeft(now, g), nil
 	}
 	e, ok := m.byAddress[g.From.Address]
 	if !ok {
@@ -130,13 +136,13 @@
 
 // recordLeft records that an instance has announced its shutdown, and reports whether that is
 // new. The caller must hold m.mu.
-func (m *members) recordLeft(now time.Time, id sr.InstanceID) bool {
-	m.remove(id.Address)
-	_, known := m.left[id]
+func (m *members) recordLeft(now time.Time, g sr.Gossip) bool {
+	m.remove(g.From.Address)
+	l, known := m.left[g.From]
 	if !known && len(m.left) >= maxMembers {
 		return false
 	}
-	m.left[id] = now
+	m.left[g.From] = leaver{lastContact: now, final: l.final || g.Final}
 	return !known
 }
 
@@ -266,7 +272,7 @@
 			m.remove(address)
 		}
 	}
-	maps.DeleteFunc(m.left, func(_ sr.InstanceID, t time.Time) bool { return now.Sub(t) > memberRetention })
+	maps.DeleteFunc(m.left, func(_ sr.InstanceID, l leaver) bool { return now.Sub(l.lastContact) > memberRetention })
 }
 
 // recentMembers returns the members whose last contact is at most within ago. The
@@ -334,15 +340,21 @@
 }
 
 // limitSharers returns the number of instances among which the limits are shared, this one
-// included: those that it has heard and those that others have named lately. An instance that
-// starts is told of the others before it has heard each of them, and for memberListSettle it
+// included: those that it has heard, those that others have named lately and those that leave
+// and may still spend. An instance that starts is told of the others before it has heard each of them, and for memberListSettle it
 // assumes that there are more than that.
 func (m *members) limitSharers(now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := 1
 	for _, e := range m.byAddress {
-		if now.Sub(e.lastContact) <= memberRetention || e.id.Incarnation != 0 && now.Sub(e.knownSince) <= memberRetention {
+		if e.sharesLimits(now) {
+			n++
+		}
+	}
+	for id, l := range m.left {
+		e, ok := m.byAddress[id.Address]
+		if !l.final && now.Sub(l.lastContact) <= memberRetention && (!ok || !e.sharesLimits(now)) {
 			n++
 		}
 	}
@@ -352,6 +364,11 @@
 	return n
 }
 
+// sharesLimits reports whether a member was heard, or named by another one, lately.
+func (e *member) sharesLimits(now time.Time) bool {
+	return now.Sub(e.lastContact) <= memberRetention || e.id.Incarnation != 0 && now.Sub(e.knownSince) <= memberRetention
+}
+
 // ahead returns the addresses of the members whose views include entries that a view of an
 // extent lacks, in random order and those of the own failure domain first, and the latest
 // position that one of them has stated.
--- a/internal/app/srforward/members_test.go
+++ b/internal/app/srforward/members_test.go
@@ -119,6 +119,8 @@
 	settled := epoch.Add(memberListSettle)
 	assert.Equal(t, m.limitSharers(settled), 5)
 	receive(t, m, settled, sr.Gossip{From: id("c"), Leaving: true})
+	assert.Equal(t, m.limitSharers(settled), 5)
+	receive(t, m, settled, sr.Gossip{From: id("c"), Leaving: true, Final: true})
 	assert.Equal(t, m.limitSharers(settled), 4)
 	receive(t, m, epoch.Add(memberRetention+time.Second), sr.Gossip{From: id("b")})
 	assert.Equal(t, m.limitSharers(epoch.Add(memberRetention+time.Second)), 2)
--- a/internal/app/srforward/process.go
+++ b/internal/app/srforward/process.go
@@ -247,6 +247,9 @@
 	p.instance.refusing.Store(true)
 	ctx, cancel := context.WithDeadline(ctx, closeBy)
 	defer cancel()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { p.instance.announceLeaving(ctx) })
 	// Connections that wait to be accepted would be reset if the listener were closed now.
 	// http.Server.Shutdown would close idle connections while requests arrive on them.
 	if n := p.clients.WaitIdle(ctx); n > 0 {
--- a/internal/policy/srshare/bucket.go
+++ b/internal/policy/srshare/bucket.go
@@ -106,6 +106,8 @@
 	// counted is set once an update has shown what the instance spends. The first one only
 	// tells what it had spent before.
 	counted bool
+	// final is set once the instance has shut down. It spends no more.
+	final bool
 }
 
 // New returns a half full Bucket for a fleet of that many instances, including this one.
@@ -271,7 +273,7 @@
 	p, ok := b.peers[from.Address]
 	switch {
 	case !ok:
-		b.makeRoom(now)
+		b.makeRoom()
 		p = &peer{incarnation: from.Incarnation, total: total, receivedAt: now}
 		b.peers[from.Address] = p
 		if total <= b.startingTotal() {
@@ -281,7 +283,9 @@
 		}
 		return
 	case p.incarnation != from.Incarnation:
-		p.incarnation, p.total = from.Incarnation, 0
+		p.incarnation, p.total, p.final = from.Incarnation, 0, false
+	case p.final:
+		return
 	}
 	delta := total - p.total
 	b.addRecent(now, delta)
@@ -292,6 +296,15 @@
 	b.count(p)
 }
 
+// ReceiveFinalTotal is ReceiveTotal for an instance that spends no more. Its share is the
+// others' from then on, and messages of it that arrive later change nothing.
+func (b *Bucket) ReceiveFinalTotal(now time.Time, from sr.InstanceID, total float64) {
+	b.ReceiveTotal(now, from, total)
+	p := b.peers[from.Address]
+	b.uncount(p)
+	p.final = true
+}
+
 // count records that what an instance spends is known.
 func (b *Bucket) count(p *peer) {
 	if !p.counted {
@@ -300,6 +313,14 @@
 	}
 }
 
+// uncount takes back count.
+func (b *Bucket) uncount(p *peer) {
+	if p.counted {
+		p.counted = false
+		b.counted--
+	}
+}
+
 // startingTotal returns the most that an instance can have spent if it started with this
 // one. When the first total of an instance is not above it, all of it was spent lately;
 // otherwise the instance is older, and nothing tells what it has spent lately.
@@ -308,7 +329,7 @@
 }
 
 // makeRoom removes the instance whose last total is the oldest if there are maxPeers.
-func (b *Bucket) makeRoom(now time.Time) {
+func (b *Bucket) makeRoom() {
 	if len(b.peers) < maxPeers {
 		return
 	}
@@ -318,16 +339,8 @@
 			oldest = address
 		}
 	}
-	b.RemovePeer(now, oldest)
-}
-
-// RemovePeer removes an instance that has shut down.
-func (b *Bucket) RemovePeer(now time.Time, address string) {
-	b.refill(now)
-	if p, ok := b.peers[address]; ok && p.counted {
-		b.counted--
-	}
-	delete(b.peers, address)
+	b.uncount(b.peers[oldest])
+	delete(b.peers, oldest)
 }
 
 // refill adds the tokens of the time since the last call, less the assumed spending of
@@ -340,11 +353,13 @@
 	share := b.limit.Rate / float64(b.fleetSize) * elapsed
 	reporting := 1
 	for _, p := range b.peers {
-		if now.Sub(p.receivedAt) > b.silence {
+		switch {
+		case p.final:
+		case now.Sub(p.receivedAt) > b.silence:
 			p.assumedSpent += share
-			continue
+		default:
+			reporting++
 		}
-		reporting++
 	}
 	b.refilledAt = now
 	b.level = min(b.level+b.rateOf(reporting)*elapsed, b.limit.Burst)
@@ -357,7 +372,7 @@
 func (b *Bucket) rate(now time.Time) float64 {
 	reporting := 1
 	for _, p := range b.peers {
-		if now.Sub(p.receivedAt) <= b.silence {
+		if !p.final && now.Sub(p.receivedAt) <= b.silence {
 			reporting++
 		}
 	}
--- a/live.go
+++ b/live.go
@@ -180,6 +180,9 @@
 	Domain string
 	// Leaving marks an instance that is shutting down.
 	Leaving bool
+	// Final marks a leaving instance that spends no more. Instances of earlier versions do
+	// not state it.
+	Final bool
 	// Known are the instances from which the sender has received gossip.
 	Known []InstanceID
 	Usage Usage
