Let an instance that starts rely only on one that has joined

Cause: an instance that starts had "learned" what a restored registry lost as soon as it had heard any member. Those that start together hear each other first, and each of them knows only the copy. The ones that ran on contact a silent member once a second. A member that had stated more was also not waited for beyond 1.5 s. One change to the shared rig: the instances that start are cut off and down for 2.3 s before, as a killed machine is; its checks are those of before.

Change: gossip says whether its sender is joining. An instance joins once it has heard one that has joined, and has what all that it hears state; if it hears none within 1 s (in a fleet of more than 60, an exchange interval and 0.4 s), none can reach it, and the registry's word stands. While one that has joined states more, it does not time out. Silent members are tried every 0.5 s instead of every second, so the wait is 1 s at most instead of 1.5 s. Instances of earlier versions do not state it and count as joined. All instances that start at once wait for that second, where they had not waited for each other before.

The same class elsewhere: leaving, gone and evacuated endpoints and quotas of an older configuration come from the same view and wait for the same join; shares of quotas and suspects come with the gossip of the one that has joined. Ages state only what the registry itself had, and hold within an era.

--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -36,6 +36,7 @@
 		Domain:  n.Settings.Domain,
 		Leaving: n.draining.Load(),
 		Final:   n.refusing.Load(),
+		Joining: !n.hasJoined(),
 		Known:   n.members.knownIDs(now),
 		Usage: sr.Usage{
 			Spent:   n.limits.spent(),
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -123,16 +123,18 @@
 	return n.hasJoined() && n.keysCurrent() && !n.superseded()
 }
 
-// hasJoined reports whether the instance has learned from the others what the registry may
-// have lost before the instance started, or has waited long enough for them.
+// hasJoined reports whether the instance has learned from one that had joined what the registry
+// may have lost before the instance started, or has waited long enough to know that none runs.
+// Instances that start together know no more than the registry.
 func (n *Instance) hasJoined() bool {
 	if n.joined.Load() {
 		return true
 	}
 	now := time.Now()
 	extent, waited := n.view.Extent(), now.Sub(n.startedAt)
-	learned := extent.Position.Revision > 0 && n.members.haveNoLostEntries(now, extent)
-	if !learned && waited < joinTimeout {
+	heardJoined, lacking := n.members.lostEntries(now, extent)
+	learned := extent.Position.Revision > 0 && heardJoined && !lacking
+	if !learned && (heardJoined || waited < n.members.joinTimeout()) {
 		return false
 	}
 	if !n.joined.Swap(true) {
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -65,6 +65,8 @@
 	held *srmemory.Reservation
 	// extent is what the member's view includes.
 	extent sr.Extent
+	// joining is set while the member starts and may lack what the registry lost.
+	joining bool
 	// silent is set once the member has been reported as silent.
 	silent bool
 }
@@ -128,6 +130,7 @@
 	changed = e.silent || joined
 	e.id, e.domain, e.lastContact, e.silent = g.From, g.Domain, now, false
 	e.usage, e.held, e.extent = sr.Usage{Running: g.Usage.Running, Pending: g.Usage.Pending}, held, extentOf(g)
+	e.joining = g.Joining
 	for _, id := range g.Known {
 		m.addKnown(now, id)
 	}
@@ -394,19 +397,26 @@
 	return append(list, others...), newest
 }
 
-// haveNoLostEntries reports whether a member has been heard, or the seeds name none, and
-// whether no member may know what the registry lost and a view of an extent lacks.
-func (m *members) haveNoLostEntries(now time.Time, extent sr.Extent) bool {
+// lostEntries reports whether a member that has joined was heard, or the seeds name no other
+// instance, and whether a member may know what the registry lost and a view of an extent lacks.
+func (m *members) lostEntries(now time.Time, extent sr.Extent) (heardJoined, lacking bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	recent := m.recentMembers(now, m.silenceTimeoutLocked())
-	for _, e := range recent {
+	heardJoined = m.seedsOnlySelf()
+	for _, e := range m.recentMembers(now, m.silenceTimeoutLocked()) {
+		heardJoined = heardJoined || !e.joining
 		era := e.extent.Position.Era
-		if era > 0 && era != extent.Position.Era || extent.Prior.Before(e.extent.Prior) {
-			return false
-		}
+		lacking = lacking || era > 0 && era != extent.Position.Era || extent.Prior.Before(e.extent.Prior)
 	}
-	return len(recent) > 0 || m.seedsOnlySelf()
+	return heardJoined, lacking
+}
+
+// joinTimeout returns the time within which the members that have joined contact one that
+// starts.
+func (m *members) joinTimeout() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(minJoinTimeout, m.exchangeInterval()+gossipTimeout)
 }
 
 // extentOf returns what a member's view includes.
--- a/internal/app/srforward/restore_test.go
+++ b/internal/app/srforward/restore_test.go
@@ -281,38 +281,55 @@
 // An instance that starts after the registry was restored learns from the others what the
 // copy lacks, before it serves.
 func TestInstanceThatStartsAfterARestoreDoesNotServeTheCopy(t *testing.T) {
-	checkStartAfterRestore(t, func(*testRestore, context.Context) {})
+	checkStartAfterRestore(t, 1, func(*testRestore, context.Context) {})
+}
+
+// Instances that start together hear each other first, and know no more than the copy.
+func TestInstancesThatStartTogetherDoNotServeTheCopy(t *testing.T) {
+	checkStartAfterRestore(t, 6, func(*testRestore, context.Context) {})
 }
 
 // The same while the registry changes, by which the instance that starts is ahead of those
 // that know what the copy lacks.
 func TestInstanceThatStartsBesideChangesDoesNotServeTheCopy(t *testing.T) {
-	checkStartAfterRestore(t, func(f *testRestore, ctx context.Context) {
+	checkStartAfterRestore(t, 1, func(f *testRestore, ctx context.Context) {
 		for sequence := uint64(1); srtimer.Wait(ctx, 5*time.Millisecond) == nil; sequence++ {
 			f.put(registration("busy", sr.EndpointReady, 1, sequence))
 		}
 	})
 }
 
-// checkStartAfterRestore starts an instance after a restore, while change runs.
-func checkStartAfterRestore(t *testing.T, change func(*testRestore, context.Context)) {
+// checkStartAfterRestore starts instances, but not all of the fleet, after a restore, while
+// change runs.
+func checkStartAfterRestore(t *testing.T, count int, change func(*testRestore, context.Context)) {
 	forFleetsWithRestore(t, func(f *testRestore) {
 		if len(f.addresses()) == 1 {
 			return
 		}
+		starting := f.addresses()[:min(count, len(f.addresses())-1)]
 		old := f.begin()
 		f.setDown(true)
+		for _, address := range starting {
+			f.setCut(address, true)
+			f.stop[address]()
+		}
 		time.Sleep(2 * time.Second)
 		f.restore(old)
 		ctx, cancel := context.WithCancel(f.t.Context())
 		var wg sync.WaitGroup
 		wg.Go(func() { change(f, ctx) })
 		time.Sleep(300 * time.Millisecond)
-		address := f.addresses()[0]
-		n := f.replace(f.t.Context(), address)
+		var started []*Instance
+		for _, address := range starting {
+			f.setCut(address, false)
+			started = append(started, f.replace(f.t.Context(), address))
+		}
 		start := time.Now()
 		for time.Since(start) < 1600*time.Millisecond {
-			if n.Ready() {
+			for _, n := range started {
+				if !n.Ready() {
+					continue
+				}
 				st := n.view.State()
 				_, ok := st.Workspace("old")
 				assert.Check(f.t, !ok && st.Routing.Version == f.version, "a lost key after %v", time.Since(start))
@@ -324,10 +341,45 @@
 		}
 		cancel()
 		wg.Wait()
-		assert.Check(f.t, n.Ready())
+		for _, n := range started {
+			assert.Check(f.t, n.Ready())
+		}
 		f.writeAgain()
 		f.put(gone("goes"))
 		time.Sleep(time.Second)
 		f.checkFollows("started", f.addresses())
 	})
 }
+
+// An instance that starts relies on one that has joined, not on one that starts as well, and
+// serves nothing while one that knows more runs.
+func TestInstanceJoinsByOneThatHasJoined(t *testing.T) {
+	gossip := func(era uint64, prior sr.Position, joining bool) []sr.Gossip {
+		return []sr.Gossip{{From: id("b"), Era: era, AsOf: 9, Prior: prior, Joining: joining}}
+	}
+	lost := sr.Position{Era: 1, Revision: 20}
+	for name, c := range map[string]struct {
+		heard  []sr.Gossip
+		waited time.Duration
+		joined bool
+	}{
+		"none":                       {waited: minJoinTimeout - time.Millisecond},
+		"none in time":               {waited: minJoinTimeout, joined: true},
+		"joining":                    {heard: gossip(2, sr.Position{}, true), waited: minJoinTimeout - time.Millisecond},
+		"only joining in time":       {heard: gossip(2, sr.Position{}, true), waited: minJoinTimeout, joined: true},
+		"joined":                     {heard: gossip(2, sr.Position{}, false), joined: true},
+		"joined, knows more":         {heard: gossip(2, lost, false), waited: time.Minute},
+		"joined, of an earlier era":  {heard: gossip(1, sr.Position{}, false), waited: time.Minute},
+		"joined, of earlier version": {heard: gossip(0, sr.Position{}, false), joined: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newTestFleet(t, 3, restoreSettings).instance("10.0.0.0:1")
+			n.view.Apply(time.Now(), time.Now(), sr.Changes{Whole: true, Era: 2, AsOf: 9})
+			for _, g := range c.heard {
+				assert.NilError(t, n.receive(g))
+			}
+			n.startedAt = time.Now().Add(-c.waited)
+			assert.Equal(t, n.hasJoined(), c.joined)
+		})
+	}
+}
--- a/internal/app/srforward/timing.go
+++ b/internal/app/srforward/timing.go
@@ -60,12 +60,13 @@
 	// routingPartBytes is the size of a part of a configuration. A larger configuration
 	// is transferred apart from the other entries.
 	routingPartBytes = 16 << 10
-	// joinTimeout bounds the time for which an instance that starts waits for the others,
-	// which may know what the registry lost. They contact it within silentInterval.
-	joinTimeout = 1500 * time.Millisecond
+	// minJoinTimeout is the least time for which an instance that starts waits for the others,
+	// which may know what the registry lost. They contact it, or one that names them to it,
+	// within silentInterval.
+	minJoinTimeout = time.Second
 	// silentInterval is the least interval between two exchanges with a silent
 	// member.
-	silentInterval = time.Second
+	silentInterval = 500 * time.Millisecond
 	// A member is silent after maxMissedExchanges intervals without contact, and
 	// not before minSilenceTimeout.
 	maxMissedExchanges = 3
--- a/live.go
+++ b/live.go
@@ -183,6 +183,9 @@
 	// Final marks a leaving instance that spends no more. Instances of earlier versions do
 	// not state it.
 	Final bool
+	// Joining marks an instance that starts. It does not know yet what the registry may have
+	// lost before, so others must not rely on its view.
+	Joining bool
 	// Known are the instances from which the sender has received gossip.
 	Known []InstanceID
 	Usage Usage
