Keep an evacuation that the registry lost until it is taken back

Cause: a view gave an evacuation that a restored registry lacks a time of removal of four heartbeats, as if it were a registration that lapses.

Change: such an evacuation has no time of removal. An event of the new era ends it, or a listing without it once the registry had it again; a listing alone does not, since the registry may not have it again yet. An instance that missed the end ends it when one that has joined, included as much of the earlier era and is at the same revision has nothing left that the registry lost. Gossip states that (Settled); an instance that is still joining vouches for nothing. Otherwise one that was cut off meanwhile would keep the order and hand it to all that start.

Tests: TestRestoreKeepsWhatIsMissingInTheCopy stated the end after 6.1 s; it now checks an hour, and the end by the removal. TestRestoresBringNothingBackAndViewsAgree expected views to drop, without any word, an order that was taken back before they read the new era; the registry now states those removals once more at its end. In return it checks at each step that a view that has read an order keeps it while it stands.

--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -47,8 +47,11 @@
 	}
 	position, age := n.view.AsOf(n.Clock())
 	g.AsOf, g.Era, g.Age = position.Revision, position.Era, age
+	prior := n.view.Extent().Prior
 	if n.view.Carries() {
-		g.Prior = n.view.Extent().Prior
+		g.Prior = prior
+	} else {
+		g.Settled = prior
 	}
 	return g
 }
@@ -75,6 +78,9 @@
 		return nil
 	}
 	n.logSuspects(n.crashes.receive(now, g.Crashes), g.From.Address)
+	if !g.Joining {
+		n.reportUpdate(srview.Update{Facts: n.view.Settle(n.Clock(), extentOf(g).Position, g.Settled)}, g.From.Address)
+	}
 	if n.view.Extent().Lacks(extentOf(g)) {
 		n.transfers.request(now)
 	}
--- a/internal/app/srforward/restore_test.go
+++ b/internal/app/srforward/restore_test.go
@@ -245,6 +245,33 @@
 	})
 }
 
+// An instance that misses how a lost evacuation is written again and taken back, and then lists the
+// registry, learns from the others that it is over.
+func TestEndOfALostEvacuationIsLearned(t *testing.T) {
+	forFleetsWithRestore(t, func(f *testRestore) {
+		old := f.begin()
+		f.setDown(true)
+		time.Sleep(time.Second)
+		f.restore(old)
+		time.Sleep(time.Second)
+		missed := f.addresses()[len(f.addresses())-1]
+		f.setCut(missed, len(f.addresses()) > 1)
+		f.writeAgain()
+		f.put(sr.RegistryEntry{Kind: sr.EntryEvacuation, Name: "evacuated", Gone: true})
+		f.put(gone("goes"))
+		time.Sleep(6 * time.Second)
+		n := f.instance(missed)
+		c, _, err := f.query("", 0, true)
+		assert.NilError(t, err)
+		n.applyChanges(n.Clock(), c, sourceRegistry)
+		f.setCut(missed, false)
+		time.Sleep(6 * time.Second)
+		for _, address := range f.addresses() {
+			assert.Check(f.t, !f.instance(address).view.State().Evacuated["evacuated"], address)
+		}
+	})
+}
+
 // Instances of an earlier version, which do not know the era, must not keep the others from
 // following a restored registry, and go on exchanging entries with them before it.
 func TestInstancesOfAnEarlierVersionDoNotConfirmAnEarlierEra(t *testing.T) {
--- a/internal/state/srview/era.go
+++ b/internal/state/srview/era.go
@@ -70,8 +70,9 @@
 }
 
 // carry returns what is stored for an entry that the registry does not have in a new era. An
-// endpoint registers again soon, and the order to evacuate a failure domain is repeated,
-// unless they are over. An event of the registry replaces the entry, whatever its revision.
+// endpoint registers again soon, unless it has gone. The order to evacuate a failure domain is no
+// registration and does not expire. An event of the registry replaces the entry, whatever its
+// revision.
 func (v *View) carry(old storedEntry, asOf uint64, now time.Time) storedEntry {
 	if old.entry.Gone || !old.heldUntil.IsZero() {
 		// The removal is kept, since another copy may have the entry.
@@ -83,8 +84,6 @@
 	switch old.entry.Kind {
 	case sr.EntryEndpoint:
 		old.removeAt = now.Add(v.opts.RenewTimeout)
-	case sr.EntryEvacuation:
-		old.removeAt = now.Add(v.opts.LapseTimeout)
 	case sr.EntryRouting:
 		old.entry.Revision = asOf
 	}
@@ -153,6 +152,30 @@
 	return c.Whole && c.Era == v.position.Era && v.prior.Before(c.Prior)
 }
 
+// Settle ends the evacuations that the registry lost and has not received again. They are over by
+// the statement of another instance at the same position: its view included all that the registry
+// lost after the position settled of an earlier era, and has nothing of it left that the registry
+// does not have. It returns the removals.
+func (v *View) Settle(now time.Time, position, settled sr.Position) []sr.RegistryEntry {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.State().Evacuated) == 0 || position != v.position || !includes(settled, v.prior) {
+		return nil
+	}
+	var removals []sr.RegistryEntry
+	for key, stored := range v.entries {
+		if key.kind == sr.EntryEvacuation && stored.entry.Carried && stored.entry.Revision == 0 {
+			stored.entry.Gone, stored.entry.Carried, stored.receivedAt = true, false, now
+			v.entries[key] = stored
+			removals = append(removals, stored.entry)
+		}
+	}
+	if len(removals) > 0 {
+		v.publish()
+	}
+	return removals
+}
+
 // learnLost applies what the registry lost when it was restored, from a listing of another
 // instance that is otherwise older than the view, and returns what changed the view.
 func (v *View) learnLost(c sr.Changes, now time.Time) []sr.RegistryEntry {
--- a/internal/state/srview/era_test.go
+++ b/internal/state/srview/era_test.go
@@ -21,6 +21,10 @@
 	return sr.RegistryEntry{Kind: sr.EntryEvacuation, Name: domain, Revision: revision}
 }
 
+func evacuationOver(domain string, revision uint64) sr.RegistryEntry {
+	return sr.RegistryEntry{Kind: sr.EntryEvacuation, Name: domain, Revision: revision, Gone: true}
+}
+
 func list(v *srview.View, d time.Duration, era, asOf uint64, facts ...sr.RegistryEntry) srview.Update {
 	return apply(v, d, sr.Changes{Whole: true, Era: era, AsOf: asOf, Facts: facts})
 }
@@ -148,12 +152,47 @@
 	list(v, 2*time.Second, 2, 9, append(copied, ready("again", 9))...)
 	check(2900*time.Millisecond, true, true)
 	check(3100*time.Millisecond, false, true)
-	check(5900*time.Millisecond, false, true)
-	check(6100*time.Millisecond, false, false)
-	change(v, 7*time.Second, 2, 11, routing(6, 11, "newest"))
+	check(time.Hour, false, true)
+	change(v, time.Hour, 2, 10, evacuationOver("d", 10))
+	check(time.Hour, false, false)
+	change(v, time.Hour, 2, 11, routing(6, 11, "newest"))
 	assert.Equal(t, v.State().Routing.Version, uint64(6))
 }
 
+// An evacuation that the registry lost is an operator's order. Only what shows that it was taken
+// back ends it.
+func TestLostEvacuationDoesNotLapse(t *testing.T) {
+	lost := sr.Position{Era: 1, Revision: 20}
+	for name, c := range map[string]struct {
+		then func(v *srview.View)
+		over bool
+	}{
+		"nothing":                      {func(*srview.View) {}, false},
+		"taken back":                   {func(v *srview.View) { change(v, 0, 2, 9, evacuationOver("d", 9)) }, true},
+		"written again":                {func(v *srview.View) { change(v, 0, 2, 9, evacuated("d", 9)) }, false},
+		"written again and taken back": {func(v *srview.View) { change(v, 0, 2, 10, evacuated("d", 9), evacuationOver("d", 10)) }, true},
+		"written again and not listed": {func(v *srview.View) { change(v, 0, 2, 9, evacuated("d", 9)); list(v, 0, 2, 10) }, true},
+		"not listed":                   {func(v *srview.View) { list(v, 0, 2, 9) }, false},
+		"not listed in another era":    {func(v *srview.View) { list(v, 0, 3, 5) }, false},
+		"over at one that knew it":     {func(v *srview.View) { v.Settle(at(0), sr.Position{Era: 2, Revision: 8}, lost) }, true},
+		"over at one that is behind":   {func(v *srview.View) { v.Settle(at(0), sr.Position{Era: 2, Revision: 7}, lost) }, false},
+		"again at one that is ahead":   {func(v *srview.View) { v.Settle(at(0), sr.Position{Era: 2, Revision: 9}, lost) }, false},
+		"at one that did not know it": {func(v *srview.View) {
+			v.Settle(at(0), sr.Position{Era: 2, Revision: 8}, sr.Position{Era: 1, Revision: 19})
+		}, false},
+		"at one that started later": {func(v *srview.View) { v.Settle(at(0), sr.Position{Era: 2, Revision: 8}, sr.Position{}) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := newView()
+			list(v, 0, 1, 20, ready("e", 3), evacuated("d", 20))
+			list(v, 0, 2, 8, ready("e", 3))
+			c.then(v)
+			v.Sweep(at(time.Hour))
+			assert.Equal(t, v.State().Evacuated["d"], !c.over)
+		})
+	}
+}
+
 // An invalid configuration of a restored registry is not used, nor one of an earlier version
 // that is written again.
 func TestRestoreDoesNotReplaceTheConfigurationByAnEarlierOne(t *testing.T) {
--- a/internal/state/srview/restore_test.go
+++ b/internal/state/srview/restore_test.go
@@ -36,6 +36,8 @@
 	endpoints map[string]sr.LiveEndpoint
 	version   uint64
 	evacuated map[string]bool
+	// orders counts the orders to evacuate each domain, and those that take them back.
+	orders map[string]int
 }
 
 type registryCopy struct {
@@ -44,7 +46,7 @@
 }
 
 func newRestoredRegistry() *restoredRegistry {
-	r := &restoredRegistry{era: 1, entries: make(map[string]sr.RegistryEntry), endpoints: make(map[string]sr.LiveEndpoint), evacuated: make(map[string]bool)}
+	r := &restoredRegistry{era: 1, entries: make(map[string]sr.RegistryEntry), endpoints: make(map[string]sr.LiveEndpoint), evacuated: make(map[string]bool), orders: make(map[string]int)}
 	r.configure()
 	return r
 }
@@ -84,6 +86,7 @@
 
 func (r *restoredRegistry) evacuate(domain string) {
 	r.evacuated[domain] = !r.evacuated[domain]
+	r.orders[domain]++
 	r.put(sr.RegistryEntry{Kind: sr.EntryEvacuation, Name: domain, Gone: !r.evacuated[domain]})
 }
 
@@ -148,6 +151,8 @@
 	// known is the latest start of each endpoint that the view has had, left that of each
 	// one that it then knew to have left or gone.
 	known, left map[string]int64
+	// ordered is the last order to evacuate each domain that the view has had.
+	ordered map[string]int
 }
 
 // check checks that the view does not bring back what it had taken back.
@@ -158,6 +163,16 @@
 	}
 	assert.Assert(t, st.Routing.Version >= v.version, "version %d after %d", st.Routing.Version, v.version)
 	v.version = st.Routing.Version
+	for domain, order := range r.orders {
+		switch {
+		case r.evacuated[domain] && st.Evacuated[domain]:
+			if v.Position() == (sr.Position{Era: r.era, Revision: r.revision}) && !v.Carries() {
+				v.ordered[domain] = order
+			}
+		case r.evacuated[domain]:
+			assert.Assert(t, v.ordered[domain] != order, "the order to evacuate %s is dropped", domain)
+		}
+	}
 	for id, truth := range r.endpoints {
 		e, ok := st.Endpoints[id]
 		used := ok && e.State == sr.EndpointReady && !e.Held && (e.RemoveAt.IsZero() || at(r.now).Before(e.RemoveAt))
@@ -192,7 +207,7 @@
 		r := newRestoredRegistry()
 		var views []*restoredView
 		for range 3 {
-			views = append(views, &restoredView{View: newView(), known: make(map[string]int64), left: make(map[string]int64)})
+			views = append(views, &restoredView{View: newView(), known: make(map[string]int64), left: make(map[string]int64), ordered: make(map[string]int)})
 		}
 		ids := rapid.SampledFrom([]string{"e", "f", "g"})
 		view := rapid.SampledFrom(views)
@@ -218,6 +233,11 @@
 				}
 			},
 			"read": func(t *rapid.T) { r.read(view.Draw(t, "view").View) },
+			"settle": func(t *rapid.T) {
+				if from := view.Draw(t, "from"); !from.Carries() {
+					view.Draw(t, "to").Settle(at(r.now), from.Position(), from.Extent().Prior)
+				}
+			},
 			"pull": func(t *rapid.T) {
 				from, to := view.Draw(t, "from"), view.Draw(t, "to")
 				extent, other := to.Extent(), from.Extent()
@@ -240,7 +260,13 @@
 				v.check(t, r)
 			}
 		}
+		// An order that was taken back before the views had read the new era ends when it is taken
+		// back again.
+		for _, domain := range []string{"a", "b"} {
+			r.put(sr.RegistryEntry{Kind: sr.EntryEvacuation, Name: domain, Gone: !r.evacuated[domain]})
+		}
 		for _, v := range views {
+			r.read(v.View)
 			st := v.State()
 			assert.Equal(t, st.Routing.Version, r.version)
 			for _, domain := range []string{"a", "b"} {
--- a/internal/state/srview/view.go
+++ b/internal/state/srview/view.go
@@ -150,7 +150,7 @@
 	entry sr.RegistryEntry
 	// receivedAt is when the entry was received.
 	receivedAt time.Time
-	// removeAt is when the entry is removed because the registry does not have it, unless
+	// removeAt is when an endpoint is removed because the registry does not have it, unless
 	// it is renewed before.
 	removeAt time.Time
 	// heldUntil is when the registration of a held endpoint has expired if the endpoint has
@@ -496,7 +496,7 @@
 	var removals []sr.RegistryEntry
 	for key, stored := range v.entries {
 		if listed[key] || stored.entry.Gone || stored.entry.Kind == sr.EntryRouting || stored.entry.Revision > c.AsOf ||
-			!informed && stored.entry.Carried && !stored.removeAt.IsZero() {
+			!informed && stored.entry.Carried && (stored.entry.Revision == 0 || !stored.removeAt.IsZero()) {
 			continue
 		}
 		gone := sr.RegistryEntry{Kind: key.kind, Name: key.name, Revision: c.AsOf, Gone: true}
--- a/live.go
+++ b/live.go
@@ -198,6 +198,9 @@
 	// Prior has the meaning of Extent.Prior. It is zero unless the sender's view has
 	// entries that the registry lost and has not received again.
 	Prior Position
+	// Settled has the meaning of Extent.Prior too. It is stated in place of Prior once the
+	// registry has received again all that it lost, or its removal.
+	Settled Position
 	// Crashes is what the sender reports about crashes of endpoints.
 	Crashes CrashReport
 }
