Count a crash of an endpoint after a silence

A broken connection was not examined if the endpoint had been reported as silent since the last event, and not if another endpoint took the request over meanwhile. The first condition came with the takeover. What this instance gives up itself was excluded apart from it, and an endpoint counts as crashed only if it refuses connections, so that it guards nothing. Ruled out: counting a crash only once the endpoint has registered again. That is some seconds later, about as long as the rule allows. Change: the condition is gone. The connection tells when the endpoint ends it while others are asked (Silence.Ended), and the endpoint is examined then. A request that is given up before it crashes its endpoint isn't counted there.

--- a/internal/app/srforward/crash.go
+++ b/internal/app/srforward/crash.go
@@ -160,24 +160,31 @@
 // observeAttempt notes a sound answer, or a connection that broke before the answer had
 // gone on, since the request may have crashed its endpoint.
 func (q *request) observeAttempt(t attempt) {
-	now := time.Now()
 	if t.sound {
-		q.logSuspects(q.crashes.addSound(now, q.suspectable()), "")
+		q.logSuspects(q.crashes.addSound(time.Now(), q.suspectable()), "")
 		return
 	}
-	if !t.broken || t.takeover.isSilent() || q.ctx.Err() != nil {
+	if !t.broken || t.takeover.ended || q.ctx.Err() != nil {
 		return
 	}
-	checked, first := q.crashes.add(t.peer, brokenRequest{parts: q.sharedParts(), identity: q.identity, ran: now.Sub(t.sent)})
-	if first {
-		go q.examineCrash(t.peer, now)
-	}
+	checked := q.observeBreak(t.peer, t.sent)
 	q.breaks++
 	if q.breaks > 1 || q.crashes.isInvolved(q.identity) {
 		q.checked = checked
 	}
 }
 
+// observeBreak lets an endpoint be checked whose connection broke. The request was sent to it at
+// a time. The channel is closed when the endpoint has been checked.
+func (q *request) observeBreak(peer srupstream.Peer, sent time.Time) (checked <-chan struct{}) {
+	now := time.Now()
+	checked, first := q.crashes.add(peer, brokenRequest{parts: q.sharedParts(), identity: q.identity, ran: now.Sub(sent)})
+	if first {
+		go q.examineCrash(peer, now)
+	}
+	return checked
+}
+
 // awaitCheck lets a request that may have crashed several endpoints wait, before its next
 // attempt, until the last one has been checked: it may be suspected then.
 func (q *request) awaitCheck() {
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -266,6 +266,10 @@
 		result:   srdispatch.Result{Prompt: q.inbound.Prompt},
 	}
 	t.silence = t.takeover.silence()
+	t.silence.Ended = func() {
+		t.takeover.ended = true
+		q.observeBreak(t.peer, t.sent)
+	}
 	r := q.upstreamRequest(id)
 	r.Silence, r.Held = t.silence, q.heldAnswer
 	runs := q.possibleRuns
--- a/internal/app/srforward/takeover.go
+++ b/internal/app/srforward/takeover.go
@@ -52,6 +52,8 @@
 	reported int
 	// givenUp is set once the attempt has ended for another one.
 	givenUp bool
+	// ended is set once the endpoint has ended the connection while others were asked.
+	ended bool
 }
 
 // watchForSilence returns what handles the silence of an endpoint during an attempt with ctx.
@@ -70,9 +72,6 @@
 // gaveUp reports whether the attempt has ended for another one.
 func (o *takeover) gaveUp() bool { return o != nil && o.givenUp }
 
-// isSilent reports whether the endpoint has been silent since the last event.
-func (o *takeover) isSilent() bool { return o.reported == o.q.eventsSent }
-
 // mayMove reports whether the request may run at one more endpoint.
 func (o *takeover) mayMove() bool {
 	q := o.q
--- a/internal/peer/srupstream/silence.go
+++ b/internal/peer/srupstream/silence.go
@@ -28,6 +28,9 @@
 	// Handle is called by the reading goroutine, again after each further After of the
 	// same silence. ctx ends once the peer has gone on. An error ends the read.
 	Handle func(ctx context.Context, silent time.Duration) error
+	// Ended is called by another goroutine when the peer ends its connection while Handle runs,
+	// at most once. nil is allowed.
+	Ended func()
 
 	// quiet is the time spent reading since the silence began, unhandled since the last call
 	// of Handle.
@@ -155,6 +158,9 @@
 		_ = raw.Read(func(fd uintptr) bool {
 			data, err := srconn.Peek(fd, peekSize)
 			c.keepReset(err)
+			if err != nil && c.silence.Ended != nil {
+				c.silence.Ended()
+			}
 			goesOn := c.goesOn(data, err)
 			if goesOn {
 				cancel()
