Shorten the wait of instances that start together

Change: instances that run try a silent member as often as any other instead of every 0.5 s, so one that starts is contacted within an exchange interval and joins after 0.6 s at most, whatever the fleet. Requests that arrive meanwhile wait for it instead of being refused, whose clients came back later than that.

--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -134,7 +134,7 @@
 	extent, waited := n.view.Extent(), now.Sub(n.startedAt)
 	heardJoined, lacking := n.members.lostEntries(now, extent)
 	learned := extent.Position.Revision > 0 && heardJoined && !lacking
-	if !learned && (heardJoined || waited < n.members.joinTimeout()) {
+	if !learned && (heardJoined || waited < joinTimeout) {
 		return false
 	}
 	if !n.joined.Swap(true) {
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -244,10 +244,7 @@
 	var out []string
 	for address, e := range m.byAddress {
 		interval := m.exchangeInterval()
-		if now.Sub(e.lastContact) > m.silenceTimeoutLocked() {
-			interval = max(interval, silentInterval)
-		}
-		if now.Sub(e.lastAttempt) >= interval && (confirm || now.Sub(e.lastContact) >= m.exchangeInterval()) {
+		if now.Sub(e.lastAttempt) >= interval && (confirm || now.Sub(e.lastContact) >= interval) {
 			e.lastAttempt = now
 			out = append(out, address)
 		}
@@ -411,14 +408,6 @@
 	return heardJoined, lacking
 }
 
-// joinTimeout returns the time within which the members that have joined contact one that
-// starts.
-func (m *members) joinTimeout() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return max(minJoinTimeout, m.exchangeInterval()+gossipTimeout)
-}
-
 // extentOf returns what a member's view includes.
 func (m *members) extentOf(address string) sr.Extent {
 	m.mu.Lock()
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -181,6 +181,7 @@
 
 // admit reads and checks the request before it is queued.
 func (q *request) admit() *refusal {
+	q.awaitJoin()
 	st := q.view.State()
 	in, err := q.Codec.Inbound(q.r.Header)
 	q.inbound = in
@@ -220,6 +221,16 @@
 	return q.spendQuota()
 }
 
+// awaitJoin waits until the instance that starts has joined, joinTimeout from its start at most.
+// A client that is refused meanwhile comes back later than that.
+func (q *request) awaitJoin() {
+	for !q.hasJoined() && time.Since(q.startedAt) < joinTimeout {
+		if srtimer.Wait(q.ctx, joinTick) != nil {
+			return
+		}
+	}
+}
+
 // refuseDraining returns the refusal of a request that arrives when the process is about to
 // end.
 func refuseDraining() *refusal {
--- a/internal/app/srforward/timing.go
+++ b/internal/app/srforward/timing.go
@@ -60,13 +60,13 @@
 	// routingPartBytes is the size of a part of a configuration. A larger configuration
 	// is transferred apart from the other entries.
 	routingPartBytes = 16 << 10
-	// minJoinTimeout is the least time for which an instance that starts waits for the others,
-	// which may know what the registry lost. They contact it, or one that names them to it,
-	// within silentInterval.
-	minJoinTimeout = time.Second
-	// silentInterval is the least interval between two exchanges with a silent
-	// member.
-	silentInterval = 500 * time.Millisecond
+	// joinTimeout bounds the time for which an instance that starts waits for the others, which
+	// may know what the registry lost. It is three exchanges: with one that has joined, with
+	// another one that names it, and a margin. In a large fleet the interval is longer, and each
+	// instance is named by more of them.
+	joinTimeout = 3 * gossipInterval
+	// joinTick is the interval at which a request checks whether the instance has joined.
+	joinTick = 10 * time.Millisecond
 	// A member is silent after maxMissedExchanges intervals without contact, and
 	// not before minSilenceTimeout.
 	maxMissedExchanges = 3
