Return the memory of an attempt that does not take over

Cause: when a silent endpoint went on in the moment in which another one had an event, that event kept its memory until the request ended (found by a review, by reading). A comment said of all requests that both endpoints do not work on them at once, which holds for streams. Change: the end of the attempt returns the memory.

--- a/internal/app/srforward/takeover.go
+++ b/internal/app/srforward/takeover.go
@@ -38,8 +38,8 @@
 // takeover handles an endpoint that falls silent during an attempt. Where the request may
 // be attempted elsewhere, another endpoint is asked to go on with it. The silent one is given
 // up once that one answers, a stream with a further event. Until then it keeps the request,
-// and goes on if it can: a request begins to run with its first event, so both do not work on
-// it for longer than that takes.
+// and goes on if it can. A stream begins to run with its first event, so both do not work on it
+// for longer than that takes. Other requests that may be repeated may run at both.
 type takeover struct {
 	q        *request
 	endpoint string
@@ -243,6 +243,9 @@
 	if a != nil {
 		_ = a.Body.Close()
 	}
+	if t.events != nil {
+		t.events.release()
+	}
 	if t.outcome == outcomeUnsent && t.takeover != nil {
 		// The silent endpoint still has the request, so this does not count.
 		q.attempts--
