--- a/internal/peer/srinstance/fleet.go
+++ b/internal/peer/srinstance/fleet.go
@@ -15,6 +15,8 @@
 	entriesMethod     = "Entries"
 	sinceMethod       = "EntriesSince"
 	routingPartMethod = "RoutingPart"
+	reportMethod      = "ReportSlots"
+	deliverMethod     = "DeliverSlots"
 )
 
 const (
@@ -33,10 +35,12 @@
 
 // Fleet holds the clients of the other forwarding instances. Registry entries are
 // transferred over connections of their own: a gossip exchange that times out closes its
-// connection, and must not wait behind a long transfer. It is safe for concurrent use.
+// connection, and must not wait behind a long transfer. So are the messages about slots, for
+// which requests wait. It is safe for concurrent use.
 type Fleet struct {
 	exchanges *Peers
 	transfers *Peers
+	slots     *Peers
 }
 
 // NewFleet returns a Fleet that opens connections with dial, each within
@@ -44,7 +48,7 @@
 func NewFleet(dial DialFunc, connectTimeout time.Duration, l Limits) *Fleet {
 	transfers := newPeers(dial, connectTimeout, l)
 	l.Reply = l.Call
-	return &Fleet{exchanges: newPeers(dial, connectTimeout, l), transfers: transfers}
+	return &Fleet{exchanges: newPeers(dial, connectTimeout, l), transfers: transfers, slots: newPeers(dial, connectTimeout, l)}
 }
 
 // FleetPeer returns a client of the forwarding instance at address.
@@ -53,16 +57,18 @@
 }
 
 // CloseIdleExcept closes the idle connections to all addresses that are not in
-// addresses, and those of transfers to any address.
+// addresses, and those of transfers and slots to any address.
 func (f *Fleet) CloseIdleExcept(addresses []string) {
 	f.exchanges.CloseIdleExcept(addresses)
 	f.transfers.CloseIdleExcept(nil)
+	f.slots.CloseIdleExcept(nil)
 }
 
 // Close closes every connection. Later calls fail.
 func (f *Fleet) Close() {
 	f.exchanges.Close()
 	f.transfers.Close()
+	f.slots.Close()
 }
 
 // fleetPeer is the client of one forwarding instance.
@@ -91,6 +97,15 @@
 	return call[sr.RoutingRequest, sr.RoutingPart](ctx, p.fleet.transfers.client(p.address), routingPartMethod, r)
 }
 
+func (p fleetPeer) ReportSlots(ctx context.Context, r sr.SlotReport) (sr.SlotReply, error) {
+	return call[sr.SlotReport, sr.SlotReply](ctx, p.fleet.slots.client(p.address), reportMethod, r)
+}
+
+func (p fleetPeer) DeliverSlots(ctx context.Context, g sr.SlotGrants) error {
+	_, err := call[sr.SlotGrants, None](ctx, p.fleet.slots.client(p.address), deliverMethod, g)
+	return err
+}
+
 // fleetMethods adapts an sr.FleetHandler to the method signature of net/rpc.
 type fleetMethods struct {
 	ctx     context.Context
@@ -138,3 +153,15 @@
 func (m *fleetMethods) RoutingPart(args Args[sr.RoutingRequest], reply *Reply[sr.RoutingPart]) error {
 	return serveCall(m.ctx, args, reply, m.handler.RoutingPart)
 }
+
+// ReportSlots handles the report of an instance to the coordinator of a group.
+func (m *fleetMethods) ReportSlots(args Args[sr.SlotReport], reply *Reply[sr.SlotReply]) error {
+	return serveCall(m.ctx, args, reply, m.handler.ReportSlots)
+}
+
+// DeliverSlots receives decisions of the coordinator of a group.
+func (m *fleetMethods) DeliverSlots(args Args[sr.SlotGrants], reply *Reply[None]) error {
+	return serveCall(m.ctx, args, reply, func(ctx context.Context, g sr.SlotGrants) (None, error) {
+		return None{}, m.handler.DeliverSlots(ctx, g)
+	})
+}
--- a/internal/peer/srinstance/limits_test.go
+++ b/internal/peer/srinstance/limits_test.go
@@ -54,6 +54,12 @@
 	return sr.RoutingPart{Revision: r.Revision, Data: []byte("part")}, nil
 }
 
+func (h *fleetHandler) ReportSlots(context.Context, sr.SlotReport) (sr.SlotReply, error) {
+	return sr.SlotReply{}, nil
+}
+
+func (h *fleetHandler) DeliverSlots(context.Context, sr.SlotGrants) error { return nil }
+
 // reports collects the reported limits.
 type reports struct {
 	mu   sync.Mutex
--- a/internal/state/srforwardsettings/keys.go
+++ b/internal/state/srforwardsettings/keys.go
@@ -9,6 +9,7 @@
 const (
 	maxSeeds  = 16
 	maxMemory = 1 << 20 // MB
+	maxCores  = 1 << 10
 	maxCount  = 1 << 20
 	maxBound  = 10 * time.Minute
 )
@@ -25,6 +26,7 @@
 		{Section: "instance", Name: "seeds", Value: srini.Addresses(&s.Seeds, maxSeeds), Description: "peer addresses of some other instances"},
 
 		{Section: "machine", Name: "memory", Value: srini.Int(&s.Memory, "MB", 16, maxMemory), Default: "256", Description: "memory limit of the process"},
+		{Section: "machine", Name: "power", Value: srini.Float(&s.Power, "cores", 0, maxCores), Default: "0", Description: "share of a processor core that the process may use, 0 when unknown"},
 
 		{Section: "registry", Name: "address", Value: srini.Address(&s.Registry), Required: true, Description: "address of the platform's registry"},
 		{Section: "registry", Name: "heartbeat", Value: srini.Duration(&s.Heartbeat, 0, maxBound), Default: "1200ms", Description: "time between two renewals of an endpoint's registration"},
--- a/internal/state/srforwardsettings/settings.go
+++ b/internal/state/srforwardsettings/settings.go
@@ -36,6 +36,8 @@
 
 	// Memory is the memory limit of the process in MB.
 	Memory int
+	// Power is the share of a processor core that the process may use.
+	Power float64
 
 	// Registry is the address of the platform's registry, Heartbeat the time between two
 	// renewals of an endpoint's registration there.
--- a/live.go
+++ b/live.go
@@ -203,6 +203,8 @@
 	Settled Position
 	// Crashes is what the sender reports about crashes of endpoints.
 	Crashes CrashReport
+	// Power is the share of a processor core that the sender may use, 0 when unstated.
+	Power float64
 }
 
 // FleetHandler serves the calls of the other forwarding instances.
@@ -222,4 +224,9 @@
 	// ErrOverloaded while the instance transfers it to several others, and ErrMissing
 	// when the requested configuration is newer than its own.
 	RoutingPart(ctx context.Context, r RoutingRequest) (RoutingPart, error)
+	// ReportSlots handles the report of an instance to the coordinator of a group of
+	// endpoints. It returns ErrNotOwner when this instance does not coordinate the group.
+	ReportSlots(ctx context.Context, r SlotReport) (SlotReply, error)
+	// DeliverSlots receives decisions of the coordinator of a group.
+	DeliverSlots(ctx context.Context, g SlotGrants) error
 }
--- a/route.go
+++ b/route.go
@@ -32,6 +32,9 @@
 	// Target is the latency objective: for the whole answer, or for the first
 	// event of a RouteStream.
 	Target time.Duration
+	// MaxPause is the longest pause between two events with which a RouteStream is in time, 0
+	// when unstated.
+	MaxPause time.Duration
 	// Rank is the priority under overload; 0 is the most important.
 	Rank int
 	// Attempts is the maximum number of endpoints on which one request may run.
@@ -47,6 +50,24 @@
 	return r.Kind == RouteRepeatable || r.Kind == RouteStream && r.Resumable
 }
 
+const (
+	// minPatience, patienceTargets and patiencePauses are after how long a gap in a stream its
+	// client leaves, also before the first event: the longest of minPatience, of
+	// patienceTargets objectives and of patiencePauses pauses, as the platform states.
+	minPatience     = 2 * time.Second
+	patienceTargets = 4
+	patiencePauses  = 8
+)
+
+// Patience returns how long a client of the route waits for the start of an answer, which is up
+// to its deadline unless the answer is a stream.
+func (r Route) Patience() time.Duration {
+	if r.Kind != RouteStream {
+		return r.Timeout
+	}
+	return max(minPatience, patienceTargets*r.Target, patiencePauses*r.MaxPause)
+}
+
 // WeightedService is a service with the weight of its share of a route's requests.
 type WeightedService struct {
 	Service string
