Order the requests of a fleet by groups of endpoints

Change: srgroup divides the endpoints of a service into groups, finds the coordinator of a group, and holds the state of both sides. The coordinator runs the same srdispatch.Service as an instance that decides alone.

--- a/internal/policy/srdispatch/place.go
+++ b/internal/policy/srdispatch/place.go
@@ -1,6 +1,7 @@
 package srdispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -42,7 +43,7 @@
 		if skip && len(w.Only) == 0 && !e.healthy(now) {
 			continue
 		}
-		cost := s.cost(e, median)
+		cost := s.cost(e, w, median)
 		if slices.Contains(preferred[:], id) {
 			cost -= cacheGain
 		}
@@ -77,14 +78,14 @@
 
 // cost returns the load of an endpoint with one more request, as a fraction of its slots,
 // multiplied by its slowdown. Endpoints without a share and endpoints in other failure
-// domains cost extra.
-func (s *Service) cost(e *endpoint, median float64) float64 {
+// domains than the ask cost extra.
+func (s *Service) cost(e *endpoint, w *queuedAsk, median float64) float64 {
 	cost := float64(e.ownInFlight+e.peerInFlight+1) / float64(e.Slots)
 	cost *= e.slowdown(median)
 	if e.Share == 0 {
 		cost += unsharedCost
 	}
-	if e.Domain != s.opts.Domain {
+	if e.Domain != cmp.Or(w.Domain, s.opts.Domain) {
 		cost += domainCost
 	}
 	return cost
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -65,6 +65,16 @@
 	Returned bool
 	// Resumed marks a stream that has started and is continued.
 	Resumed bool
+	// WorkspaceName is the name of the workspace, "" for none, Weight its weight when slots
+	// are divided between the workspaces of a rank.
+	WorkspaceName string
+	Weight        float64
+	// Patience is how long the caller waits for the start of an answer that is late, 0 when
+	// unknown.
+	Patience time.Duration
+	// Domain is the failure domain of the instance that has the request, "" for the one of
+	// the service.
+	Domain string
 	// LastPart is the ID of the last part of the prompt, "" when it has no parts.
 	LastPart string
 	// Prompt is the size of the prompt in tokens, 0 when unknown.
@@ -120,7 +130,9 @@
 	Ask      uint64
 	Kind     DecisionKind
 	Endpoint string
-	Reason   string
+	// Granted marks a slot that the coordinator of a group has granted.
+	Granted bool
+	Reason  string
 	// After is the time after which a refused caller may return.
 	After time.Duration
 	// Waited is how long the ask has waited.
@@ -143,6 +155,8 @@
 	Seed uint64
 	// Domain is the failure domain of this instance.
 	Domain string
+	// Fair divides slots between the workspaces of a rank by their weights.
+	Fair bool
 }
 
 // Service schedules the requests of one service. It is not safe for concurrent use.
@@ -341,6 +355,38 @@
 	}
 }
 
+// Adopt records a request in flight that this Service has not placed, so that its end is
+// reported by Release. It returns false if the endpoint is not known.
+func (s *Service) Adopt(now time.Time, id string, prompt int) bool {
+	if _, ok := s.endpoints[id]; !ok {
+		return false
+	}
+	s.assign(now, id, Ask{Prompt: prompt})
+	return true
+}
+
+// Free returns the number of slots that a request could get now.
+func (s *Service) Free(now time.Time) int {
+	n := 0
+	for _, id := range s.endpointIDs {
+		if e := s.endpoints[id]; e.available(now) && e.healthy(now) {
+			n += e.freeSlots()
+		}
+	}
+	return n
+}
+
+// Unhealthy returns the usable endpoints that are ejected or paused.
+func (s *Service) Unhealthy(now time.Time) []string {
+	var out []string
+	for _, id := range s.endpointIDs {
+		if e := s.endpoints[id]; !e.healthy(now) || e.paused(now) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Waiting returns the number of waiting asks.
 func (s *Service) Waiting() int { return len(s.queue) }
 
--- a/internal/policy/srdispatch/share.go
+++ b/internal/policy/srdispatch/share.go
@@ -3,9 +3,9 @@
 import "github.com/cespare/xxhash/v2"
 
 const (
-	// maxInstancesPerSlot is the number of instances per slot of an endpoint up to which
+	// MaxInstancesPerSlot is the number of instances per slot of an endpoint up to which
 	// all instances share it. With more, equal shares would be far below one slot.
-	maxInstancesPerSlot = 2
+	MaxInstancesPerSlot = 2
 	// minSharedSlots is the target number of slots for each instance that shares an
 	// endpoint.
 	minSharedSlots = 2
@@ -51,7 +51,7 @@
 // otherwise as many as can get minSharedSlots each, or more if the instances would share
 // fewer than minEndpoints endpoints on average.
 func sharerCount(slots, endpoints, fleet int) int {
-	if fleet <= maxInstancesPerSlot*slots {
+	if fleet <= MaxInstancesPerSlot*slots {
 		return fleet
 	}
 	sharers := (minEndpoints*fleet + endpoints - 1) / endpoints
--- /dev/null
+++ b/internal/policy/srgroup/group.go
@@ -0,0 +1,309 @@
+package srgroup
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+)
+
+const (
+	// holderTimeout is the time without a report after which the asks and slots of a holder
+	// are dropped. Holders report every holdInterval.
+	holderTimeout = 3 * holdInterval
+	// deliveryTimeout is the time after which a slot that the holder does not list as held is
+	// free again. A decision and the next report take less.
+	deliveryTimeout = time.Second
+	// maxHolders bounds the holders that are remembered, twice the instances of a large fleet.
+	maxHolders = 2048
+	// maxWaiting bounds the waiting asks of a group, a few seconds of its requests.
+	maxWaiting = 4096
+)
+
+// Options configure a Group.
+type Options struct {
+	// Name is the name of the group.
+	Name string
+	// Domain is the failure domain of the coordinator.
+	Domain string
+	Seed   uint64
+}
+
+// Group is the state of the coordinator of a group. It is not safe for concurrent use.
+type Group struct {
+	name       string
+	dispatcher *srdispatch.Service
+	holders    map[sr.InstanceID]*holder
+	// asks are the waiting asks by the ID that the dispatcher knows them by.
+	asks   map[uint64]origin
+	lastID uint64
+}
+
+// origin is where an ask came from.
+type origin struct {
+	holder *holder
+	ask    uint64
+	prompt int
+}
+
+// holder is an instance with asks or slots.
+type holder struct {
+	id         sr.InstanceID
+	sequence   uint64
+	lastReport time.Time
+	// waiting maps the holder's IDs of its asks to those of the dispatcher.
+	waiting map[uint64]uint64
+	grants  map[uint64]grant
+	// own is the number of requests in flight without a slot of this coordinator.
+	own map[string]int
+}
+
+// grant is a slot of a holder.
+type grant struct {
+	endpoint  string
+	prompt    int
+	grantedAt time.Time
+}
+
+// Delivery are decisions for one holder.
+type Delivery struct {
+	To        sr.InstanceID
+	Decisions []sr.SlotDecision
+}
+
+// New returns a Group without endpoints.
+func New(o Options) *Group {
+	return &Group{
+		name:       o.Name,
+		dispatcher: srdispatch.New(srdispatch.Options{Seed: o.Seed, Domain: o.Domain, Fair: true}),
+		holders:    make(map[sr.InstanceID]*holder),
+		asks:       make(map[uint64]origin),
+	}
+}
+
+// Seed sets what the members reported in flight before this instance became the coordinator.
+// The first report of a holder replaces it.
+func (g *Group) Seed(now time.Time, running map[sr.InstanceID]map[string]int) {
+	for id, counts := range running {
+		if _, known := g.holders[id]; !known && len(g.holders) < maxHolders {
+			h := newHolder(now, id)
+			h.own = counts
+			g.holders[id] = h
+		}
+	}
+	g.updateOwn(now)
+}
+
+func newHolder(now time.Time, id sr.InstanceID) *holder {
+	return &holder{id: id, lastReport: now, waiting: make(map[uint64]uint64), grants: make(map[uint64]grant)}
+}
+
+// Configure sets the usable endpoints of the group.
+func (g *Group) Configure(now time.Time, list []srdispatch.Endpoint) []Delivery {
+	for i := range list {
+		// All slots that holders do not use without a grant belong to the group.
+		list[i].Share = 1
+	}
+	return g.deliver(now, g.dispatcher.Configure(now, list))
+}
+
+// Report handles the report of a holder. It returns the decisions on the asks of that holder,
+// and those on the asks of others. It returns ErrExpired for a report that is older than the
+// last one, and ErrOverloaded when there is no room for the holder.
+func (g *Group) Report(now time.Time, r sr.SlotReport) (sr.SlotReply, []Delivery, error) {
+	h, known := g.holders[r.From]
+	switch {
+	case known && r.Sequence <= h.sequence:
+		return sr.SlotReply{}, nil, errors.Wrap(sr.ErrExpired, "srgroup: report")
+	case !known && len(g.holders) >= maxHolders:
+		return sr.SlotReply{}, nil, errors.Wrapf(sr.ErrOverloaded, "srgroup: more than %d holders", maxHolders)
+	case !known:
+		h = newHolder(now, r.From)
+		g.holders[r.From] = h
+	}
+	h.sequence, h.lastReport = r.Sequence, now
+	for _, s := range r.Started {
+		g.dispatcher.AnswerStarted(now, s.Endpoint, s.Prompt, s.First)
+	}
+	var decisions []srdispatch.Decision
+	for _, released := range r.Released {
+		decisions = append(decisions, g.release(now, h, released.Ask, resultOf(released.Result))...)
+	}
+	g.reconcile(now, h, r, &decisions)
+	h.own = r.Own
+	decisions = append(decisions, g.updateOwn(now)...)
+	refused := g.add(now, h, r.Asks, &decisions)
+	reply := sr.SlotReply{Decisions: append(refused, h.missed(r.Waiting)...)}
+	var others []Delivery
+	for _, d := range g.deliver(now, decisions) {
+		if d.To == r.From {
+			reply.Decisions = append(reply.Decisions, d.Decisions...)
+			continue
+		}
+		others = append(others, d)
+	}
+	reply.Free, reply.Waiting = g.dispatcher.Free(now), g.dispatcher.Waiting()
+	return reply, others, nil
+}
+
+// missed returns the decisions on asks that the holder believes to wait. One that is not known
+// any more is lost, and the holder decides on it alone.
+func (h *holder) missed(waiting []uint64) []sr.SlotDecision {
+	var out []sr.SlotDecision
+	for _, ask := range waiting {
+		if _, waits := h.waiting[ask]; waits {
+			continue
+		}
+		if held, ok := h.grants[ask]; ok {
+			out = append(out, sr.SlotDecision{Ask: ask, Granted: true, Endpoint: held.endpoint})
+			continue
+		}
+		out = append(out, sr.SlotDecision{Ask: ask, Reason: ReasonLost})
+	}
+	return out
+}
+
+// ReasonLost: the coordinator does not know an ask any more, because it has restarted, has not
+// heard the holder for holderTimeout, or its decision did not arrive.
+const ReasonLost = "lost"
+
+// add queues the asks of a holder. It returns the refusals of those for which there is no room.
+func (g *Group) add(now time.Time, h *holder, asks []sr.SlotAsk, decisions *[]srdispatch.Decision) []sr.SlotDecision {
+	var refused []sr.SlotDecision
+	for _, a := range asks {
+		_, waits := h.waiting[a.ID]
+		_, granted := h.grants[a.ID]
+		if waits || granted {
+			continue
+		}
+		if len(g.asks) >= maxWaiting {
+			refused = append(refused, sr.SlotDecision{Ask: a.ID, Reason: srdispatch.ReasonFull, After: fullRetryAfter, Queue: len(g.asks)})
+			continue
+		}
+		g.lastID++
+		h.waiting[a.ID] = g.lastID
+		g.asks[g.lastID] = origin{holder: h, ask: a.ID, prompt: a.Prompt}
+		*decisions = append(*decisions, g.dispatcher.Add(now, askOf(now, g.lastID, a))...)
+	}
+	return refused
+}
+
+// fullRetryAfter is the retry delay of a caller when maxWaiting asks wait.
+const fullRetryAfter = time.Second
+
+// release returns a slot of a holder.
+func (g *Group) release(now time.Time, h *holder, ask uint64, r srdispatch.Result) []srdispatch.Decision {
+	held, ok := h.grants[ask]
+	if !ok {
+		return nil
+	}
+	delete(h.grants, ask)
+	return g.dispatcher.Release(now, held.endpoint, r)
+}
+
+// reconcile drops the asks and slots that a holder does not list, and adopts the slots that
+// this coordinator does not know of.
+func (g *Group) reconcile(now time.Time, h *holder, r sr.SlotReport, decisions *[]srdispatch.Decision) {
+	for ask, id := range h.waiting {
+		if !slices.Contains(r.Waiting, ask) {
+			g.withdraw(h, ask, id)
+		}
+	}
+	for ask, held := range h.grants {
+		if _, listed := r.Held[ask]; !listed && now.Sub(held.grantedAt) > deliveryTimeout {
+			*decisions = append(*decisions, g.release(now, h, ask, srdispatch.Result{Unsent: true, Prompt: held.prompt})...)
+		}
+	}
+	for ask, endpoint := range r.Held {
+		if _, known := h.grants[ask]; !known && g.dispatcher.Adopt(now, endpoint, 0) {
+			h.grants[ask] = grant{endpoint: endpoint, grantedAt: now}
+		}
+	}
+}
+
+func (g *Group) withdraw(h *holder, ask, id uint64) {
+	g.dispatcher.Withdraw(id)
+	delete(h.waiting, ask)
+	delete(g.asks, id)
+}
+
+// updateOwn sums what the holders have in flight without a grant.
+func (g *Group) updateOwn(now time.Time) []srdispatch.Decision {
+	load := make(map[string]srdispatch.Load)
+	for _, h := range g.holders {
+		for id, n := range h.own {
+			l := load[id]
+			l.Running += n
+			load[id] = l
+		}
+	}
+	return g.dispatcher.SetPeerLoad(now, load)
+}
+
+// Tick drops the holders that have not reported for holderTimeout, and refuses the asks that
+// have reached their wait limit.
+func (g *Group) Tick(now time.Time) []Delivery {
+	var decisions []srdispatch.Decision
+	silent := false
+	for id, h := range g.holders {
+		if now.Sub(h.lastReport) <= holderTimeout {
+			continue
+		}
+		silent = true
+		for ask, queued := range h.waiting {
+			g.withdraw(h, ask, queued)
+		}
+		for ask, held := range h.grants {
+			decisions = append(decisions, g.release(now, h, ask, srdispatch.Result{Unknown: true, Prompt: held.prompt})...)
+		}
+		delete(g.holders, id)
+	}
+	if silent {
+		decisions = append(decisions, g.updateOwn(now)...)
+	}
+	return g.deliver(now, append(decisions, g.dispatcher.Tick(now)...))
+}
+
+// Next returns when Tick should be called, and whether any ask waits.
+func (g *Group) Next() (time.Time, bool) { return g.dispatcher.Next() }
+
+// Waiting returns the number of waiting asks, Holders that of the holders.
+func (g *Group) Waiting() int { return g.dispatcher.Waiting() }
+
+// Holders returns the number of instances with asks or slots.
+func (g *Group) Holders() int { return len(g.holders) }
+
+// HealthChanges returns and clears the health changes since the last call.
+func (g *Group) HealthChanges() []srdispatch.HealthChange { return g.dispatcher.HealthChanges() }
+
+// deliver records decisions and sorts them by holder.
+func (g *Group) deliver(now time.Time, list []srdispatch.Decision) []Delivery {
+	byHolder := make(map[sr.InstanceID]*Delivery)
+	for _, d := range list {
+		o, ok := g.asks[d.Ask]
+		if !ok {
+			continue
+		}
+		delete(g.asks, d.Ask)
+		delete(o.holder.waiting, o.ask)
+		if d.Kind == srdispatch.Placed {
+			o.holder.grants[o.ask] = grant{endpoint: d.Endpoint, prompt: o.prompt, grantedAt: now}
+		}
+		to, ok := byHolder[o.holder.id]
+		if !ok {
+			to = &Delivery{To: o.holder.id}
+			byHolder[o.holder.id] = to
+		}
+		to.Decisions = append(to.Decisions, decisionOf(o.ask, d))
+	}
+	out := make([]Delivery, 0, len(byHolder))
+	for _, d := range byHolder {
+		out = append(out, *d)
+	}
+	slices.SortFunc(out, func(a, b Delivery) int { return cmp.Compare(a.To.Address, b.To.Address) })
+	return out
+}
--- /dev/null
+++ b/internal/policy/srgroup/holder.go
@@ -0,0 +1,210 @@
+package srgroup
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+)
+
+const (
+	// waitInterval is the interval of the reports while an ask waits. An ask whose coordinator
+	// has failed is decided elsewhere after it.
+	waitInterval = 100 * time.Millisecond
+	// holdInterval is the interval of the reports while a slot is held.
+	holdInterval = 500 * time.Millisecond
+	// releaseInterval is the least interval of reports that return slots. It lets a busy holder
+	// return several at once.
+	releaseInterval = 10 * time.Millisecond
+	// silentDelay is the time for which a coordinator that did not answer is not asked.
+	silentDelay = 500 * time.Millisecond
+	// maxResults bounds the results that wait for a report.
+	maxResults = 1024
+)
+
+// Holder is the side of one instance towards the coordinator of one group. It is not safe for
+// concurrent use.
+type Holder struct {
+	group string
+	self  sr.InstanceID
+	// sequence is that of the last report.
+	sequence uint64
+	// fresh are the asks that no report has stated, waiting those that one has.
+	fresh   []sr.SlotAsk
+	waiting map[uint64]struct{}
+	// held are the endpoints of the slots, by ask.
+	held     map[uint64]string
+	started  []sr.SlotStart
+	released []sr.SlotRelease
+	// reporting is set while a report is under way, reportedAt is when it was sent.
+	reporting  bool
+	reportedAt time.Time
+	// silentUntil is until when the coordinator is not asked.
+	silentUntil time.Time
+	free        int
+	queue       int
+}
+
+// NewHolder returns a Holder without asks and slots.
+func NewHolder(group string, self sr.InstanceID) *Holder {
+	return &Holder{group: group, self: self, waiting: make(map[uint64]struct{}), held: make(map[uint64]string)}
+}
+
+// Usable reports whether the coordinator may be asked.
+func (h *Holder) Usable(now time.Time) bool { return !now.Before(h.silentUntil) }
+
+// Room returns the number of free slots that the coordinator has stated less its waiting asks.
+func (h *Holder) Room() int { return h.free - h.queue }
+
+// Ask queues an ask for the next report.
+func (h *Holder) Ask(now time.Time, id uint64, a srdispatch.Ask) {
+	h.fresh = append(h.fresh, NewAsk(now, id, a))
+}
+
+// Withdraw removes an ask. A slot that is granted to it later is returned.
+func (h *Holder) Withdraw(id uint64) {
+	delete(h.waiting, id)
+	h.fresh = slices.DeleteFunc(h.fresh, func(a sr.SlotAsk) bool { return a.ID == id })
+}
+
+// Started records that an endpoint has started an answer.
+func (h *Holder) Started(s sr.SlotStart) {
+	if len(h.started) < maxResults {
+		h.started = append(h.started, s)
+	}
+}
+
+// Release returns a slot of an endpoint, if one is held. Requests that were sent there without
+// a slot need no report.
+func (h *Holder) Release(endpoint string, r srdispatch.Result) {
+	for ask, id := range h.held {
+		if id == endpoint {
+			delete(h.held, ask)
+			h.giveBack(ask, r)
+			return
+		}
+	}
+}
+
+// giveBack reports a result. One that finds no room is lost; the coordinator notices by the
+// list of held slots.
+func (h *Holder) giveBack(ask uint64, r srdispatch.Result) {
+	if len(h.released) < maxResults {
+		h.released = append(h.released, sr.SlotRelease{Ask: ask, Result: NewResult(r)})
+	}
+}
+
+// Held returns the asks whose slots are held, by endpoint.
+func (h *Holder) Held() map[string]int {
+	out := make(map[string]int, len(h.held))
+	for _, endpoint := range h.held {
+		out[endpoint]++
+	}
+	return out
+}
+
+// Due returns when the next report is due, and false when none is.
+func (h *Holder) Due() (time.Time, bool) {
+	switch {
+	case h.reporting:
+		return time.Time{}, false
+	case len(h.fresh) > 0:
+		return h.silentUntil, true
+	case len(h.released) > 0:
+		return later(h.reportedAt.Add(releaseInterval), h.silentUntil), true
+	case len(h.waiting)+len(h.started) > 0:
+		return later(h.reportedAt.Add(waitInterval), h.silentUntil), true
+	case len(h.held) > 0:
+		return later(h.reportedAt.Add(holdInterval), h.silentUntil), true
+	}
+	return time.Time{}, false
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Next returns the report to send now, and false when none is due. own are the requests in
+// flight at the endpoints of the group, with and without a slot.
+func (h *Holder) Next(now time.Time, own map[string]int) (sr.SlotReport, bool) {
+	due, ok := h.Due()
+	if !ok || now.Before(due) {
+		return sr.SlotReport{}, false
+	}
+	h.sequence++
+	h.reporting, h.reportedAt = true, now
+	r := sr.SlotReport{
+		From: h.self, Group: h.group, Sequence: h.sequence,
+		Asks: h.fresh, Started: h.started, Released: h.released,
+		Waiting: slices.Sorted(maps.Keys(h.waiting)), Held: maps.Clone(h.held), Own: h.without(own),
+	}
+	for _, a := range h.fresh {
+		h.waiting[a.ID] = struct{}{}
+	}
+	h.fresh, h.started, h.released = nil, nil, nil
+	return r, true
+}
+
+// without returns the requests in flight that have no slot.
+func (h *Holder) without(own map[string]int) map[string]int {
+	out := make(map[string]int)
+	held := h.Held()
+	for id, n := range own {
+		if n > held[id] {
+			out[id] = n - held[id]
+		}
+	}
+	return out
+}
+
+// Reply applies the answer to a report. It returns the decisions on asks that wait.
+func (h *Holder) Reply(r sr.SlotReply) []srdispatch.Decision {
+	h.reporting = false
+	h.free, h.queue = r.Free, r.Waiting
+	return h.Deliver(r.Decisions)
+}
+
+// Deliver applies decisions of the coordinator, and returns those on asks that wait. A slot for
+// an ask that does not wait is returned.
+func (h *Holder) Deliver(list []sr.SlotDecision) []srdispatch.Decision {
+	var out []srdispatch.Decision
+	for _, d := range list {
+		_, waits := h.waiting[d.Ask]
+		_, held := h.held[d.Ask]
+		switch {
+		case held:
+			continue
+		case !waits:
+			if d.Granted {
+				h.giveBack(d.Ask, srdispatch.Result{Unsent: true})
+			}
+			continue
+		}
+		delete(h.waiting, d.Ask)
+		if d.Granted {
+			h.held[d.Ask] = d.Endpoint
+		}
+		out = append(out, Decision(d))
+	}
+	return out
+}
+
+// Fail records that a report was not answered. It returns the asks that have to be decided
+// elsewhere.
+func (h *Holder) Fail(now time.Time) []uint64 {
+	h.reporting = false
+	h.silentUntil = now.Add(silentDelay)
+	h.free, h.queue = 0, 0
+	out := slices.Sorted(maps.Keys(h.waiting))
+	for _, a := range h.fresh {
+		out = append(out, a.ID)
+	}
+	h.fresh = nil
+	clear(h.waiting)
+	return out
+}
--- /dev/null
+++ b/internal/policy/srgroup/split.go
@@ -0,0 +1,75 @@
+package srgroup
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+)
+
+const (
+	// maxGroupSize is the mean number of endpoints of a group beyond which a service gets
+	// another one. It bounds the work of a coordinator.
+	maxGroupSize = 96
+	// minPowerRatio is the power of a coordinator relative to that of the most powerful
+	// member, at least.
+	minPowerRatio = 0.5
+)
+
+// Needed reports whether instances of a fleet of that size need groups: an equal share of an
+// endpoint's slots would be far below one slot.
+func Needed(fleet, slots int) bool { return fleet > srdispatch.MaxInstancesPerSlot*slots }
+
+// Split divides the endpoints of a service into groups, by name. Instances with the same list
+// agree on them, and a changed list moves few endpoints.
+func Split(service string, ids []string) map[string][]string {
+	count := (len(ids) + maxGroupSize - 1) / maxGroupSize
+	out := make(map[string][]string, count)
+	names := make([]string, count)
+	for i := range names {
+		names[i] = service + "/" + strconv.Itoa(i)
+	}
+	for _, id := range ids {
+		name := highest(names, id)
+		out[name] = append(out[name], id)
+	}
+	return out
+}
+
+// Home returns the one of a service's groups to which a prompt part belongs.
+func Home(names []string, part string) string { return highest(names, part) }
+
+// highest returns the name with the highest rendezvous hash for a key, "" for none.
+func highest(names []string, key string) string {
+	best, weight := "", uint64(0)
+	for _, name := range names {
+		if h := xxhash.Sum64String(name + "/" + key); best == "" || h > weight {
+			best, weight = name, h
+		}
+	}
+	return best
+}
+
+// Member is an instance that may coordinate groups.
+type Member struct {
+	Address string
+	// Power is the share of a processor core that the instance may use, 0 when unknown.
+	Power float64
+}
+
+// Coordinator returns the address of the instance that coordinates a group, "" without
+// members. Instances with the same members agree on it.
+func Coordinator(group string, members []Member) string {
+	most := 0.0
+	for _, m := range members {
+		most = max(most, m.Power)
+	}
+	var eligible []string
+	for _, m := range members {
+		if m.Power >= minPowerRatio*most {
+			eligible = append(eligible, m.Address)
+		}
+	}
+	return highest(eligible, group)
+}
