Ask the coordinator of a group for slots in large fleets

Change: a request asks the coordinator first. Without an answer within 100 ms the instance decides alone, from its share as before. Fleets in which all instances share each endpoint are not concerned.

--- /dev/null
+++ b/internal/app/srforward/coordinate.go
@@ -0,0 +1,219 @@
+package srforward
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srgroup"
+)
+
+const (
+	// reportTimeout bounds a report to a coordinator and a delivery to a holder. It is some round
+	// trips and a pause of a small machine whose share of the processor is used up.
+	reportTimeout = 100 * time.Millisecond
+	// idleTick is the interval at which a group without waiting asks is checked.
+	idleTick = 250 * time.Millisecond
+)
+
+// coordinator holds the groups that this instance coordinates.
+type coordinator struct {
+	n *Instance
+
+	mu     sync.Mutex
+	groups map[string]*ownGroup
+}
+
+// ownGroup is a group that this instance coordinates.
+type ownGroup struct {
+	name string
+	n    *Instance
+
+	mu    sync.Mutex
+	group *srgroup.Group
+	timer *time.Timer
+	// closed is set when another instance coordinates the group.
+	closed bool
+}
+
+func newCoordinator(n *Instance) *coordinator {
+	return &coordinator{n: n, groups: make(map[string]*ownGroup)}
+}
+
+// configure sets the groups that this instance coordinates, with their usable endpoints.
+func (c *coordinator) configure(now time.Time, groups map[string][]srdispatch.Endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, g := range c.groups {
+		if _, ok := groups[name]; !ok {
+			g.close()
+			delete(c.groups, name)
+			c.n.Log.State("group", srlog.Group, name, srlog.State, "handed over")
+		}
+	}
+	for name, endpoints := range groups {
+		g, ok := c.groups[name]
+		if !ok {
+			g = &ownGroup{name: name, n: c.n, group: srgroup.New(srgroup.Options{Name: name, Domain: c.n.Settings.Domain, Seed: c.n.Seed})}
+			g.group.Seed(now, c.n.members.running(now))
+			c.groups[name] = g
+			c.n.Log.State("group", srlog.Group, name, srlog.State, "coordinated", srlog.Count, len(endpoints))
+		}
+		g.configure(now, endpoints)
+	}
+}
+
+func (c *coordinator) get(name string) *ownGroup {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.groups[name]
+}
+
+func (g *ownGroup) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	if g.timer != nil {
+		g.timer.Stop()
+	}
+}
+
+func (g *ownGroup) configure(now time.Time, endpoints []srdispatch.Endpoint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.send(g.group.Configure(now, endpoints))
+	g.schedule(now)
+}
+
+func (g *ownGroup) report(r sr.SlotReport) (sr.SlotReply, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if g.closed {
+		return sr.SlotReply{}, sr.ErrNotOwner
+	}
+	reply, others, err := g.group.Report(now, r)
+	g.send(others)
+	g.schedule(now)
+	return reply, err
+}
+
+func (g *ownGroup) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return
+	}
+	now := time.Now()
+	g.send(g.group.Tick(now))
+	g.timer = nil
+	g.schedule(now)
+}
+
+// schedule starts the timer if it does not run. The caller must hold g.mu.
+func (g *ownGroup) schedule(now time.Time) {
+	g.logHealthChanges()
+	if g.timer != nil {
+		return
+	}
+	wait := idleTick
+	if next, waits := g.group.Next(); waits {
+		wait = min(max(next.Sub(now), 0), maxTick)
+	}
+	g.timer = time.AfterFunc(wait, g.tick)
+}
+
+func (g *ownGroup) logHealthChanges() {
+	for _, c := range g.group.HealthChanges() {
+		g.n.Log.State(choose(c.Out, "group-endpoint-out", "group-endpoint-back"), srlog.Endpoint, c.Endpoint, srlog.Group, g.name, srlog.Failures, c.Failures, srlog.After, c.For)
+	}
+}
+
+// send delivers decisions without waiting. A holder that does not get one asks again.
+func (g *ownGroup) send(list []srgroup.Delivery) {
+	for _, d := range list {
+		message := sr.SlotGrants{From: g.n.Self, Group: g.name, Decisions: d.Decisions}
+		go func() {
+			if err := g.n.deliverTo(d.To.Address, message); err != nil {
+				g.n.stats.count("group.undelivered")
+			}
+		}()
+	}
+}
+
+func (n *Instance) deliverTo(address string, g sr.SlotGrants) (err error) {
+	defer n.recoverPanic("deliver", &err)
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	if address == n.Self.Address {
+		return n.DeliverSlots(ctx, g)
+	}
+	return n.Fleet.FleetPeer(address).DeliverSlots(ctx, g)
+}
+
+// ReportSlots implements sr.FleetHandler.
+func (n *Instance) ReportSlots(_ context.Context, r sr.SlotReport) (sr.SlotReply, error) {
+	if err := checkReport(r); err != nil {
+		n.stats.count("fleet.invalid")
+		n.Log.Failed("report-invalid", srlog.Peer, r.From.Address[:min(len(r.From.Address), maxAddress)], srlog.Error, err.Error())
+		return sr.SlotReply{}, err
+	}
+	if r.From != n.Self && !n.members.knows(r.From) {
+		return sr.SlotReply{}, errors.Wrap(sr.ErrMissing, "instance is not known")
+	}
+	g := n.coordinator.get(r.Group)
+	if g == nil || n.draining.Load() {
+		n.stats.count("group.not-owner")
+		return sr.SlotReply{}, sr.ErrNotOwner
+	}
+	return g.report(r)
+}
+
+// DeliverSlots implements sr.FleetHandler.
+func (n *Instance) DeliverSlots(_ context.Context, g sr.SlotGrants) error {
+	if len(g.Group) > maxName || len(g.Decisions) > maxGrants {
+		n.stats.count("fleet.invalid")
+		return errors.Wrap(sr.ErrInvalid, "decisions of a group")
+	}
+	if h := n.holders.get(g.Group); h != nil {
+		h.deliver(g)
+	}
+	return nil
+}
+
+// coordinate assigns the groups of the usable endpoints of each service to the members.
+func (n *Instance) coordinate(now time.Time, usable map[string][]srdispatch.Endpoint) {
+	members := n.members.powers(now, n.Settings.Power)
+	own := make(map[string][]srdispatch.Endpoint)
+	services := make(map[string][]groupRoute)
+	for service, list := range usable {
+		byID := make(map[string]srdispatch.Endpoint, len(list))
+		slots := 0
+		for _, e := range list {
+			byID[e.ID] = e
+			slots = max(slots, e.Slots)
+		}
+		if !srgroup.Needed(n.members.sharers(now), slots) {
+			continue
+		}
+		for name, ids := range srgroup.Split(service, slices.Sorted(maps.Keys(byID))) {
+			address := srgroup.Coordinator(name, members)
+			services[service] = append(services[service], groupRoute{name: name, coordinator: address, endpoints: ids})
+			if address != n.Self.Address || n.draining.Load() {
+				continue
+			}
+			for _, id := range ids {
+				own[name] = append(own[name], byID[id])
+			}
+		}
+	}
+	n.coordinator.configure(now, own)
+	n.holders.configure(services)
+}
--- a/internal/app/srforward/dissemination_test.go
+++ b/internal/app/srforward/dissemination_test.go
@@ -322,6 +322,24 @@
 	return p.fleet.unaware[p.address] || p.fleet.unaware[p.to]
 }
 
+func (p testPeer) ReportSlots(ctx context.Context, r sr.SlotReport) (sr.SlotReply, error) {
+	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
+		return sr.SlotReply{}, err
+	}
+	answer, err := p.fleet.instance(p.to).ReportSlots(ctx, r)
+	if err != nil {
+		return answer, err
+	}
+	return answer, p.transfer(ctx, p.to, p.address, smallMessageBytes)
+}
+
+func (p testPeer) DeliverSlots(ctx context.Context, g sr.SlotGrants) error {
+	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
+		return err
+	}
+	return p.fleet.instance(p.to).DeliverSlots(ctx, g)
+}
+
 func (p testPeer) Pull(ctx context.Context, after uint64) (sr.Changes, error) {
 	return p.entries(ctx, after, p.fleet.instance(p.to).Pull)
 }
--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -44,6 +44,7 @@
 			Pending: pending,
 		},
 		Crashes: n.crashes.report(now),
+		Power:   n.Settings.Power,
 	}
 	position, age := n.view.AsOf(n.Clock())
 	g.AsOf, g.Era, g.Age = position.Revision, position.Era, age
--- a/internal/app/srforward/guard.go
+++ b/internal/app/srforward/guard.go
@@ -79,6 +79,70 @@
 	return nil
 }
 
+const (
+	// maxReported bounds the asks, starts, results and slots in a report, maxGrants the decisions
+	// in a delivery. An instance has fewer requests in flight.
+	maxReported = 4096
+	maxGrants   = 4096
+	// maxTime bounds the times in a report. Requests take minutes at most.
+	maxTime = time.Hour
+)
+
+// checkReport returns ErrInvalid if a report of another instance cannot be applied.
+func checkReport(r sr.SlotReport) error {
+	switch {
+	case r.From.Address == "" || len(r.From.Address) > maxAddress:
+		return errors.Wrap(sr.ErrInvalid, "address of the sender")
+	case len(r.Group) > maxName:
+		return errors.Wrap(sr.ErrInvalid, "group")
+	case max(len(r.Asks), len(r.Started), len(r.Released), len(r.Waiting), len(r.Held), len(r.Own)) > maxReported:
+		return errors.Wrap(sr.ErrInvalid, "size of a report")
+	}
+	for _, a := range r.Asks {
+		if err := checkAsk(a); err != nil {
+			return err
+		}
+	}
+	for id, n := range r.Own {
+		if len(id) > maxName || n < 0 || n > math.MaxInt32 {
+			return errors.Wrapf(sr.ErrInvalid, "load of %.40q", id)
+		}
+	}
+	for _, id := range r.Held {
+		if len(id) > maxName {
+			return errors.Wrap(sr.ErrInvalid, "name of an endpoint")
+		}
+	}
+	for _, s := range r.Started {
+		if s.Prompt < 0 || s.Prompt > math.MaxInt32 || s.First < 0 || s.First > maxTime {
+			return errors.Wrap(sr.ErrInvalid, "start of an answer")
+		}
+	}
+	for _, f := range r.Released {
+		if f.Result.Prompt < 0 || f.Result.Prompt > math.MaxInt32 || f.Result.Pace < 0 || f.Result.Pace > maxTime {
+			return errors.Wrap(sr.ErrInvalid, "result of a request")
+		}
+	}
+	return nil
+}
+
+func checkAsk(a sr.SlotAsk) error {
+	for _, d := range []time.Duration{a.Target, a.Deadline, a.Patience} {
+		if d < -maxTime || d > maxTime {
+			return errors.Wrap(sr.ErrInvalid, "time of an ask")
+		}
+	}
+	switch {
+	case a.Prompt < 0 || a.Prompt > math.MaxInt32:
+		return errors.Wrap(sr.ErrInvalid, "size of a prompt")
+	case math.IsNaN(a.Weight) || math.IsInf(a.Weight, 0) || a.Weight < 0:
+		return errors.Wrap(sr.ErrInvalid, "weight of an ask")
+	case max(len(a.Workspace), len(a.Domain), len(a.LastPart)) > maxName || max(len(a.Avoid), len(a.Only)) > maxReported:
+		return errors.Wrap(sr.ErrInvalid, "names in an ask")
+	}
+	return nil
+}
+
 func checkAges(g sr.Gossip) error {
 	ages := []time.Duration{g.Age}
 	for _, c := range g.Crashes.Crashes {
@@ -145,3 +209,13 @@
 	defer h.n.recoverPanic("routing-part", &err)
 	return h.n.RoutingPart(ctx, r)
 }
+
+func (h guardedHandler) ReportSlots(ctx context.Context, r sr.SlotReport) (out sr.SlotReply, err error) {
+	defer h.n.recoverPanic("report-slots", &err)
+	return h.n.ReportSlots(ctx, r)
+}
+
+func (h guardedHandler) DeliverSlots(ctx context.Context, g sr.SlotGrants) (err error) {
+	defer h.n.recoverPanic("deliver-slots", &err)
+	return h.n.DeliverSlots(ctx, g)
+}
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -59,6 +59,8 @@
 	members        *members
 	limits         *limits
 	queues         *queues
+	coordinator    *coordinator
+	holders        *holders
 	stats          *stats
 	memory         *srmemory.Budget
 	random         *random
@@ -111,7 +113,9 @@
 	n.ending, n.end = context.WithCancel(context.Background())
 	n.crashes = newCrashWatch(func(part string) int { return n.members.rank(time.Now(), part) })
 	n.limits = newLimits(d.Settings, n.members.limitSharers(n.startedAt))
+	n.coordinator, n.holders = newCoordinator(n), newHolders(n)
 	n.queues = newQueues(d.Seed, d.Settings.Domain, d.Log)
+	n.queues.holders = n.holders
 	return n
 }
 
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -12,6 +12,7 @@
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srgroup"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srmemory"
 )
 
@@ -69,6 +70,8 @@
 	joining bool
 	// silent is set once the member has been reported as silent.
 	silent bool
+	// power is the share of a processor core that the member may use, 0 when unknown.
+	power float64
 }
 
 // silentMember is a member that fell silent, with the time since its last contact.
@@ -130,7 +133,7 @@
 	changed = e.silent || joined
 	e.id, e.domain, e.lastContact, e.silent = g.From, g.Domain, now, false
 	e.usage, e.held, e.extent = sr.Usage{Running: g.Usage.Running, Pending: g.Usage.Pending}, held, extentOf(g)
-	e.joining = g.Joining
+	e.joining, e.power = g.Joining, g.Power
 	for _, id := range g.Known {
 		m.addKnown(now, id)
 	}
@@ -433,6 +436,43 @@
 	return n
 }
 
+// powers returns the instances that may coordinate groups, this one included.
+func (m *members) powers(now time.Time, self float64) []srgroup.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := []srgroup.Member{{Address: m.self.Address, Power: self}}
+	for _, e := range m.recentMembers(now, m.silenceTimeoutLocked()) {
+		out = append(out, srgroup.Member{Address: e.id.Address, Power: e.power})
+	}
+	return out
+}
+
+// sharers returns the number of instances that share the endpoints, this one included.
+func (m *members) sharers(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return 1 + len(m.recentMembers(now, shareRetention))
+}
+
+// knows reports whether an instance has been heard lately.
+func (m *members) knows(id sr.InstanceID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.byAddress[id.Address]
+	return ok && e.id == id
+}
+
+// running returns the requests in flight that the members have reported, by endpoint.
+func (m *members) running(now time.Time) map[sr.InstanceID]map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[sr.InstanceID]map[string]int)
+	for _, e := range m.recentMembers(now, m.silenceTimeoutLocked()) {
+		out[e.id] = e.usage.Running
+	}
+	return out
+}
+
 // load returns the load from the other instances, by endpoint.
 func (m *members) load(now time.Time) map[string]srdispatch.Load {
 	m.mu.Lock()
--- a/internal/app/srforward/queues.go
+++ b/internal/app/srforward/queues.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
 )
@@ -17,13 +19,16 @@
 
 	mu        sync.Mutex
 	byService map[string]*queue
+	// holders asks the coordinators of groups of endpoints.
+	holders *holders
 }
 
 // queue is the queue of one service. It delivers the decisions of srdispatch to the
 // requests that wait for them.
 type queue struct {
-	name string
-	log  *srlog.Log
+	name    string
+	log     *srlog.Log
+	holders *holders
 
 	mu         sync.Mutex
 	dispatcher *srdispatch.Service
@@ -47,6 +52,7 @@
 		s = &queue{
 			name:       service,
 			log:        q.log,
+			holders:    q.holders,
 			dispatcher: srdispatch.New(srdispatch.Options{Seed: q.seed, Domain: q.domain}),
 			waiting:    make(map[uint64]chan srdispatch.Decision),
 		}
@@ -115,9 +121,46 @@
 // instances are told. Fewer are processed before the next message.
 const minReportedTokens = 2000
 
-// acquire waits until the request gets an endpoint or is refused. It calls onWait
-// with the length of the queue if there is no immediate decision.
+// acquire waits until the request gets an endpoint or is refused, by the coordinator of a group
+// or by this instance alone. It calls onWait with the length of the queue if the request waits.
 func (s *queue) acquire(ctx context.Context, a srdispatch.Ask, onWait func(queue int)) (srdispatch.Decision, error) {
+	if d, decided, err := s.holders.acquire(ctx, s, a, onWait); decided {
+		return d, err
+	}
+	return s.acquireAlone(ctx, a, onWait)
+}
+
+// adopt counts a request to which a coordinator has granted a slot. It returns false if the
+// endpoint is not usable by this instance's view.
+func (s *queue) adopt(endpoint string, prompt int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.Adopt(time.Now(), endpoint, prompt)
+}
+
+// running returns the requests in flight from this instance, by endpoint.
+func (s *queue) running() map[string]int {
+	load := make(map[string]srdispatch.Load)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.AddLoad(load)
+	return runningOf(load)
+}
+
+// maxAvoided bounds the endpoints that an ask names because this instance has seen them fail.
+const maxAvoided = 16
+
+// avoid returns the endpoints that a request must not get, with those that fail or pause for
+// this instance.
+func (s *queue) avoid(list []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unhealthy := s.dispatcher.Unhealthy(time.Now())
+	return append(slices.Clone(list), unhealthy[:min(len(unhealthy), maxAvoided)]...)
+}
+
+// acquireAlone is acquire by this instance alone.
+func (s *queue) acquireAlone(ctx context.Context, a srdispatch.Ask, onWait func(queue int)) (srdispatch.Decision, error) {
 	ch := make(chan srdispatch.Decision, 1)
 	s.mu.Lock()
 	s.lastID++
@@ -158,9 +201,10 @@
 // answerStarted records that an endpoint sent the first event of an answer.
 func (s *queue) answerStarted(endpoint string, prompt int, first time.Duration) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.dispatcher.AnswerStarted(time.Now(), endpoint, prompt, first)
 	s.logHealthChanges()
+	s.mu.Unlock()
+	s.holders.started(s.name, sr.SlotStart{Endpoint: endpoint, Prompt: prompt, First: first})
 }
 
 // endpointSilent records that an endpoint has sent nothing to a request for too
@@ -198,6 +242,7 @@
 // release returns the slot of an attempt with the attempt's result.
 func (s *queue) release(endpoint string, r srdispatch.Result) {
 	s.update(func(now time.Time) []srdispatch.Decision { return s.dispatcher.Release(now, endpoint, r) })
+	s.holders.release(s.name, endpoint, r)
 }
 
 // update applies a change to the dispatcher and delivers the resulting decisions.
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -67,6 +67,9 @@
 	// next is the attempt that has taken over the request from a silent endpoint, nil for
 	// none.
 	next *successor
+	// grantedAt is when a coordinator granted the slot of the last attempt, zero when this
+	// instance placed it alone.
+	grantedAt time.Time
 	// errorAnswer is the last attempt with an error answer of its endpoint, nil for none.
 	errorAnswer *attempt
 	// headerSent is set once the header has been sent to the client.
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -210,6 +210,7 @@
 		Resumed:  q.headerSent,
 		Prompt:   q.inbound.Prompt,
 		Avoid:    q.avoid,
+		Patience: q.route.Patience(),
 	}
 	if q.runsExhausted() {
 		a.Only = q.former
@@ -217,6 +218,7 @@
 	if q.workspace.HasRank {
 		a.Workspace = q.workspace.Rank
 	}
+	a.WorkspaceName, a.Weight = q.workspace.Name, q.workspace.Allowance.Rate
 	if len(q.inbound.Parts) > 0 {
 		a.LastPart = q.inbound.Parts[len(q.inbound.Parts)-1].ID
 	}
@@ -229,6 +231,10 @@
 }
 
 func (q *request) logPlaced(d srdispatch.Decision) {
+	q.grantedAt = time.Time{}
+	if d.Granted {
+		q.grantedAt = q.Clock()
+	}
 	q.stats.observe("wait", d.Waited)
 	q.Log.Served("placed",
 		srlog.Request, q.inbound.ID, srlog.Route, q.route.Name, srlog.Workspace, q.workspace.Name, srlog.Endpoint, d.Endpoint,
@@ -340,6 +346,9 @@
 		if q.queues.get(q.service).paused(peer.ID) {
 			return errors.Wrap(errUnusable, "endpoint is paused")
 		}
+		if !q.grantedAt.IsZero() && q.Clock().Sub(q.grantedAt) > grantTimeout {
+			return errors.Wrap(errUnusable, "slot is no longer granted")
+		}
 		if q.superseded() {
 			return errStaleView
 		}
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -186,6 +186,9 @@
 			}
 			usable[service] = append(usable[service], d)
 		}
+	}
+	n.coordinate(now, usable)
+	for service := range usable {
 		srdispatch.SetShares(usable[service], n.Self.Address, others)
 	}
 	n.queues.configure(usable)
--- a/internal/app/srforward/timing.go
+++ b/internal/app/srforward/timing.go
@@ -112,6 +112,9 @@
 	// staleViewDelay is the time between two attempts to go on with a stream while the view is
 	// too old to decide.
 	staleViewDelay = 100 * time.Millisecond
+	// grantTimeout is the time after which a slot that a coordinator has granted is not used. A
+	// process that was suspended may have lost it.
+	grantTimeout = time.Second
 	// maxTick is the longest time between two updates of a queue that is not empty.
 	maxTick = 20 * time.Millisecond
 )
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -26,6 +26,8 @@
 	// Former is the endpoint from which another one takes over a request.
 	Former = "former"
 	Domain = "domain"
+	// Group is a group of endpoints with one coordinator.
+	Group  = "group"
 	Peer   = "peer"
 	Status = "status"
 	Reason = "reason"
