Grant slots so that endpoints have as many requests as slots

Cause: a slot was granted until its return had arrived at the coordinator. Slots of endpoints that had left their group were not returned. Change: the coordinator measures for which part of the time a granted slot is not in use, and grants as many more. Slots are returned to the coordinator that granted them.

--- a/internal/app/srforward/holders.go
+++ b/internal/app/srforward/holders.go
@@ -140,29 +140,30 @@
 	return d, decided, nil
 }
 
-// release returns a slot to the coordinator that granted it.
+// release returns a slot to the coordinator that granted it. The endpoint may have left its group
+// meanwhile.
 func (s *holders) release(service, endpoint string, r srdispatch.Result) {
-	if h := s.groupOf(service, endpoint); h != nil {
-		h.release(endpoint, r)
+	for _, h := range s.of(service) {
+		if h.release(endpoint, r) {
+			return
+		}
 	}
 }
 
 // started reports that an endpoint has started an answer.
 func (s *holders) started(service string, start sr.SlotStart) {
-	if h := s.groupOf(service, start.Endpoint); h != nil {
-		h.started(start)
+	for _, h := range s.of(service) {
+		if h.hasAny([]string{start.Endpoint}) {
+			h.started(start)
+		}
 	}
 }
 
-func (s *holders) groupOf(service, endpoint string) *groupHolder {
+// of returns the groups of a service.
+func (s *holders) of(service string) []*groupHolder {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, h := range s.services[service] {
-		if h.hasAny([]string{endpoint}) {
-			return h
-		}
-	}
-	return nil
+	return slices.Clone(s.services[service])
 }
 
 // groupHolder is this instance's side towards the coordinator of one group.
@@ -264,11 +265,15 @@
 	return len(h.waiting)
 }
 
-func (h *groupHolder) release(endpoint string, r srdispatch.Result) {
+// release returns a slot of an endpoint. It returns false if none is held.
+func (h *groupHolder) release(endpoint string, r srdispatch.Result) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.holder.Release(endpoint, r)
+	if !h.holder.Release(endpoint, r) {
+		return false
+	}
 	h.schedule(time.Now())
+	return true
 }
 
 func (h *groupHolder) started(s sr.SlotStart) {
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// markRan records for how long the endpoint had the request, if it was sent.
+func (t *attempt) markRan() {
+	if !t.result.Unsent && !t.sent.IsZero() {
+		t.result.Ran = time.Since(t.sent)
+	}
+}
+
 // run attempts the request at one endpoint after the other until it has ended.
 func (q *request) run() {
 	q.limits.countRequest(time.Now(), q.service)
@@ -153,6 +160,7 @@
 		}
 		t.markGivenUp()
 		held = ""
+		t.markRan()
 		queue.release(t.endpoint, t.result)
 		q.observeAttempt(t)
 		if q.next != nil {
--- a/internal/app/srforward/takeover.go
+++ b/internal/app/srforward/takeover.go
@@ -251,6 +251,7 @@
 		q.attempts--
 	}
 	t.markGivenUp()
+	t.markRan()
 	q.queues.get(q.service).release(id, t.result)
 	q.observeAttempt(t)
 	return reason
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -286,6 +286,8 @@
 	Prompt int
 	// Pace is the time per event of a stream, or the time of a whole answer.
 	Pace time.Duration
+	// Ran is the time for which the endpoint had the request, 0 when unknown.
+	Ran time.Duration
 }
 
 // Release releases the slot of a request and records its result.
--- a/internal/policy/srgroup/convert.go
+++ b/internal/policy/srgroup/convert.go
@@ -45,10 +45,10 @@
 }
 
 func resultOf(r sr.SlotResult) srdispatch.Result {
-	return srdispatch.Result{NotRun: r.NotRun, Gone: r.Gone, Failed: r.Failed, Error: r.Error, Unknown: r.Unknown, Unsent: r.Unsent, Prompt: r.Prompt, Pace: r.Pace}
+	return srdispatch.Result{NotRun: r.NotRun, Gone: r.Gone, Failed: r.Failed, Error: r.Error, Unknown: r.Unknown, Unsent: r.Unsent, Prompt: r.Prompt, Pace: r.Pace, Ran: r.Ran}
 }
 
 // NewResult returns the message of a result.
 func NewResult(r srdispatch.Result) sr.SlotResult {
-	return sr.SlotResult{NotRun: r.NotRun, Gone: r.Gone, Failed: r.Failed, Error: r.Error, Unknown: r.Unknown, Unsent: r.Unsent, Prompt: r.Prompt, Pace: r.Pace}
+	return sr.SlotResult{NotRun: r.NotRun, Gone: r.Gone, Failed: r.Failed, Error: r.Error, Unknown: r.Unknown, Unsent: r.Unsent, Prompt: r.Prompt, Pace: r.Pace, Ran: r.Ran}
 }
--- a/internal/policy/srgroup/group.go
+++ b/internal/policy/srgroup/group.go
@@ -38,6 +38,7 @@
 	name       string
 	dispatcher *srdispatch.Service
 	holders    map[sr.InstanceID]*holder
+	overlap    overlap
 	// asks are the waiting asks by the ID that the dispatcher knows them by.
 	asks   map[uint64]origin
 	lastID uint64
@@ -107,6 +108,7 @@
 	for i := range list {
 		// All slots that holders do not use without a grant belong to the group.
 		list[i].Share = 1
+		list[i].Slots = g.overlap.slots(list[i].Slots)
 	}
 	return g.deliver(now, g.dispatcher.Configure(now, list))
 }
@@ -202,6 +204,7 @@
 		return nil
 	}
 	delete(h.grants, ask)
+	g.overlap.observe(now, now.Sub(held.grantedAt), r.Ran)
 	return g.dispatcher.Release(now, held.endpoint, r)
 }
 
--- a/internal/policy/srgroup/holder.go
+++ b/internal/policy/srgroup/holder.go
@@ -17,7 +17,7 @@
 	holdInterval = 500 * time.Millisecond
 	// releaseInterval is the least interval of reports that return slots. It lets a busy holder
 	// return several at once.
-	releaseInterval = 10 * time.Millisecond
+	releaseInterval = 5 * time.Millisecond
 	// silentDelay is the time for which a coordinator that did not answer is not asked.
 	silentDelay = 500 * time.Millisecond
 	// maxResults bounds the results that wait for a report.
@@ -76,16 +76,17 @@
 	}
 }
 
-// Release returns a slot of an endpoint, if one is held. Requests that were sent there without
-// a slot need no report.
-func (h *Holder) Release(endpoint string, r srdispatch.Result) {
+// Release returns a slot of an endpoint. It returns false if none is held: requests that were
+// sent there without a slot need no report.
+func (h *Holder) Release(endpoint string, r srdispatch.Result) bool {
 	for ask, id := range h.held {
 		if id == endpoint {
 			delete(h.held, ask)
 			h.giveBack(ask, r)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // giveBack reports a result. One that finds no room is lost; the coordinator notices by the
--- a/slotreport.go
+++ b/slotreport.go
@@ -63,6 +63,8 @@
 	Unsent  bool
 	Prompt  int
 	Pace    time.Duration
+	// Ran is the time for which the endpoint had the request.
+	Ran time.Duration
 }
 
 // SlotStart reports that an endpoint has started an answer, First after the request was sent.
