--- /dev/null
+++ b/internal/app/srforward/coordinate_test.go
@@ -0,0 +1,162 @@
+package srforward
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srforwardsettings"
+)
+
+const (
+	// testGroup is the group of the service of testEndpoint.
+	testGroup = "s/0"
+	// groupedFleet is a number of instances that need groups for the slots of testEndpoint.
+	groupedFleet = 17
+	// decidedAlone bounds the time to a decision without a coordinator that answers: its own
+	// timeout and a few ms.
+	decidedAlone = reportTimeout + 5*time.Millisecond
+	// grantedSoon bounds the time to a grant of a free slot: two messages between busy links.
+	grantedSoon = 40 * time.Millisecond
+)
+
+// newGroupedFleet runs instances that share two endpoints, until all agree on the coordinator.
+func newGroupedFleet(t *testing.T) (*testFleet, string) {
+	f := newTestFleet(t, groupedFleet, srforwardsettings.Settings{Memory: 184, Power: 0.25, Heartbeat: 1200 * time.Millisecond, Drain: 3 * time.Second})
+	f.put(testRouting(1, 3))
+	f.put(testEndpoint("e-1", sr.EndpointReady))
+	f.put(testEndpoint("e-2", sr.EndpointReady))
+	f.run(t)
+	time.Sleep(3 * time.Second)
+	return f, f.agreed(t)
+}
+
+// agreed returns the coordinator on which all instances that are not cut off agree.
+func (f *testFleet) agreed(t *testing.T) string {
+	t.Helper()
+	address := ""
+	for self, n := range f.instances {
+		if f.cut[self] || n.draining.Load() {
+			continue
+		}
+		h := n.holders.get(testGroup)
+		assert.Assert(t, h != nil, "%s knows no group", self)
+		assert.Assert(t, address == "" || h.coordinator == address, "%s and %s coordinate", address, h.coordinator)
+		address = h.coordinator
+	}
+	return address
+}
+
+// other returns an instance that is not at one of some addresses.
+func (f *testFleet) other(not ...string) *Instance {
+	for _, address := range f.addresses() {
+		if !slices.Contains(not, address) {
+			return f.instances[address]
+		}
+	}
+	return nil
+}
+
+func testAsk(target time.Duration) srdispatch.Ask {
+	now := time.Now()
+	return srdispatch.Ask{Target: now.Add(target), Deadline: now.Add(10 * time.Second)}
+}
+
+// acquire asks for a slot, and returns how long the decision took.
+func acquire(t *testing.T, n *Instance, a srdispatch.Ask) (srdispatch.Decision, time.Duration) {
+	t.Helper()
+	start := time.Now()
+	d, err := n.queues.get("s").acquire(t.Context(), a, func(int) {})
+	assert.NilError(t, err)
+	return d, time.Since(start)
+}
+
+// inFlight returns the slots that a coordinator counts as used, and those of them that the holder
+// at an address has.
+func (n *Instance) inFlight(h *Instance) (free, held int) {
+	g := n.coordinator.get(testGroup)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	own := h.holders.get(testGroup)
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	for _, slots := range own.holder.Held() {
+		held += slots
+	}
+	return g.group.Free(time.Now()), held
+}
+
+// TestSlotsOfACoordinator: a request gets a slot from the coordinator, or is decided alone.
+func TestSlotsOfACoordinator(t *testing.T) {
+	const slots = 16
+	for name, test := range map[string]func(t *testing.T, f *testFleet, coordinator string){
+		"granted and returned": func(t *testing.T, f *testFleet, coordinator string) {
+			n := f.other(coordinator)
+			d, took := acquire(t, n, testAsk(time.Second))
+			assert.Assert(t, d.Granted && took <= grantedSoon, "%v after %v", d, took)
+			n.queues.get("s").release(d.Endpoint, srdispatch.Result{})
+			time.Sleep(50 * time.Millisecond)
+			free, held := f.instance(coordinator).inFlight(n)
+			assert.Assert(t, free == slots && held == 0, "%d free, %d held", free, held)
+		},
+		"coordinator cut off": func(t *testing.T, f *testFleet, coordinator string) {
+			f.setCut(coordinator, true)
+			d, took := acquire(t, f.other(coordinator), testAsk(time.Second))
+			assert.Assert(t, d.Kind == srdispatch.Placed && !d.Granted && took <= decidedAlone, "%v after %v", d, took)
+			time.Sleep(3 * time.Second)
+			next := f.agreed(t)
+			assert.Assert(t, next != coordinator)
+			d, took = acquire(t, f.other(coordinator, next), testAsk(time.Second))
+			assert.Assert(t, d.Granted && took <= grantedSoon, "%v after %v", d, took)
+		},
+		"coordinator of an earlier version": func(t *testing.T, f *testFleet, coordinator string) {
+			f.mu.Lock()
+			f.unaware[coordinator] = true
+			f.mu.Unlock()
+			d, took := acquire(t, f.other(coordinator), testAsk(time.Second))
+			assert.Assert(t, d.Kind == srdispatch.Placed && !d.Granted && took <= decidedAlone, "%v after %v", d, took)
+		},
+		"endpoint leaves with a slot in use": func(t *testing.T, f *testFleet, coordinator string) {
+			n := f.other(coordinator)
+			d, _ := acquire(t, n, testAsk(time.Second))
+			f.put(testEndpoint(d.Endpoint, sr.EndpointLeaving))
+			time.Sleep(time.Second)
+			n.queues.get("s").release(d.Endpoint, srdispatch.Result{})
+			f.put(testEndpoint(d.Endpoint, sr.EndpointReady))
+			time.Sleep(3 * time.Second)
+			free, held := f.instance(coordinator).inFlight(n)
+			assert.Assert(t, free == slots && held == 0, "%d free, %d held", free, held)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, coordinator := newGroupedFleet(t)
+				test(t, f, coordinator)
+			})
+		})
+	}
+}
+
+// TestWaitLimitAtAnIdleCoordinator: the first ask that waits at a coordinator is refused at its
+// limit, not at the next check of an idle group.
+func TestWaitLimitAtAnIdleCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, coordinator := newGroupedFleet(t)
+		n := f.other(coordinator)
+		for range 16 {
+			d, _ := acquire(t, n, testAsk(time.Second))
+			assert.Assert(t, d.Granted)
+		}
+		for range 5 {
+			time.Sleep(173 * time.Millisecond)
+			// Three fifths of the time to the objective, and one tick.
+			_, took := acquire(t, n, testAsk(100*time.Millisecond))
+			assert.Assert(t, took < 60*time.Millisecond+maxTick+5*time.Millisecond, "decided after %v", took)
+		}
+	})
+}
--- a/internal/app/srforward/dissemination_test.go
+++ b/internal/app/srforward/dissemination_test.go
@@ -323,6 +323,9 @@
 }
 
 func (p testPeer) ReportSlots(ctx context.Context, r sr.SlotReport) (sr.SlotReply, error) {
+	if p.unaware() {
+		return sr.SlotReply{}, errors.New("test network: unknown method")
+	}
 	if err := p.transfer(ctx, p.address, p.to, smallMessageBytes); err != nil {
 		return sr.SlotReply{}, err
 	}
--- a/internal/policy/srgroup/group.go
+++ b/internal/policy/srgroup/group.go
@@ -283,7 +283,10 @@
 // Next returns when Tick should be called, and whether any ask waits.
 func (g *Group) Next() (time.Time, bool) { return g.dispatcher.Next() }
 
-// Waiting returns the number of waiting asks, Holders that of the holders.
+// Free returns the number of slots that a request could get now.
+func (g *Group) Free(now time.Time) int { return g.dispatcher.Free(now) }
+
+// Waiting returns the number of waiting asks.
 func (g *Group) Waiting() int { return g.dispatcher.Waiting() }
 
 // Holders returns the number of instances with asks or slots.
