Check a group as soon as its first ask waits

Cause: the timer of an idle group fires every 250 ms and was not shortened when an ask began to wait, so the wait limit, a cold endpoint or the end of an ejection was noticed up to 250 ms late. TestWaitLimitAtAnIdleCoordinator: decided after 153 ms with a limit of 60 ms. Change: the timer is reset when the next check is earlier.

--- a/internal/app/srforward/coordinate.go
+++ b/internal/app/srforward/coordinate.go
@@ -39,6 +39,8 @@
 	mu    sync.Mutex
 	group *srgroup.Group
 	timer *time.Timer
+	// tickAt is when the timer fires.
+	tickAt time.Time
 	// closed is set when another instance coordinates the group.
 	closed bool
 }
@@ -117,17 +119,23 @@
 	g.schedule(now)
 }
 
-// schedule starts the timer if it does not run. The caller must hold g.mu.
+// schedule starts the timer, or shortens it. The caller must hold g.mu.
 func (g *ownGroup) schedule(now time.Time) {
 	g.logHealthChanges()
-	if g.timer != nil {
-		return
-	}
 	wait := idleTick
 	if next, waits := g.group.Next(); waits {
 		wait = min(max(next.Sub(now), 0), maxTick)
 	}
-	g.timer = time.AfterFunc(wait, g.tick)
+	at := now.Add(wait)
+	switch {
+	case g.timer == nil:
+		g.timer = time.AfterFunc(wait, g.tick)
+	case at.Before(g.tickAt):
+		g.timer.Reset(wait)
+	default:
+		return
+	}
+	g.tickAt = at
 }
 
 func (g *ownGroup) logHealthChanges() {
