Let a stream return to an endpoint that is ejected here

Cause: an ask for former endpoints alone (Ask.Only) named the same endpoints to be avoided, since they had just been ejected for their silence, and the coordinator refused it at once. TestSlotsOfACoordinator/stream_returns: refused as empty. Change: such an ask avoids nothing more than the request does. While a former endpoint is paused, this instance decides alone, and waits as before. Conclusion: that case passes.

--- a/internal/app/srforward/holders.go
+++ b/internal/app/srforward/holders.go
@@ -113,11 +113,12 @@
 // instance has to decide alone.
 func (s *holders) acquire(ctx context.Context, q *queue, a srdispatch.Ask, onWait func(queue int)) (d srdispatch.Decision, decided bool, err error) {
 	list, id := s.candidates(q.name, a)
-	if len(list) == 0 {
+	// The coordinator does not know the pauses of a former endpoint towards this instance.
+	if len(list) == 0 || slices.ContainsFunc(a.Only, q.paused) {
 		return d, false, nil
 	}
 	a.Domain = s.n.Settings.Domain
-	a.Avoid = q.avoid(a.Avoid)
+	a.Avoid = q.avoid(a)
 	for _, h := range list[:min(len(list), maxGroupsAsked)] {
 		answer, ok, err := h.acquire(ctx, id, a, onWait)
 		switch {
--- a/internal/app/srforward/queues.go
+++ b/internal/app/srforward/queues.go
@@ -151,12 +151,15 @@
 const maxAvoided = 16
 
 // avoid returns the endpoints that a request must not get, with those that fail or pause for
-// this instance.
-func (s *queue) avoid(list []string) []string {
+// this instance. One that goes back to a former endpoint does so whatever its health.
+func (s *queue) avoid(a srdispatch.Ask) []string {
+	if len(a.Only) > 0 {
+		return a.Avoid
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	unhealthy := s.dispatcher.Unhealthy(time.Now())
-	return append(slices.Clone(list), unhealthy[:min(len(unhealthy), maxAvoided)]...)
+	return append(slices.Clone(a.Avoid), unhealthy[:min(len(unhealthy), maxAvoided)]...)
 }
 
 // acquireAlone is acquire by this instance alone.
