Grant slots to an instance that leaves

Cause: a coordinator refused the reports of an instance that had announced its stop, though that still gets requests for 2.7 s and has streams for the grace time. It decided alone, and the slots of its streams were granted again. TestSlotsOfACoordinator/holder_leaves: not granted, 6 slots free instead of 5. Change: instances that left count as known for as long as they are remembered.

--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -454,10 +454,13 @@
 	return 1 + len(m.recentMembers(now, shareRetention))
 }
 
-// knows reports whether an instance has been heard lately.
+// knows reports whether an instance has been heard lately. One that leaves still has requests.
 func (m *members) knows(id sr.InstanceID) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if _, leaves := m.left[id]; leaves {
+		return true
+	}
 	e, ok := m.byAddress[id.Address]
 	return ok && e.id == id
 }
