Let an instance that leaves coordinate no group by its own view

Cause: a coordinator that stops counted itself as coordinator until its end, and refused its own reports. It decided alone on all requests of the drain. TestSlotsOfACoordinator/coordinator_leaves: not granted at the leaving instance. Change: it is no candidate any more, and asks its successor.

--- a/internal/app/srforward/coordinate.go
+++ b/internal/app/srforward/coordinate.go
@@ -198,7 +198,10 @@
 
 // coordinate assigns the groups of the usable endpoints of each service to the members.
 func (n *Instance) coordinate(now time.Time, usable map[string][]srdispatch.Endpoint) {
-	members := n.members.powers(now, n.Settings.Power)
+	members := n.members.powers(now)
+	if !n.draining.Load() {
+		members = append(members, srgroup.Member{Address: n.Self.Address, Power: n.Settings.Power})
+	}
 	own := make(map[string][]srdispatch.Endpoint)
 	services := make(map[string][]groupRoute)
 	for service, list := range usable {
@@ -214,7 +217,7 @@
 		for name, ids := range srgroup.Split(service, slices.Sorted(maps.Keys(byID))) {
 			address := srgroup.Coordinator(name, members)
 			services[service] = append(services[service], groupRoute{name: name, coordinator: address, endpoints: ids})
-			if address != n.Self.Address || n.draining.Load() {
+			if address != n.Self.Address {
 				continue
 			}
 			for _, id := range ids {
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -436,11 +436,11 @@
 	return n
 }
 
-// powers returns the instances that may coordinate groups, this one included.
-func (m *members) powers(now time.Time, self float64) []srgroup.Member {
+// powers returns the other instances that may coordinate groups.
+func (m *members) powers(now time.Time) []srgroup.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := []srgroup.Member{{Address: m.self.Address, Power: self}}
+	var out []srgroup.Member
 	for _, e := range m.recentMembers(now, m.silenceTimeoutLocked()) {
 		out = append(out, srgroup.Member{Address: e.id.Address, Power: e.power})
 	}
