Count requests of instances that do not report to a coordinator

Cause: an instance reports while it has asks or slots. Requests that it sent alone, or with slots of a former coordinator, were forgotten 1.5 s after its last report, and those of earlier versions were never counted, so their slots were granted again. TestSlotsOfACoordinator/requests_that_began_without_the_ coordinator: 16 slots free with 3 requests in flight. Change: a coordinator takes the counts of such instances from gossip, each time the groups are configured (every 250 ms), its own included. Conclusion: 13 slots are free 10 s later.

--- a/internal/app/srforward/coordinate.go
+++ b/internal/app/srforward/coordinate.go
@@ -53,6 +53,11 @@
 func (c *coordinator) configure(now time.Time, groups map[string][]srdispatch.Endpoint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var running map[sr.InstanceID]map[string]int
+	if len(groups) > 0 {
+		running = c.n.members.running(now)
+		running[c.n.Self], _ = c.n.queues.load()
+	}
 	for name, g := range c.groups {
 		if _, ok := groups[name]; !ok {
 			g.close()
@@ -64,11 +69,10 @@
 		g, ok := c.groups[name]
 		if !ok {
 			g = &ownGroup{name: name, n: c.n, group: srgroup.New(srgroup.Options{Name: name, Domain: c.n.Settings.Domain, Seed: c.n.Seed})}
-			g.group.Seed(now, c.n.members.running(now))
 			c.groups[name] = g
 			c.n.Log.State("group", srlog.Group, name, srlog.State, "coordinated", srlog.Count, len(endpoints))
 		}
-		g.configure(now, endpoints)
+		g.configure(now, endpoints, running)
 	}
 }
 
@@ -87,10 +91,11 @@
 	}
 }
 
-func (g *ownGroup) configure(now time.Time, endpoints []srdispatch.Endpoint) {
+func (g *ownGroup) configure(now time.Time, endpoints []srdispatch.Endpoint, running map[sr.InstanceID]map[string]int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.send(g.group.Configure(now, endpoints))
+	g.send(g.group.SetLoad(now, running))
 	g.schedule(now)
 }
 
--- a/internal/policy/srgroup/group.go
+++ b/internal/policy/srgroup/group.go
@@ -18,6 +18,9 @@
 	// deliveryTimeout is the time after which a slot that the holder does not list as held is
 	// free again. A decision and the next report take less.
 	deliveryTimeout = time.Second
+	// loadDelay is the time after a report in which other messages may still count slots that it
+	// returned. Members of a large fleet hear of each other every 0.7 s.
+	loadDelay = time.Second
 	// maxHolders bounds the holders that are remembered, twice the instances of a large fleet.
 	maxHolders = 2048
 	// maxWaiting bounds the waiting asks of a group, a few seconds of its requests.
@@ -86,17 +89,24 @@
 	}
 }
 
-// Seed sets what the members reported in flight before this instance became the coordinator.
-// The first report of a holder replaces it.
-func (g *Group) Seed(now time.Time, running map[sr.InstanceID]map[string]int) {
+// SetLoad sets what members have in flight by other messages than reports, for those that have
+// not reported lately: before this instance became the coordinator, because they have no asks and
+// slots, or because they are of an earlier version.
+func (g *Group) SetLoad(now time.Time, running map[sr.InstanceID]map[string]int) []Delivery {
 	for id, counts := range running {
-		if _, known := g.holders[id]; !known && len(g.holders) < maxHolders {
-			h := newHolder(now, id)
-			h.own = counts
+		h, known := g.holders[id]
+		switch {
+		case !known && len(g.holders) >= maxHolders:
+			continue
+		case !known:
+			h = newHolder(now, id)
 			g.holders[id] = h
+		case h.sequence > 0 && (len(h.waiting)+len(h.grants) > 0 || now.Sub(h.lastReport) < loadDelay):
+			continue
 		}
+		h.own, h.lastReport = counts, now
 	}
-	g.updateOwn(now)
+	return g.deliver(now, g.updateOwn(now))
 }
 
 func newHolder(now time.Time, id sr.InstanceID) *holder {
