Grant no slot that others are known to use

Cause: three faults. A group had a share of one slot in each endpoint, which srdispatch grants also when others use all of them: after a takeover each full endpoint got one more request. The load from others was not applied to an endpoint that is added, such as one that returns, so all of its slots were granted until the next report. And a holder that met a former coordinator again began with sequence 1, and its reports were refused as old for 1.5 s. TestFaultsOfGroups: 1 delivery instead of 0 for an endpoint that is full, with either of the first two faults; ErrExpired with sequences from 0. Change: ShareOfCoordinator, the load is kept for new endpoints, and sequences begin with the age of the process in ns, which grows faster than they do.

--- a/internal/app/srforward/holders.go
+++ b/internal/app/srforward/holders.go
@@ -194,7 +194,8 @@
 		return
 	}
 	h.undecided()
-	h.coordinator, h.holder = route.coordinator, srgroup.NewHolder(h.name, h.n.Self)
+	// Time passes faster than sequences do, which grow with reports.
+	h.coordinator, h.holder = route.coordinator, srgroup.NewHolder(h.name, h.n.Self, uint64(time.Since(h.n.startedAt)))
 	h.n.Log.State("group-coordinator", srlog.Group, h.name, srlog.Peer, h.coordinator)
 }
 
--- a/internal/policy/srdispatch/endpoint.go
+++ b/internal/policy/srdispatch/endpoint.go
@@ -45,6 +45,8 @@
 	e.Endpoint = c
 }
 
+func (e *endpoint) setPeerLoad(l Load) { e.peerInFlight, e.peerPending = l.Running, l.Pending }
+
 // addRequest records that a request is sent to the endpoint.
 func (e *endpoint) addRequest(now time.Time) {
 	e.ownInFlight++
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -94,13 +94,17 @@
 	// Slots is how many requests the endpoint runs at once.
 	Slots int
 	// Share is the number of slots that this instance may use regardless of the other
-	// instances. With 0 it may only use slots that they are known to leave free.
+	// instances. With 0 it may only use slots that they are known to leave free, with
+	// ShareOfCoordinator all of these.
 	Share int
 	// ColdRate limits the requests per second while the endpoint is cold; 0 means no
 	// limit. Share divides it by the number of instances that share the endpoint.
 	ColdRate float64
 }
 
+// ShareOfCoordinator is the share in an endpoint of which only this Service grants slots.
+const ShareOfCoordinator = -1
+
 // DecisionKind is the kind of a Decision.
 type DecisionKind uint8
 
@@ -167,7 +171,9 @@
 	// flight or are paused, by ID. endpointIDs lists the usable ones.
 	endpoints   map[string]*endpoint
 	endpointIDs []string
-	queue       []*queuedAsk
+	// peerLoad is the load from the other instances.
+	peerLoad map[string]Load
+	queue    []*queuedAsk
 	// ranks is indexed by rankKey.
 	ranks      map[int]*rank
 	throughput throughput
@@ -199,6 +205,7 @@
 		known, ok := s.endpoints[e.ID]
 		if !ok {
 			known = &endpoint{}
+			known.setPeerLoad(s.peerLoad[e.ID])
 			s.endpoints[e.ID] = known
 		}
 		known.configure(now, e)
@@ -220,10 +227,11 @@
 	Pending int
 }
 
-// SetPeerLoad sets the load from the other instances, by endpoint.
+// SetPeerLoad sets the load from the other instances, by endpoint. The map must not change later.
 func (s *Service) SetPeerLoad(now time.Time, load map[string]Load) []Decision {
+	s.peerLoad = load
 	for id, e := range s.endpoints {
-		e.peerInFlight, e.peerPending = load[id].Running, load[id].Pending
+		e.setPeerLoad(load[id])
 	}
 	return s.dispatch(now)
 }
--- a/internal/policy/srgroup/doc.go
+++ b/internal/policy/srgroup/doc.go
@@ -12,7 +12,7 @@
 //	reply, deliveries, err := g.Report(now, report)
 //	deliveries := g.Tick(now)
 //
-//	h := srgroup.NewHolder(name, self) // at each instance with requests
+//	h := srgroup.NewHolder(name, self, last) // at each instance with requests
 //	h.Ask(now, ask)
 //	report, ok := h.Next(now)
 //	decisions := h.Reply(now, reply)
--- a/internal/policy/srgroup/group.go
+++ b/internal/policy/srgroup/group.go
@@ -117,7 +117,7 @@
 func (g *Group) Configure(now time.Time, list []srdispatch.Endpoint) []Delivery {
 	for i := range list {
 		// All slots that holders do not use without a grant belong to the group.
-		list[i].Share = 1
+		list[i].Share = srdispatch.ShareOfCoordinator
 		list[i].Slots = g.overlap.slots(list[i].Slots)
 	}
 	return g.deliver(now, g.dispatcher.Configure(now, list))
--- /dev/null
+++ b/internal/policy/srgroup/group_test.go
@@ -0,0 +1,84 @@
+package srgroup
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+)
+
+func instance(address string) sr.InstanceID { return sr.InstanceID{Address: address, Incarnation: 1} }
+
+// pair is a group of endpoints of two slots with holders that reach it at once.
+type pair struct {
+	t     *testing.T
+	now   time.Time
+	group *Group
+}
+
+func newPair(t *testing.T, endpoints ...string) *pair {
+	p := &pair{t: t, now: epoch, group: New(Options{Name: "s/0", Seed: 1})}
+	p.configure(endpoints...)
+	return p
+}
+
+func (p *pair) configure(endpoints ...string) []Delivery {
+	var list []srdispatch.Endpoint
+	for _, id := range endpoints {
+		list = append(list, srdispatch.Endpoint{ID: id, Slots: 2})
+	}
+	return p.group.Configure(p.now, list)
+}
+
+func (p *pair) holder(address string) *Holder { return NewHolder("s/0", instance(address), 0) }
+
+func (p *pair) ask(h *Holder, ids ...uint64) {
+	for _, id := range ids {
+		h.Ask(p.now, id, srdispatch.Ask{Target: p.now.Add(time.Second), Deadline: p.now.Add(5 * time.Second)})
+	}
+}
+
+// report sends the next report of a holder, which has own requests in flight without a slot.
+func (p *pair) report(h *Holder, own map[string]int) ([]srdispatch.Decision, []Delivery) {
+	p.t.Helper()
+	for id, n := range h.Held() {
+		own = map[string]int{id: n + own[id]}
+	}
+	r, ok := h.Next(p.now, own)
+	assert.Assert(p.t, ok, "no report is due")
+	reply, others, err := p.group.Report(p.now, r)
+	assert.NilError(p.t, err)
+	return h.Reply(reply), others
+}
+
+// TestFaultsOfGroups: cases of the failures that docs/design/fleet-order.md lists.
+func TestFaultsOfGroups(t *testing.T) {
+	for name, test := range map[string]func(t *testing.T, p *pair, a, b *Holder){
+		"endpoint that others use returns": func(t *testing.T, p *pair, a, b *Holder) {
+			p.ask(a, 1)
+			p.report(a, map[string]int{"e-2": 2})
+			p.ask(b, 1, 2, 3)
+			decided, _ := p.report(b, nil)
+			assert.Equal(t, len(decided), 1)
+			assert.Equal(t, len(p.configure("e-1", "e-2")), 0)
+			assert.Equal(t, p.group.Waiting(), 2)
+		},
+		"holder that meets its former coordinator again": func(t *testing.T, p *pair, a, b *Holder) {
+			for range 3 {
+				p.ask(a, 1)
+				p.report(a, nil)
+			}
+			a = NewHolder("s/0", a.self, a.sequence+1)
+			p.ask(a, 1)
+			p.report(a, nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, "e-1")
+			test(t, p, p.holder("a"), p.holder("b"))
+		})
+	}
+}
--- a/internal/policy/srgroup/holder.go
+++ b/internal/policy/srgroup/holder.go
@@ -47,9 +47,10 @@
 	queue       int
 }
 
-// NewHolder returns a Holder without asks and slots.
-func NewHolder(group string, self sr.InstanceID) *Holder {
-	return &Holder{group: group, self: self, waiting: make(map[uint64]struct{}), held: make(map[uint64]string)}
+// NewHolder returns a Holder without asks and slots. Its reports have sequences after last, so
+// that a coordinator which knows a former Holder of the instance accepts them.
+func NewHolder(group string, self sr.InstanceID, last uint64) *Holder {
+	return &Holder{group: group, self: self, sequence: last, waiting: make(map[uint64]struct{}), held: make(map[uint64]string)}
 }
 
 // Usable reports whether the coordinator may be asked.
--- a/internal/policy/srgroup/property_test.go
+++ b/internal/policy/srgroup/property_test.go
@@ -148,7 +148,7 @@
 		const holders = 4
 		c := &channel{t: t, now: epoch, group: New(Options{Name: "s/0", Seed: 1}), slots: map[string]int{"e-1": 2, "e-2": 1}, granted: make(map[uint64]bool)}
 		for i := range holders {
-			c.holders = append(c.holders, NewHolder("s/0", sr.InstanceID{Address: fmt.Sprint(i)}))
+			c.holders = append(c.holders, NewHolder("s/0", sr.InstanceID{Address: fmt.Sprint(i)}, 0))
 			c.open, c.held = append(c.open, make(map[uint64]bool)), append(c.held, make(map[uint64]string))
 		}
 		c.send(c.group.Configure(c.now, c.endpoints()))
