Keep the division of endpoints between two configurations

Cause: every 250 ms an instance hashed each endpoint with each member, split all endpoints into groups and chose their coordinators anew, and every 50 ms it added up the loads of all members. Change: srdispatch.Sharing keeps the position of the instance at each endpoint and hashes only members and endpoints that are new; srgroup.Splitter and the division keep the groups and their coordinators while their inputs are the same; the total of the loads changes with each report by what the report changes. Holders build the set of a group's endpoints only when it changes. What is left of the loads is the pass over all endpoints in srdispatch.SetPeerLoad.

--- a/internal/app/srforward/coordinate.go
+++ b/internal/app/srforward/coordinate.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -207,29 +205,38 @@
 	if !n.draining.Load() {
 		members = append(members, srgroup.Member{Address: n.Self.Address, Power: n.Settings.Power})
 	}
+	n.division.setMembers(members)
+	sharers := n.members.sharers(now)
 	own := make(map[string][]srdispatch.Endpoint)
 	services := make(map[string][]groupRoute)
 	for service, list := range usable {
-		byID := make(map[string]srdispatch.Endpoint, len(list))
 		slots := 0
 		for _, e := range list {
-			byID[e.ID] = e
 			slots = max(slots, e.Slots)
 		}
-		if !srgroup.Needed(n.members.sharers(now), slots) {
+		if !srgroup.Needed(sharers, slots) {
 			continue
 		}
-		for name, ids := range srgroup.Split(service, slices.Sorted(maps.Keys(byID))) {
-			address := srgroup.Coordinator(name, members)
+		for name, ids := range n.division.groups(service, list) {
+			address := n.division.coordinator(name)
 			services[service] = append(services[service], groupRoute{name: name, coordinator: address, endpoints: ids})
-			if address != n.Self.Address {
-				continue
-			}
-			for _, id := range ids {
-				own[name] = append(own[name], byID[id])
+			if address == n.Self.Address {
+				own[name] = selectEndpoints(list, ids)
 			}
 		}
 	}
 	n.coordinator.configure(now, own)
 	n.holders.configure(services)
 }
+
+// selectEndpoints returns the endpoints of a list that have some of its IDs. Both are in the same
+// order.
+func selectEndpoints(list []srdispatch.Endpoint, ids []string) []srdispatch.Endpoint {
+	out := make([]srdispatch.Endpoint, 0, len(ids))
+	for _, e := range list {
+		if len(ids) > 0 && e.ID == ids[0] {
+			out, ids = append(out, e), ids[1:]
+		}
+	}
+	return out
+}
--- a/internal/app/srforward/holders.go
+++ b/internal/app/srforward/holders.go
@@ -175,10 +175,12 @@
 
 	mu          sync.Mutex
 	coordinator string
-	endpoints   map[string]struct{}
-	holder      *srgroup.Holder
-	waiting     map[uint64]chan srdispatch.Decision
-	timer       *time.Timer
+	// ids are the endpoints of the group, endpoints the same as a set.
+	ids       []string
+	endpoints map[string]struct{}
+	holder    *srgroup.Holder
+	waiting   map[uint64]chan srdispatch.Decision
+	timer     *time.Timer
 }
 
 // configure sets the coordinator and the endpoints. The asks at a former coordinator are decided
@@ -186,9 +188,11 @@
 func (h *groupHolder) configure(route groupRoute) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.endpoints = make(map[string]struct{}, len(route.endpoints))
-	for _, id := range route.endpoints {
-		h.endpoints[id] = struct{}{}
+	if !slices.Equal(h.ids, route.endpoints) {
+		h.ids, h.endpoints = route.endpoints, make(map[string]struct{}, len(route.endpoints))
+		for _, id := range route.endpoints {
+			h.endpoints[id] = struct{}{}
+		}
 	}
 	if h.coordinator == route.coordinator && h.holder != nil {
 		return
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -61,6 +61,7 @@
 	queues         *queues
 	coordinator    *coordinator
 	holders        *holders
+	division       *division
 	stats          *stats
 	memory         *srmemory.Budget
 	random         *random
@@ -114,6 +115,7 @@
 	n.crashes = newCrashWatch(func(part string) int { return n.members.rank(time.Now(), part) })
 	n.limits = newLimits(d.Settings, n.members.limitSharers(n.startedAt))
 	n.coordinator, n.holders = newCoordinator(n), newHolders(n)
+	n.division = newDivision(d.Self.Address)
 	n.queues = newQueues(d.Seed, d.Settings.Domain, d.Log)
 	n.queues.holders = n.holders
 	return n
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -40,6 +40,9 @@
 	// last did.
 	firstContact time.Time
 	lastJoin     time.Time
+	// total is the load of the members that are not silent, by endpoint. Adding up all of them
+	// anew would cost several percent of an instance's processor in a fleet of hundreds.
+	total map[string]srdispatch.Load
 	// left holds the incarnations that announced their shutdown.
 	left map[sr.InstanceID]leaver
 }
@@ -62,6 +65,8 @@
 	// knownSince is when the member became known.
 	knownSince time.Time
 	usage      sr.Usage
+	// counted is set while total includes usage.
+	counted bool
 	// held is the memory of usage.
 	held *srmemory.Reservation
 	// extent is what the member's view includes.
@@ -89,6 +94,7 @@
 		seeds:       seeds,
 		byAddress:   make(map[string]*member),
 		left:        make(map[sr.InstanceID]leaver),
+		total:       make(map[string]srdispatch.Load),
 	}
 }
 
@@ -161,6 +167,7 @@
 		}
 	}
 	if e.held != nil {
+		m.uncount(e)
 		e.held.Release()
 		e.usage = sr.Usage{}
 	}
@@ -168,9 +175,38 @@
 	return held, held.Grow(bytes)
 }
 
+// count adds the load of a member to the total, uncount takes it back. The caller must hold m.mu.
+func (m *members) count(e *member) {
+	if !e.counted {
+		e.counted = true
+		m.add(e.usage, 1)
+	}
+}
+
+func (m *members) uncount(e *member) {
+	if e.counted {
+		e.counted = false
+		m.add(e.usage, -1)
+	}
+}
+
+func (m *members) add(u sr.Usage, sign int) {
+	for id, n := range u.Running {
+		l := m.total[id]
+		l.Running += sign * n
+		l.Pending += sign * u.Pending[id]
+		if l == (srdispatch.Load{}) {
+			delete(m.total, id)
+			continue
+		}
+		m.total[id] = l
+	}
+}
+
 // remove removes a member. The caller must hold m.mu.
 func (m *members) remove(address string) {
 	if e, ok := m.byAddress[address]; ok && e.held != nil {
+		m.uncount(e)
 		e.held.Release()
 	}
 	delete(m.byAddress, address)
@@ -480,16 +516,15 @@
 func (m *members) load(now time.Time) map[string]srdispatch.Load {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make(map[string]srdispatch.Load)
-	for _, e := range m.recentMembers(now, m.silenceTimeoutLocked()) {
-		for id, n := range e.usage.Running {
-			l := out[id]
-			l.Running += n
-			l.Pending += e.usage.Pending[id]
-			out[id] = l
+	timeout := m.silenceTimeoutLocked()
+	for _, e := range m.byAddress {
+		if now.Sub(e.lastContact) <= timeout {
+			m.count(e)
+		} else {
+			m.uncount(e)
 		}
 	}
-	return out
+	return maps.Clone(m.total)
 }
 
 // watchesRegistry reports whether this instance is one of those that watch the
--- a/internal/app/srforward/members_test.go
+++ b/internal/app/srforward/members_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srshare"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srforwardsettings"
 )
@@ -60,6 +61,26 @@
 	receive(t, m, now, sr.Gossip{From: id("b"), Usage: sr.Usage{Running: load}})
 }
 
+// The total of the loads is kept up to date while members report, fall silent, return and leave.
+func TestLoadIsTheSumOfTheMembersThatAreNotSilent(t *testing.T) {
+	m := newMembers(id("a"), "d", nil, testUsageBytes)
+	report := func(now time.Time, from string, n int) {
+		receive(t, m, now, sr.Gossip{From: id(from), Usage: sr.Usage{Running: map[string]int{"e": n, from: 1}, Pending: map[string]int{"e": 10 * n}}})
+	}
+	report(epoch, "b", 1)
+	report(epoch, "c", 2)
+	assert.DeepEqual(t, m.load(epoch), map[string]srdispatch.Load{"e": {Running: 3, Pending: 30}, "b": {Running: 1}, "c": {Running: 1}})
+	report(epoch, "c", 5)
+	now := epoch.Add(m.silenceTimeout() + time.Millisecond)
+	assert.Equal(t, len(m.load(now)), 0)
+	report(now, "c", 4)
+	assert.DeepEqual(t, m.load(now), map[string]srdispatch.Load{"e": {Running: 4, Pending: 40}, "c": {Running: 1}})
+	report(now, "b", 1)
+	assert.DeepEqual(t, m.load(now), map[string]srdispatch.Load{"e": {Running: 5, Pending: 50}, "b": {Running: 1}, "c": {Running: 1}})
+	receive(t, m, now, sr.Gossip{From: id("c"), Leaving: true})
+	assert.DeepEqual(t, m.load(now), map[string]srdispatch.Load{"e": {Running: 1, Pending: 10}, "b": {Running: 1}})
+}
+
 // An instance that always receives gossip before its own exchange is due would
 // never start one, but only the answer to an exchange confirms its view.
 func TestDueConfirmsTheViewWhenOthersAlwaysStart(t *testing.T) {
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -188,9 +188,7 @@
 		}
 	}
 	n.coordinate(now, usable)
-	for service := range usable {
-		srdispatch.SetShares(usable[service], n.Self.Address, others)
-	}
+	n.division.setShares(usable, others)
 	n.queues.configure(usable)
 }
 
--- a/internal/policy/srdispatch/replay_test.go
+++ b/internal/policy/srdispatch/replay_test.go
@@ -484,7 +484,7 @@
 		for e := range endpoints {
 			list = append(list, srdispatch.Endpoint{ID: fmt.Sprint("e", e), Slots: slots, ColdRate: cold})
 		}
-		srdispatch.SetShares(list, self, append(slices.Clone(names[:i]), names[i+1:]...))
+		srdispatch.NewSharing(self).SetShares(list, append(slices.Clone(names[:i]), names[i+1:]...))
 		own := 0
 		for e := range list {
 			own += list[e].Share
--- a/internal/policy/srgroup/split.go
+++ b/internal/policy/srgroup/split.go
@@ -1,6 +1,7 @@
 package srgroup
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,6 +38,21 @@
 	return out
 }
 
+// Splitter splits the endpoints of one service. It keeps the result of the last call, since the
+// endpoints seldom change. It is not safe for concurrent use.
+type Splitter struct {
+	ids    []string
+	groups map[string][]string
+}
+
+// Split is the function Split. The caller must not change the result.
+func (s *Splitter) Split(service string, ids []string) map[string][]string {
+	if s.groups == nil || !slices.Equal(ids, s.ids) {
+		s.ids, s.groups = slices.Clone(ids), Split(service, ids)
+	}
+	return s.groups
+}
+
 // Home returns the one of a service's groups to which a prompt part belongs.
 func Home(names []string, part string) string { return highest(names, part) }
 
