--- a/internal/policy/srgroup/group.go
+++ b/internal/policy/srgroup/group.go
@@ -181,7 +181,7 @@
 	return out
 }
 
-// ReasonLost: the coordinator does not know an ask any more, because it has restarted, has not
+// ReasonLost means that the coordinator does not know an ask any more, because it has restarted, has not
 // heard the holder for holderTimeout, or its decision did not arrive.
 const ReasonLost = "lost"
 
