Count who is served in time by rank and workspace

Cause: when endpoints are short, nothing showed which ranks and workspaces were refused or served late.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -206,6 +206,7 @@
 	q.stats.count("ended." + strconv.Itoa(status))
 	total := time.Since(q.start)
 	q.stats.observe("total."+kindName(q.route.Kind), total)
+	q.outcomes.record(q, q.answered(status, total, err), "")
 	line := q.Log.Served
 	if status >= http.StatusBadRequest || err != nil {
 		line = q.Log.Failed
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -63,6 +63,7 @@
 	holders        *holders
 	division       *division
 	stats          *stats
+	outcomes       *outcomes
 	memory         *srmemory.Budget
 	random         *random
 	clientTimeouts *clientTimeouts
@@ -110,6 +111,7 @@
 		transfers:      newTransfers(),
 		startedAt:      time.Now(),
 	}
+	n.outcomes = newOutcomes(n.stats)
 	n.changes = &changes{startedAt: n.startedAt}
 	n.ending, n.end = context.WithCancel(context.Background())
 	n.crashes = newCrashWatch(func(part string) int { return n.members.rank(time.Now(), part) })
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -167,7 +167,7 @@
 		}
 	}
 	if e.held != nil {
-		m.uncount(e)
+		m.removeLoad(e)
 		e.held.Release()
 		e.usage = sr.Usage{}
 	}
@@ -175,15 +175,15 @@
 	return held, held.Grow(bytes)
 }
 
-// count adds the load of a member to the total, uncount takes it back. The caller must hold m.mu.
-func (m *members) count(e *member) {
+// addLoad adds the load of a member to the total, removeLoad takes it back. The caller must hold m.mu.
+func (m *members) addLoad(e *member) {
 	if !e.counted {
 		e.counted = true
 		m.add(e.usage, 1)
 	}
 }
 
-func (m *members) uncount(e *member) {
+func (m *members) removeLoad(e *member) {
 	if e.counted {
 		e.counted = false
 		m.add(e.usage, -1)
@@ -206,7 +206,7 @@
 // remove removes a member. The caller must hold m.mu.
 func (m *members) remove(address string) {
 	if e, ok := m.byAddress[address]; ok && e.held != nil {
-		m.uncount(e)
+		m.removeLoad(e)
 		e.held.Release()
 	}
 	delete(m.byAddress, address)
@@ -519,9 +519,9 @@
 	timeout := m.silenceTimeoutLocked()
 	for _, e := range m.byAddress {
 		if now.Sub(e.lastContact) <= timeout {
-			m.count(e)
+			m.addLoad(e)
 		} else {
-			m.uncount(e)
+			m.removeLoad(e)
 		}
 	}
 	return maps.Clone(m.total)
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -353,6 +353,7 @@
 // writeRefusal logs, counts and writes an error response of this instance.
 func (q *request) writeRefusal(ref refusal) {
 	q.stats.count("refused." + ref.reason)
+	q.outcomes.record(q, choose(ref.status == http.StatusBadGateway || ref.status == http.StatusGatewayTimeout, outcomeFailed, outcomeRefused), ref.reason)
 	q.Log.Failed("refused",
 		srlog.Request, q.inbound.ID, srlog.Status, ref.status, srlog.Reason, ref.reason, srlog.Route, q.route.Name,
 		srlog.Service, q.service, srlog.Workspace, q.workspace.Name, srlog.After, ref.retryAfter, srlog.Attempt, q.attempts,
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -453,6 +453,7 @@
 			q.abort(last, reasonDraining)
 		}
 		q.stats.count("ended." + reasonClientGone)
+		q.outcomes.record(q, outcomeLeft, "")
 		q.Log.Failed("client-gone", srlog.Request, q.inbound.ID, srlog.Attempt, q.attempts, srlog.Total, time.Since(q.start))
 		q.refund()
 		panic(http.ErrAbortHandler)
@@ -495,6 +496,7 @@
 // else tells the client that the answer is incomplete. It does not return.
 func (q *request) abort(last attempt, reason string) {
 	q.stats.count("broken." + reason)
+	q.outcomes.record(q, outcomeFailed, reason)
 	q.Log.Failed("broken-off", srlog.Request, q.inbound.ID, srlog.Reason, reason, srlog.Endpoint, last.endpoint, srlog.Events, q.eventsSent,
 		srlog.Framing, last.framing.String(), srlog.End, last.end.String(), srlog.Error, errorText(last.err), srlog.Total, time.Since(q.start), srlog.Route, q.route.Name)
 	panic(http.ErrAbortHandler)
