Check the messages about slots and whom they are for

Cause: decisions and answers of a coordinator were applied unchecked, and so was a power that is no number, with which no instance finds a coordinator. Decisions for an instance that has ended reached the next one at its address, whose asks have the same numbers: it took a slot or a refusal of the former one. Change: checkDecisions, the power in checkGossip, and SlotGrants.To. FuzzSlots feeds reports and decisions to a group and a holder.

--- a/internal/app/srforward/coordinate.go
+++ b/internal/app/srforward/coordinate.go
@@ -150,7 +150,7 @@
 // send delivers decisions without waiting. A holder that does not get one asks again.
 func (g *ownGroup) send(list []srgroup.Delivery) {
 	for _, d := range list {
-		message := sr.SlotGrants{From: g.n.Self, Group: g.name, Decisions: d.Decisions}
+		message := sr.SlotGrants{From: g.n.Self, To: d.To, Group: g.name, Decisions: d.Decisions}
 		go func() {
 			if err := g.n.deliverTo(d.To.Address, message); err != nil {
 				g.n.stats.count("group.undelivered")
@@ -189,9 +189,12 @@
 
 // DeliverSlots implements sr.FleetHandler.
 func (n *Instance) DeliverSlots(_ context.Context, g sr.SlotGrants) error {
-	if len(g.Group) > maxName || len(g.Decisions) > maxGrants {
+	if err := checkDecisions(g.Decisions); err != nil {
 		n.stats.count("fleet.invalid")
-		return errors.Wrap(sr.ErrInvalid, "decisions of a group")
+		return err
+	}
+	if g.To != n.Self {
+		return errors.Wrap(sr.ErrMissing, "another instance has asked")
 	}
 	if h := n.holders.get(g.Group); h != nil {
 		h.deliver(g)
--- a/internal/app/srforward/guard.go
+++ b/internal/app/srforward/guard.go
@@ -34,6 +34,8 @@
 		return errors.Wrap(sr.ErrInvalid, "address of the sender")
 	case len(g.Domain) > maxName:
 		return errors.Wrap(sr.ErrInvalid, "failure domain of the sender")
+	case math.IsNaN(g.Power) || math.IsInf(g.Power, 0) || g.Power < 0:
+		return errors.Wrap(sr.ErrInvalid, "power of the sender")
 	case len(g.Known) > maxKnownMembers:
 		return errors.Wrap(sr.ErrInvalid, "number of known instances")
 	}
@@ -143,6 +145,19 @@
 	return nil
 }
 
+// checkDecisions returns ErrInvalid if decisions of a coordinator cannot be applied.
+func checkDecisions(list []sr.SlotDecision) error {
+	if len(list) > maxGrants {
+		return errors.Wrap(sr.ErrInvalid, "number of decisions")
+	}
+	for _, d := range list {
+		if max(len(d.Endpoint), len(d.Reason)) > maxName || min(d.After, d.Waited) < 0 || max(d.After, d.Waited) > maxTime {
+			return errors.Wrap(sr.ErrInvalid, "decision of a coordinator")
+		}
+	}
+	return nil
+}
+
 func checkAges(g sr.Gossip) error {
 	ages := []time.Duration{g.Age}
 	for _, c := range g.Crashes.Crashes {
--- a/internal/app/srforward/guard_test.go
+++ b/internal/app/srforward/guard_test.go
@@ -17,6 +17,8 @@
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srdownstream"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srgroup"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srclock"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srforwardsettings"
 	"github.com/sassafrasrail/sassafrasrail/platform"
@@ -51,6 +53,8 @@
 		"total is no number":   func(g *sr.Gossip) { g.Usage.Spent["w"] = math.NaN() },
 		"infinite total":       func(g *sr.Gossip) { g.Usage.Spent["w"] = math.Inf(1) },
 		"negative total":       func(g *sr.Gossip) { g.Usage.Spent["w"] = -1e18 },
+		"power is no number":   func(g *sr.Gossip) { g.Power = math.NaN() },
+		"infinite power":       func(g *sr.Gossip) { g.Power = math.Inf(1) },
 		"negative requests":    func(g *sr.Gossip) { g.Usage.Running["e"] = -5 },
 		"many requests":        func(g *sr.Gossip) { g.Usage.Running["e"] = math.MaxInt },
 		"negative tokens":      func(g *sr.Gossip) { g.Usage.Pending["e"] = -5 },
@@ -200,3 +204,108 @@
 		assertQuotaWorks(t, n)
 	})
 }
+
+// unreachableFleet does not reach other instances.
+type unreachableFleet struct{ sr.FleetHandler }
+
+func (f unreachableFleet) FleetPeer(string) sr.FleetHandler { return f }
+func (f unreachableFleet) CloseIdleExcept([]string)         {}
+
+func (f unreachableFleet) ReportSlots(context.Context, sr.SlotReport) (sr.SlotReply, error) {
+	return sr.SlotReply{}, sr.ErrUnreachable
+}
+
+func (f unreachableFleet) DeliverSlots(context.Context, sr.SlotGrants) error {
+	return sr.ErrUnreachable
+}
+
+// slotMessages are messages about slots from the instance "peer".
+type slotMessages struct {
+	Reports []sr.SlotReport
+	Grants  []sr.SlotGrants
+}
+
+func soundSlotMessages() slotMessages {
+	return slotMessages{
+		Reports: []sr.SlotReport{
+			{From: id("peer"), Group: testGroup, Sequence: 1, Asks: []sr.SlotAsk{{ID: 1, Target: time.Second, Deadline: time.Minute}, {ID: 2, Weight: 1, Avoid: []string{"e"}}}, Own: map[string]int{"e": 1}},
+			{From: id("peer"), Group: testGroup, Sequence: 2, Started: []sr.SlotStart{{Endpoint: "e", First: time.Second}}, Released: []sr.SlotRelease{{Ask: 1, Result: sr.SlotResult{Pace: time.Second}}}, Waiting: []uint64{2}, Held: map[uint64]string{3: "e"}},
+		},
+		Grants: []sr.SlotGrants{{From: id("peer"), To: id("self"), Group: testGroup, Decisions: []sr.SlotDecision{{Ask: 1, Granted: true, Endpoint: "e"}, {Ask: 2, Reason: "full", After: time.Second}}}},
+	}
+}
+
+// newSlotInstance returns an instance that coordinates a group and asks "peer" for another one's.
+func newSlotInstance(t testing.TB) *Instance {
+	n := newLoneInstance()
+	n.Fleet = unreachableFleet{}
+	_, err := n.Gossip(t.Context(), soundGossip())
+	assert.NilError(t, err)
+	n.coordinator.configure(time.Now(), map[string][]srdispatch.Endpoint{testGroup: {{ID: "e", Slots: 2}}})
+	n.holders.configure(map[string][]groupRoute{"s": {{name: testGroup, coordinator: "peer", endpoints: []string{"e"}}}})
+	return n
+}
+
+// TestMalformedSlotMessagesAreNotApplied: one field of a message is out of range.
+func TestMalformedSlotMessagesAreNotApplied(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	for name, spoil := range map[string]func(r *sr.SlotReport, g *sr.SlotGrants){
+		"group": func(r *sr.SlotReport, g *sr.SlotGrants) { r.Group, g.Decisions[0].Endpoint = long, long },
+		"time": func(r *sr.SlotReport, g *sr.SlotGrants) {
+			r.Asks[0].Target, g.Decisions[0].After = math.MaxInt64, math.MaxInt64
+		},
+		"negative time": func(r *sr.SlotReport, g *sr.SlotGrants) {
+			r.Asks[0].Patience, g.Decisions[0].Waited = math.MinInt64, -1
+		},
+		"weight": func(r *sr.SlotReport, g *sr.SlotGrants) { r.Asks[0].Weight, g.Decisions[0].Reason = math.NaN(), long },
+		"number": func(r *sr.SlotReport, g *sr.SlotGrants) {
+			r.Waiting, g.Decisions = make([]uint64, maxReported+1), make([]sr.SlotDecision, maxGrants+1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, m := newSlotInstance(t), soundSlotMessages()
+			spoil(&m.Reports[0], &m.Grants[0])
+			_, err := n.ReportSlots(t.Context(), m.Reports[0])
+			assert.ErrorIs(t, err, sr.ErrInvalid)
+			assert.ErrorIs(t, n.DeliverSlots(t.Context(), m.Grants[0]), sr.ErrInvalid)
+		})
+	}
+	n, m := newSlotInstance(t), soundSlotMessages()
+	m.Grants[0].To.Incarnation++
+	assert.ErrorIs(t, n.DeliverSlots(t.Context(), m.Grants[0]), sr.ErrMissing)
+	m.Reports[0].From.Incarnation++
+	_, err := n.ReportSlots(t.Context(), m.Reports[0])
+	assert.ErrorIs(t, err, sr.ErrMissing)
+}
+
+// FuzzSlots feeds messages about slots to a group and to a holder, if an instance would. They must
+// not panic, and all slots are free once their sender is silent.
+func FuzzSlots(f *testing.F) {
+	seed, err := json.Marshal(soundSlotMessages())
+	assert.NilError(f, err)
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m slotMessages
+		if json.Unmarshal(data, &m) != nil {
+			return
+		}
+		now := time.Now()
+		g, h := srgroup.New(srgroup.Options{Name: testGroup}), srgroup.NewHolder(testGroup, id("self"), 0)
+		g.Configure(now, []srdispatch.Endpoint{{ID: "e", Slots: 2}})
+		h.Ask(now, 1, srdispatch.Ask{})
+		_, _ = h.Next(now, nil)
+		for _, r := range m.Reports {
+			if checkReport(r) == nil {
+				_, _, _ = g.Report(now, r)
+			}
+		}
+		for _, d := range m.Grants {
+			if checkDecisions(d.Decisions) == nil {
+				h.Deliver(now, d.Decisions)
+			}
+		}
+		later := now.Add(10 * time.Second)
+		g.Tick(later)
+		assert.Equal(t, g.Free(later), 2)
+	})
+}
--- a/internal/app/srforward/holders.go
+++ b/internal/app/srforward/holders.go
@@ -371,5 +371,9 @@
 	if address == n.Self.Address {
 		return n.ReportSlots(ctx, r)
 	}
-	return n.Fleet.FleetPeer(address).ReportSlots(ctx, r)
+	reply, err = n.Fleet.FleetPeer(address).ReportSlots(ctx, r)
+	if err == nil {
+		err = checkDecisions(reply.Decisions)
+	}
+	return reply, err
 }
--- a/slotreport.go
+++ b/slotreport.go
@@ -110,7 +110,9 @@
 
 // SlotGrants delivers decisions on asks that have waited.
 type SlotGrants struct {
-	From      InstanceID
+	From InstanceID
+	// To is the instance whose asks are decided. Another one may run at its address by now.
+	To        InstanceID
 	Group     string
 	Decisions []SlotDecision
 }
