Repeat a refusal until its holder knows of it

Cause: a report that lists an ask as waiting could arrive after the group had refused it. The ask was answered as lost, which overtook the refusal, and the holder decided alone: a refused request ran, beyond the slots of its endpoint. TestOneOrderOfWork, six plays: up to 10 requests at endpoints of 8 slots and 7 at endpoints of 6. Change: a group keeps the refusals of a holder until a report does not list the asks any more. Figures: no endpoint gets more requests than it has slots.

--- a/internal/policy/srgroup/group.go
+++ b/internal/policy/srgroup/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -62,6 +63,8 @@
 	// waiting maps the holder's IDs of its asks to those of the dispatcher.
 	waiting map[uint64]uint64
 	grants  map[uint64]grant
+	// refused are the refusals that the holder may not have received, by ask.
+	refused map[uint64]sr.SlotDecision
 	// own is the number of requests in flight without a slot of this coordinator.
 	own map[string]int
 }
@@ -110,7 +113,7 @@
 }
 
 func newHolder(now time.Time, id sr.InstanceID) *holder {
-	return &holder{id: id, lastReport: now, waiting: make(map[uint64]uint64), grants: make(map[uint64]grant)}
+	return &holder{id: id, lastReport: now, waiting: make(map[uint64]uint64), grants: make(map[uint64]grant), refused: make(map[uint64]sr.SlotDecision)}
 }
 
 // Configure sets the usable endpoints of the group.
@@ -148,6 +151,7 @@
 		decisions = append(decisions, g.release(now, h, released.Ask, resultOf(released.Result))...)
 	}
 	g.reconcile(now, h, r, &decisions)
+	maps.DeleteFunc(h.refused, func(ask uint64, _ sr.SlotDecision) bool { return !slices.Contains(r.Waiting, ask) })
 	h.own = r.Own
 	decisions = append(decisions, g.updateOwn(now)...)
 	refused := g.add(now, h, r.Asks, &decisions)
@@ -176,6 +180,10 @@
 			out = append(out, sr.SlotDecision{Ask: ask, Granted: true, Endpoint: held.endpoint})
 			continue
 		}
+		if d, ok := h.refused[ask]; ok {
+			out = append(out, d)
+			continue
+		}
 		out = append(out, sr.SlotDecision{Ask: ask, Reason: ReasonLost})
 	}
 	return out
@@ -323,7 +331,11 @@
 			to = &Delivery{To: o.holder.id}
 			byHolder[o.holder.id] = to
 		}
-		to.Decisions = append(to.Decisions, decisionOf(o.ask, d))
+		decision := decisionOf(o.ask, d)
+		if !decision.Granted {
+			o.holder.refused[o.ask] = decision
+		}
+		to.Decisions = append(to.Decisions, decision)
 	}
 	out := make([]Delivery, 0, len(byHolder))
 	for _, d := range byHolder {
