Divide the slots of a rank between workspaces by their weights

Cause: Asks of one rank were ordered by their objective alone, so a workspace with many times its usual requests, or with long prompts, took the slots of the others. Ruled out: limits for each workspace, which leave slots idle; counting requests, with which long prompts get four times their share; charging the time of a slot, known only at its end. Change: srfair keeps the account (start-time fair queueing; work is the prompt plus 1,000 tokens). With Options.Fair the asks of a rank are ordered by its tags, and ahead counts in that order. Conclusion: Within a rank, a workspace beyond its share pays for it alone. Not shown here: several coordinators.

--- a/internal/policy/srdispatch/order.go
+++ b/internal/policy/srdispatch/order.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdecay"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srfair"
 )
 
 const (
@@ -23,6 +24,8 @@
 type queuedAsk struct {
 	Ask
 	queuedAt time.Time
+	// tag orders the asks of a rank when slots are divided between workspaces.
+	tag float64
 }
 
 // rank counts the arrivals and the grants of requests of equal rank. Both counts decay
@@ -31,6 +34,8 @@
 	arrivals  float64
 	served    float64
 	lastDecay srdecay.Decay
+	// shares divides the slots of the rank between workspaces.
+	shares *srfair.Shares
 }
 
 // rankKey orders ranks by workspace, then by route. A lower key comes first.
@@ -43,7 +48,7 @@
 	key := rankKey(a)
 	r, ok := s.ranks[key]
 	if !ok {
-		r = &rank{}
+		r = &rank{shares: srfair.New()}
 		s.ranks[key] = r
 	}
 	return r
@@ -80,6 +85,7 @@
 		i--
 	}
 	s.queue = slices.Insert(s.queue, i, w)
+	s.arrange(rankKey(w.Ask))
 }
 
 func (s *Service) remove(i int) {
@@ -88,7 +94,7 @@
 
 // precedes orders asks: resumed streams first, then by rank. Within a rank, asks that can
 // still meet their objective precede returned ones, and earlier objectives precede later
-// ones.
+// ones; with Options.Fair, this is the order of each workspace alone (fair.go).
 func (w *queuedAsk) precedes(o *queuedAsk) bool {
 	if w.Resumed != o.Resumed {
 		return w.Resumed
--- a/internal/policy/srdispatch/refuse.go
+++ b/internal/policy/srdispatch/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -130,6 +131,7 @@
 // before it.
 func (s *Service) expire(now time.Time) []Decision {
 	var out []Decision
+	var changed []int
 	pause := s.pauseLeft(now)
 	for i := 0; i < len(s.queue); {
 		w := s.queue[i]
@@ -147,8 +149,12 @@
 			reason = ReasonPaused
 		}
 		s.remove(i)
+		changed = append(changed, rankKey(w.Ask))
 		out = append(out, s.refuse(now, w, reason))
 	}
+	for _, key := range slices.Compact(changed) {
+		s.arrange(key)
+	}
 	return out
 }
 
--- a/internal/policy/srdispatch/replay_test.go
+++ b/internal/policy/srdispatch/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -24,6 +25,8 @@
 	asks    map[uint64]*ask
 	lastID  uint64
 	decided map[uint64]srdispatch.Decision
+	// refused is called for each refusal.
+	refused func(*ask, srdispatch.Decision)
 }
 
 type engine struct {
@@ -52,9 +55,13 @@
 const step = time.Millisecond
 
 func newSimulation(t *testing.T, engines ...*engine) *simulation {
+	return newSimulationOf(t, srdispatch.Options{Seed: 1, Domain: "a"}, engines...)
+}
+
+func newSimulationOf(t *testing.T, o srdispatch.Options, engines ...*engine) *simulation {
 	sim := &simulation{
 		t: t, rand: rand.New(rand.NewPCG(1, 2)), now: time.Unix(0, 0),
-		s:       srdispatch.New(srdispatch.Options{Seed: 1, Domain: "a"}),
+		s:       srdispatch.New(o),
 		engines: make(map[string]*engine), asks: make(map[uint64]*ask), decided: make(map[uint64]srdispatch.Decision),
 	}
 	var list []srdispatch.Endpoint
@@ -87,6 +94,9 @@
 		assert.Assert(sim.t, !twice, "ask %d was decided twice", d.Ask)
 		sim.decided[d.Ask] = d
 		if d.Kind != srdispatch.Placed {
+			if sim.refused != nil {
+				sim.refused(sim.asks[d.Ask], d)
+			}
 			continue
 		}
 		a, e := sim.asks[d.Ask], sim.engines[d.Endpoint]
@@ -105,8 +115,8 @@
 		if each != nil {
 			each()
 		}
-		for id, e := range sim.engines {
-			sim.runEngine(id, e)
+		for _, id := range slices.Sorted(maps.Keys(sim.engines)) {
+			sim.runEngine(id, sim.engines[id])
 		}
 		sim.apply(sim.s.Tick(sim.now))
 	}
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -19,6 +19,9 @@
 //     its objective is refused on arrival instead of after a wait (refuse.go).
 //   - A higher rank that asks for the whole capacity. Each lower rank is still served a
 //     small share of its requests (order.go).
+//   - One workspace with many times its usual requests, or with long prompts. With Options.Fair,
+//     the asks of one rank are ordered between the workspaces by the work that each has got
+//     (fair.go).
 //   - More instances than slots. Each endpoint is shared by a few instances, which use
 //     their slots without coordination. Other instances use it only when their own
 //     endpoints are full and at least half of its slots are known to be free (share.go).
@@ -252,7 +255,9 @@
 // Withdraw removes an ask whose caller has left.
 func (s *Service) Withdraw(id uint64) {
 	if i := slices.IndexFunc(s.queue, func(w *queuedAsk) bool { return w.ID == id }); i >= 0 {
+		key := rankKey(s.queue[i].Ask)
 		s.remove(i)
+		s.arrange(key)
 	}
 }
 
@@ -422,7 +427,7 @@
 		}
 		s.remove(i)
 		s.assign(now, id, w.Ask)
-		s.rank(w.Ask).addGrant(now)
+		s.charge(now, w.Ask)
 		out = append(out, s.complete(now, w, Decision{Kind: Placed, Endpoint: id}))
 	}
 	return out
