--- a/internal/policy/srdispatch/late.go
+++ b/internal/policy/srdispatch/late.go
@@ -31,7 +31,9 @@
 	if !s.opts.Fair || w.Patience <= 0 {
 		return w.queuedAt.Add(maxReturnedWait)
 	}
-	return w.queuedAt.Add(time.Duration(float64(w.Patience) * lateWaitShare))
+	// A caller does not wait past the deadline, however patient it is.
+	patience := min(w.Patience, w.Deadline.Sub(w.queuedAt))
+	return w.queuedAt.Add(time.Duration(float64(patience) * lateWaitShare))
 }
 
 // nextChange returns when an ask reaches its wait limit, or when it cannot be in time any more.
--- a/internal/policy/srdispatch/late_test.go
+++ b/internal/policy/srdispatch/late_test.go
@@ -109,13 +109,13 @@
 		{true, 2 * time.Second, 500 * time.Millisecond},
 		{true, 4 * time.Second, time.Second},
 		{true, 4800 * time.Millisecond, 1200 * time.Millisecond},
-		// No longer than the request itself.
-		{true, time.Minute, 3 * time.Second},
+		// The answer must end by the deadline, after 6 s.
+		{true, time.Minute, 1500 * time.Millisecond},
 	} {
 		s, now := srdispatch.New(srdispatch.Options{Fair: c.fair}), time.Unix(0, 0)
 		s.Configure(now, []srdispatch.Endpoint{{ID: "a", Slots: 1, Share: 1}})
 		s.Add(now, srdispatch.Ask{ID: 1, Target: now.Add(time.Second), Deadline: now.Add(time.Minute)})
-		s.Add(now, srdispatch.Ask{ID: 2, Target: now, Deadline: now.Add(3 * time.Second), Patience: c.patience, Returned: true})
+		s.Add(now, srdispatch.Ask{ID: 2, Target: now, Deadline: now.Add(6 * time.Second), Patience: c.patience, Returned: true})
 		next, ok := s.Next()
 		assert.Assert(t, ok)
 		assert.Equal(t, next.Sub(now), c.wait)
