--- a/internal/app/srforward/coordinate_test.go
+++ b/internal/app/srforward/coordinate_test.go
@@ -1,6 +1,7 @@
 package srforward
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -138,6 +139,24 @@
 			d, _ := acquire(t, n, a)
 			assert.Assert(t, d.Kind == srdispatch.Placed && d.Endpoint == "e-1", "%v", d)
 		},
+		"callers leave around the grant": func(t *testing.T, f *testFleet, coordinator string) {
+			n := f.other(coordinator)
+			q, granted := n.queues.get("s"), 0
+			for after := time.Duration(0); after < 10*time.Millisecond; after += 100 * time.Microsecond {
+				ctx, cancel := context.WithTimeout(t.Context(), after)
+				d, err := q.acquire(ctx, testAsk(time.Second), func(int) {})
+				cancel()
+				if err == nil {
+					assert.Equal(t, d.Kind, srdispatch.Placed)
+					q.release(d.Endpoint, srdispatch.Result{Unsent: true})
+					granted++
+				}
+			}
+			assert.Assert(t, granted > 0 && granted < 100, granted)
+			time.Sleep(200 * time.Millisecond)
+			free, held := f.instance(coordinator).inFlight(n)
+			assert.Assert(t, free == slots && held == 0 && len(q.running()) == 0, "%d free, %d held, %v", free, held, q.running())
+		},
 		"holder leaves": func(t *testing.T, f *testFleet, coordinator string) {
 			n := f.other(coordinator)
 			for range 10 {
--- a/internal/policy/srgroup/group_test.go
+++ b/internal/policy/srgroup/group_test.go
@@ -116,6 +116,36 @@
 			decided, _ := p.report(b, nil)
 			assert.Assert(t, len(decided) == 1 && decided[0].Reason == ReasonLost, "%v", decided)
 		},
+		"endpoint that wants no requests from one holder": func(t *testing.T, p *pair, a, b *Holder) {
+			a.Ask(p.now, 1, srdispatch.Ask{Target: p.now.Add(time.Second), Deadline: p.now.Add(time.Second), Avoid: []string{"e-1"}})
+			decided, _ := p.report(a, nil)
+			assert.Equal(t, len(decided), 0)
+			p.ask(b, 1, 2)
+			decided, _ = p.report(b, nil)
+			assert.Equal(t, len(decided), 2)
+			assert.Equal(t, p.group.Waiting(), 1)
+		},
+		"cold endpoint": func(t *testing.T, p *pair, a, b *Holder) {
+			// Two holders get no more than the rate together.
+			const rate, seconds = 10, 3
+			p.group.Configure(p.now, []srdispatch.Endpoint{{ID: "e-1", Slots: 100, ColdRate: rate}})
+			granted := 0
+			for i := range uint64(100 * seconds) {
+				h := []*Holder{a, b}[i%2]
+				p.ask(h, i)
+				decided, others := p.report(h, nil)
+				for _, d := range append(others, p.group.Tick(p.now)...) {
+					decided = append(decided, map[string]*Holder{"a": a, "b": b}[d.To.Address].Deliver(p.now, d.Decisions)...)
+				}
+				for _, d := range decided {
+					if d.Kind == srdispatch.Placed {
+						granted++
+					}
+				}
+				p.now = p.now.Add(10 * time.Millisecond)
+			}
+			assert.Assert(t, granted <= rate*seconds+1 && granted > rate*seconds*3/4, "%d granted", granted)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newPair(t, "e-1")
--- a/internal/policy/srgroup/rig_test.go
+++ b/internal/policy/srgroup/rig_test.go
@@ -156,6 +156,11 @@
 		n.group.Configure(r.now, list)
 		n.group.SetLoad(r.now, r.running())
 	}
+	r.follow(n, by...)
+}
+
+// follow sets the coordinator by the views of some instances.
+func (r *rig) follow(n *rigInstance, by ...*rigInstance) {
 	for _, h := range by {
 		if h.coordinator != n {
 			h.undecided(slices.Sorted(maps.Keys(h.asks)))
@@ -173,6 +178,9 @@
 }
 
 func (n *rigInstance) running() map[string]int {
+	if n.down {
+		return nil
+	}
 	load := make(map[string]srdispatch.Load)
 	n.alone.AddLoad(load)
 	out := make(map[string]int)
