--- a/internal/policy/srgroup/rig_test.go
+++ b/internal/policy/srgroup/rig_test.go
@@ -113,7 +113,7 @@
 	for i, name := range names {
 		n := &rigInstance{rig: r, name: name, asks: make(map[uint64]*job), aloneAsks: make(map[uint64]*job), alone: srdispatch.New(srdispatch.Options{Seed: uint64(i)})}
 		own := slices.Clone(list)
-		srdispatch.SetShares(own, name, slices.Delete(slices.Clone(names), i, i+1))
+		srdispatch.NewSharing(name).SetShares(own, slices.Delete(slices.Clone(names), i, i+1))
 		n.alone.Configure(r.now, own)
 		n.holder = NewHolder("s/0", instance(name), 0)
 		r.instances = append(r.instances, n)
