Let leaving instances that have joined count for one that starts

Cause: what a leaving instance states about its view was not recorded, and an instance that starts asks only members. Worse, after a restore such an instance serves what the copy has. On the code before, TestInstanceThatStartsWhileTheOthersLeaveDoesNotServeTheCopy: "a lost key after 600ms", and endpoints that had left, had gone or were evacuated.

Ruled out: stale or down seeds (all three answered), a view that is behind (the listing was applied after 6 ms, and a missing revision does not delay a join), two that start and count as all (they count for neither); a shorter joinTimeout, which is two exchanges and a margin.

Change: leavers keep the extent, the domain and the joining state that they stated last. For the silence timeout they count for the join and are asked for entries, as members are; a leaving instance follows the registry until it ends. One that leaves before it joined does not count. Suspects and settled entries of leaving instances are still not applied.

--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -50,6 +50,9 @@
 // leaver is an instance that shuts down.
 type leaver struct {
 	lastContact time.Time
+	domain      string
+	extent      sr.Extent
+	joining     bool
 	// final is set once it spends no more of the limits.
 	final bool
 }
@@ -154,7 +157,7 @@
 	if !known && len(m.left) >= maxMembers {
 		return false
 	}
-	m.left[g.From] = leaver{lastContact: now, final: l.final || g.Final}
+	m.left[g.From] = leaver{lastContact: now, domain: g.Domain, extent: extentOf(g), joining: g.Joining, final: l.final || g.Final}
 	return !known
 }
 
@@ -326,6 +329,21 @@
 	return out
 }
 
+// informants returns the members whose knowledge of the registry counts: those that are not silent,
+// and those that leave, which follow the registry until they end. The caller must hold m.mu.
+func (m *members) informants(now time.Time) []*member {
+	within := m.silenceTimeoutLocked()
+	out := m.recentMembers(now, within)
+	for id, l := range m.left {
+		e, ok := m.byAddress[id.Address]
+		restarted := ok && e.lastContact.After(l.lastContact)
+		if now.Sub(l.lastContact) <= within && !restarted {
+			out = append(out, &member{id: id, domain: l.domain, extent: l.extent, joining: l.joining})
+		}
+	}
+	return out
+}
+
 // alive returns the addresses of the members that are not silent.
 func (m *members) alive(now time.Time) []string {
 	m.mu.Lock()
@@ -415,7 +433,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var others []string
-	for _, e := range m.recentMembers(now, m.silenceTimeoutLocked()) {
+	for _, e := range m.informants(now) {
 		switch {
 		case !extent.Lacks(e.extent):
 			continue
@@ -439,7 +457,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	heardJoined = m.seedsOnlySelf()
-	for _, e := range m.recentMembers(now, m.silenceTimeoutLocked()) {
+	for _, e := range m.informants(now) {
 		heardJoined = heardJoined || !e.joining
 		era := e.extent.Position.Era
 		lacking = lacking || era > 0 && era != extent.Position.Era || extent.Prior.Before(e.extent.Prior)
@@ -447,14 +465,20 @@
 	return heardJoined, lacking
 }
 
-// extentOf returns what a member's view includes.
+// extentOf returns what the view of a member, or of one that leaves, includes.
 func (m *members) extentOf(address string) sr.Extent {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if e, ok := m.byAddress[address]; ok {
+	if e, ok := m.byAddress[address]; ok && !e.lastContact.IsZero() {
 		return e.extent
 	}
-	return sr.Extent{}
+	var last leaver
+	for id, l := range m.left {
+		if id.Address == address && l.lastContact.After(last.lastContact) {
+			last = l
+		}
+	}
+	return last.extent
 }
 
 // rank returns the position of this instance among those that are not silent, in an order
--- a/internal/app/srforward/restore_test.go
+++ b/internal/app/srforward/restore_test.go
@@ -326,6 +326,18 @@
 	})
 }
 
+// The same while all others leave. They know what the copy lacks until they end.
+func TestInstanceThatStartsWhileTheOthersLeaveDoesNotServeTheCopy(t *testing.T) {
+	checkStartAfterRestore(t, 1, func(f *testRestore, ctx context.Context) {
+		for _, address := range f.addresses()[1:] {
+			n := f.instance(address)
+			n.draining.Store(true)
+			defer n.draining.Store(false)
+		}
+		<-ctx.Done()
+	})
+}
+
 // checkStartAfterRestore starts instances, but not all of the fleet, after a restore, while
 // change runs.
 func checkStartAfterRestore(t *testing.T, count int, change func(*testRestore, context.Context)) {
@@ -384,6 +396,10 @@
 	gossip := func(era uint64, prior sr.Position, joining bool) []sr.Gossip {
 		return []sr.Gossip{{From: id("b"), Era: era, AsOf: 9, Prior: prior, Joining: joining}}
 	}
+	leaving := func(list []sr.Gossip) []sr.Gossip {
+		list[0].Leaving = true
+		return list
+	}
 	lost := sr.Position{Era: 1, Revision: 20}
 	for name, c := range map[string]struct {
 		heard  []sr.Gossip
@@ -398,6 +414,9 @@
 		"joined, knows more":         {heard: gossip(2, lost, false), waited: time.Minute},
 		"joined, of an earlier era":  {heard: gossip(1, sr.Position{}, false), waited: time.Minute},
 		"joined, of earlier version": {heard: gossip(0, sr.Position{}, false), joined: true},
+		"leaving":                    {heard: leaving(gossip(2, sr.Position{}, false)), joined: true},
+		"leaving, joining":           {heard: leaving(gossip(2, sr.Position{}, true)), waited: joinTimeout - time.Millisecond},
+		"leaving, knows more":        {heard: leaving(gossip(2, lost, false)), waited: time.Minute},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := newTestFleet(t, 3, restoreSettings).instance("10.0.0.0:1")
