Pass on the length that clients expect of an answer

Cause: clients state how many tokens they expect to be generated, and no decision knows it. Change: the estimate is read, and stated in asks and results.

--- a/forward.go
+++ b/forward.go
@@ -25,6 +25,8 @@
 	// number of generated tokens. Both are 0 when unstated.
 	Prompt int
 	Output int
+	// Length is the client's estimate of the number of generated tokens, 0 when unstated.
+	Length int
 	// Parts are the sections of the prompt in order.
 	Parts []PromptPart
 }
--- a/internal/app/srforward/guard.go
+++ b/internal/app/srforward/guard.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"time"
 
@@ -121,7 +122,8 @@
 		}
 	}
 	for _, f := range r.Released {
-		if f.Result.Prompt < 0 || f.Result.Prompt > math.MaxInt32 || f.Result.Pace < 0 || f.Result.Pace > maxTime {
+		counts := []int{f.Result.Prompt, f.Result.Events, f.Result.Length}
+		if slices.Min(counts) < 0 || slices.Max(counts) > math.MaxInt32 || f.Result.Pace < 0 || f.Result.Pace > maxTime {
 			return errors.Wrap(sr.ErrInvalid, "result of a request")
 		}
 	}
@@ -135,7 +137,7 @@
 		}
 	}
 	switch {
-	case a.Prompt < 0 || a.Prompt > math.MaxInt32:
+	case min(a.Prompt, a.Length) < 0 || max(a.Prompt, a.Length) > math.MaxInt32:
 		return errors.Wrap(sr.ErrInvalid, "size of a prompt")
 	case math.IsNaN(a.Weight) || math.IsInf(a.Weight, 0) || a.Weight < 0:
 		return errors.Wrap(sr.ErrInvalid, "weight of an ask")
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -217,6 +217,7 @@
 		Returned: q.elapsed > 0,
 		Resumed:  q.headerSent,
 		Prompt:   q.inbound.Prompt,
+		Length:   q.inbound.Length,
 		Avoid:    q.avoid,
 		Patience: q.route.Patience(),
 	}
--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -61,6 +61,9 @@
 		if err == io.EOF {
 			t.end = endOf(a)
 			t.sound = t.sound || t.end == endComplete
+			if t.resume == "" {
+				t.result.Events, t.result.Length = q.eventsSent-before, q.inbound.Length
+			}
 			t.broken = !t.sound
 			return q.endStream(t, a)
 		}
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -85,6 +85,8 @@
 	LastPart string
 	// Prompt is the size of the prompt in tokens, 0 when unknown.
 	Prompt int
+	// Length is the expected number of generated tokens, 0 when unknown.
+	Length int
 	// Avoid lists endpoints that rejected or did not finish the request.
 	Avoid []string
 	// Only lists the endpoints that may get the request, whatever their health, empty for all.
@@ -302,6 +304,10 @@
 	Prompt int
 	// Pace is the time per event of a stream, or the time of a whole answer.
 	Pace time.Duration
+	// Events is the number of events of a whole stream, Length the number of generated tokens
+	// that was expected of it. Both are 0 when unknown.
+	Events int
+	Length int
 	// Ran is the time for which the endpoint had the request, 0 when unknown.
 	Ran time.Duration
 }
--- a/internal/policy/srgroup/convert.go
+++ b/internal/policy/srgroup/convert.go
@@ -12,7 +12,7 @@
 	return sr.SlotAsk{
 		ID: id, WorkspaceRank: a.Workspace, RouteRank: a.Route, Workspace: a.WorkspaceName, Weight: a.Weight, Domain: a.Domain,
 		Target: a.Target.Sub(now), Deadline: a.Deadline.Sub(now), Patience: a.Patience,
-		Returned: a.Returned, Resumed: a.Resumed, LastPart: a.LastPart, Prompt: a.Prompt, Avoid: a.Avoid, Only: a.Only,
+		Returned: a.Returned, Resumed: a.Resumed, LastPart: a.LastPart, Prompt: a.Prompt, Length: a.Length, Avoid: a.Avoid, Only: a.Only,
 	}
 }
 
@@ -21,7 +21,7 @@
 	return srdispatch.Ask{
 		ID: id, Workspace: a.WorkspaceRank, Route: a.RouteRank, WorkspaceName: a.Workspace, Weight: a.Weight, Domain: a.Domain,
 		Target: now.Add(a.Target), Deadline: now.Add(a.Deadline), Patience: a.Patience,
-		Returned: a.Returned, Resumed: a.Resumed, LastPart: a.LastPart, Prompt: a.Prompt, Avoid: a.Avoid, Only: a.Only,
+		Returned: a.Returned, Resumed: a.Resumed, LastPart: a.LastPart, Prompt: a.Prompt, Length: a.Length, Avoid: a.Avoid, Only: a.Only,
 	}
 }
 
@@ -45,10 +45,10 @@
 }
 
 func resultOf(r sr.SlotResult) srdispatch.Result {
-	return srdispatch.Result{NotRun: r.NotRun, Gone: r.Gone, Failed: r.Failed, Error: r.Error, Unknown: r.Unknown, Unsent: r.Unsent, Prompt: r.Prompt, Pace: r.Pace, Ran: r.Ran}
+	return srdispatch.Result{NotRun: r.NotRun, Gone: r.Gone, Failed: r.Failed, Error: r.Error, Unknown: r.Unknown, Unsent: r.Unsent, Prompt: r.Prompt, Pace: r.Pace, Events: r.Events, Length: r.Length, Ran: r.Ran}
 }
 
 // NewResult returns the message of a result.
 func NewResult(r srdispatch.Result) sr.SlotResult {
-	return sr.SlotResult{NotRun: r.NotRun, Gone: r.Gone, Failed: r.Failed, Error: r.Error, Unknown: r.Unknown, Unsent: r.Unsent, Prompt: r.Prompt, Pace: r.Pace, Ran: r.Ran}
+	return sr.SlotResult{NotRun: r.NotRun, Gone: r.Gone, Failed: r.Failed, Error: r.Error, Unknown: r.Unknown, Unsent: r.Unsent, Prompt: r.Prompt, Pace: r.Pace, Events: r.Events, Length: r.Length, Ran: r.Ran}
 }
--- a/slotreport.go
+++ b/slotreport.go
@@ -25,8 +25,9 @@
 	Returned bool
 	Resumed  bool
 	LastPart string
-	// Prompt is the size of the prompt in tokens.
+	// Prompt is the size of the prompt in tokens, Length the expected number of generated ones.
 	Prompt int
+	Length int
 	// Avoid lists endpoints that must not get the request, Only those that alone may get it.
 	Avoid []string
 	Only  []string
@@ -63,6 +64,8 @@
 	Unsent  bool
 	Prompt  int
 	Pace    time.Duration
+	Events  int
+	Length  int
 	// Ran is the time for which the endpoint had the request.
 	Ran time.Duration
 }
