Place by learned limits and speeds

Cause: srdispatch fills all slots of an endpoint that slows down at half of them, and sends prompts to slow endpoints where they start late although a faster one would have started them in time a little later.

Change: endpoint.freeSlots is bounded by the learned limit; the load and the time to start use the learned slowness. pace, startPredictor and slowdown are gone. An ask that would start late is held back, until 40 ms before the end of its wait, while another endpoint can start it in time once it has room; at most 32 asks are passed over in a row. LimitChanges and Limits return what was learned. TestSlowEndpointsTakeLateAsks lets 100 ms pass between its rounds, since answers at the same instant now count as one sample; what it asserts is unchanged.

--- a/internal/policy/srdispatch/endpoint.go
+++ b/internal/policy/srdispatch/endpoint.go
@@ -1,15 +1,14 @@
 package srdispatch
 
-import "time"
+import (
+	"time"
 
-const (
-	// paceWeight is the weight of a new sample in the moving average of an endpoint's
-	// pace.
-	paceWeight = 0.2
-	// defaultSlots applies to endpoints whose slot count is not configured.
-	defaultSlots = 4
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srlimit"
 )
 
+// defaultSlots applies to endpoints whose slot count is not configured.
+const defaultSlots = 4
+
 // endpoint is the state of one endpoint.
 type endpoint struct {
 	Endpoint
@@ -22,8 +21,8 @@
 	// have not started, peerPending the same for all other instances.
 	pendingTokens int
 	peerPending   int
-	// pace is the moving average of Result.Pace in seconds, 0 when unknown.
-	pace float64
+	// learned is how many requests the endpoint takes well, and how fast it is.
+	learned learner
 	health
 	// coldNext is when a cold endpoint may get its next request.
 	coldNext time.Time
@@ -38,7 +37,9 @@
 	}
 	if c.Born != e.Born {
 		e.pausedUntil = time.Time{}
+		e.learned.Reset(now)
 	}
+	e.learned.Configure(now, c.Slots, c.ColdRate > 0)
 	if c.ColdRate > 0 && e.ColdRate == 0 {
 		e.coldNext = now
 	}
@@ -47,9 +48,11 @@
 
 func (e *endpoint) setPeerLoad(l Load) { e.peerInFlight, e.peerPending = l.Running, l.Pending }
 
-// addRequest records that a request is sent to the endpoint.
-func (e *endpoint) addRequest(now time.Time) {
+// addRequest records that a request with a prompt of some tokens is sent to the endpoint.
+func (e *endpoint) addRequest(now time.Time, prompt int) {
 	e.ownInFlight++
+	e.learned.Placed(now, prompt, e.pendingTokens+e.peerPending, e.inFlight())
+	e.pendingTokens += prompt
 	if e.ColdRate > 0 {
 		e.coldNext = now.Add(time.Duration(float64(time.Second) / e.ColdRate))
 	}
@@ -59,39 +62,44 @@
 // finishRequest records the result of a request.
 func (e *endpoint) finishRequest(now time.Time, r Result) {
 	e.ownInFlight--
+	e.learned.Ended(now, e.answer(r))
 	e.pendingTokens = max(e.pendingTokens-r.Prompt, 0)
 	if r.Unsent {
 		e.probeUntil = time.Time{}
 		return
 	}
 	e.observe(now, r)
-	if r.Pace > 0 {
-		e.pace = movingAverage(e.pace, r.Pace.Seconds())
-	}
 }
 
-// movingAverage returns average after a new sample; 0 means no samples yet.
-func movingAverage(average, sample float64) float64 {
-	if average == 0 {
-		return sample
+// answer returns what the result of a request shows about the speed of the endpoint. Errors
+// and answers that broke off show nothing.
+func (e *endpoint) answer(r Result) srlimit.Answer {
+	a := srlimit.Answer{Prompt: r.Prompt, Running: e.inFlight()}
+	if !r.Unsent && !r.NotRun && !r.Failed && !r.Error {
+		a.Pace = r.Pace
 	}
-	return average + paceWeight*(sample-average)
+	return a
 }
 
+// inFlight returns the number of requests in flight from all instances.
+func (e *endpoint) inFlight() int { return e.ownInFlight + e.peerInFlight }
+
 // freeSlots returns how many more requests this instance may send to the endpoint: its
-// slots less the requests of other instances, but never less than this instance's share.
-// Without a share it is at most one, and none while the endpoint is cold or less than
-// half free.
+// learned limit less the requests of other instances, but never less than this instance's
+// share of it. Without a share it is at most one, and none while the endpoint is cold or less
+// than half free.
 func (e *endpoint) freeSlots() int {
-	free := e.Slots - e.peerInFlight
+	limit := e.learned.Limit()
+	free := limit - e.peerInFlight
 	if e.Share == 0 {
 		// The load from other instances is only known with a delay, so one at a time.
-		if e.ColdRate > 0 || free-e.ownInFlight < (e.Slots+1)/2 {
+		if e.ColdRate > 0 || free-e.ownInFlight < (limit+1)/2 {
 			return 0
 		}
 		return 1 - e.ownInFlight
 	}
-	return max(free, e.Share) - e.ownInFlight
+	share := (e.Share*limit + e.Slots - 1) / e.Slots
+	return max(free, share) - e.ownInFlight
 }
 
 // forgettable reports whether nothing about an endpoint has to be remembered while it is
--- a/internal/policy/srdispatch/place.go
+++ b/internal/policy/srdispatch/place.go
@@ -23,43 +23,56 @@
 	// startCost is the cost of an endpoint where the answer would start just in time, as a
 	// fraction of a full load.
 	startCost = 1.0
+	// holdMargin is how long before the end of its wait an ask takes an endpoint where it starts
+	// late, two intervals at which a queue is looked at.
+	holdMargin = 40 * time.Millisecond
 	// lateCost puts endpoints where the answer would start late behind all others.
 	lateCost = 100
 )
 
 // place returns the best available endpoint for an ask, or "" when there is none. An ask
 // that can still meet its objective goes to an endpoint where it would start late only
-// when no other endpoint is available. median is the median pace of the endpoints.
-func (s *Service) place(now time.Time, w *queuedAsk, median float64) string {
-	skip := s.skipsUnhealthy(now)
+// when no endpoint can start it in time once it has a free slot, or the ask may not wait any
+// longer.
+func (s *Service) place(now time.Time, w *queuedAsk) string {
+	skip := s.skipsUnhealthy(now) && len(w.Only) == 0
 	best, bestCost := "", 0.0
+	// late is set when the answer would start late at the best endpoint, hold when another
+	// one can start it in time.
+	late, hold := false, false
 	preferred := s.preferredEndpoints(w.LastPart)
 	left := w.Target.Sub(now)
 	for _, id := range s.endpointIDs {
 		e := s.endpoints[id]
-		if !e.available(now) || !w.accepts(id) {
+		if !w.accepts(id) || e.paused(now) || skip && !e.healthy(now) {
 			continue
 		}
-		if skip && len(w.Only) == 0 && !e.healthy(now) {
+		hold = hold || left > 0 && e.learned.StartTime(now, w.Prompt) <= left
+		if !e.available(now) {
 			continue
 		}
-		cost := s.cost(e, w, median)
+		cost := s.cost(now, e, w)
 		if slices.Contains(preferred[:], id) {
 			cost -= cacheGain
 		}
-		switch start := s.timeToStart(e, w, median); {
+		start := e.timeToStart(now, w)
+		startsLate := left > 0 && start > left
+		switch {
 		case left <= 0:
 			// Already late: leave the fast endpoints to asks that can be in time.
-			cost /= e.slowdown(median)
-		case start > left:
+			cost /= e.learned.Slowness(now)
+		case startsLate:
 			cost += lateCost
 		default:
 			cost += startCost * float64(start) / float64(left)
 		}
 		if best == "" || cost < bestCost {
-			best, bestCost = id, cost
+			best, bestCost, late = id, cost, startsLate
 		}
 	}
+	if late && hold && len(w.Only) == 0 && s.waitLimit(w).Sub(now) > holdMargin {
+		return ""
+	}
 	return best
 }
 
@@ -76,12 +89,12 @@
 	return !slices.ContainsFunc(s.endpointIDs, a.accepts)
 }
 
-// cost returns the load of an endpoint with one more request, as a fraction of its slots,
-// multiplied by its slowdown. Endpoints without a share and endpoints in other failure
+// cost returns the load of an endpoint with one more request, as a fraction of its limit,
+// multiplied by its slowness. Endpoints without a share and endpoints in other failure
 // domains than the ask cost extra.
-func (s *Service) cost(e *endpoint, w *queuedAsk, median float64) float64 {
-	cost := float64(e.ownInFlight+e.peerInFlight+1) / float64(e.Slots)
-	cost *= e.slowdown(median)
+func (s *Service) cost(now time.Time, e *endpoint, w *queuedAsk) float64 {
+	cost := float64(e.inFlight()+1) / float64(e.learned.Limit())
+	cost *= e.learned.Slowness(now)
 	if e.Share == 0 {
 		cost += unsharedCost
 	}
@@ -130,18 +143,3 @@
 	}
 	return out
 }
-
-// medianPace returns the median of the known paces, 0 when none is known.
-func (s *Service) medianPace() float64 {
-	var paces []float64
-	for _, id := range s.endpointIDs {
-		if p := s.endpoints[id].pace; p > 0 {
-			paces = append(paces, p)
-		}
-	}
-	if len(paces) == 0 {
-		return 0
-	}
-	slices.Sort(paces)
-	return paces[len(paces)/2]
-}
--- a/internal/policy/srdispatch/replay_test.go
+++ b/internal/policy/srdispatch/replay_test.go
@@ -449,6 +449,7 @@
 			s.AnswerStarted(now, at, 1000, first)
 			s.Release(now, at, srdispatch.Result{Pace: pace})
 		}
+		now = now.Add(100 * time.Millisecond)
 	}
 	for range 6 {
 		assert.Assert(t, add(250*time.Millisecond) != "slow")
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -43,6 +43,8 @@
 //   - Endpoints of one service that differ several-fold in speed. A request that can
 //     still be in time goes to an endpoint where its answer is expected to start in time;
 //     a request that is already late goes to a slow one (start.go, place.go).
+//   - An endpoint that slows down long before it is full, or for a time. It gets no more
+//     requests than it is known to take well (internal/policy/srlimit).
 //   - A prompt of ten times the usual size among small ones. An endpoint processes prompts in
 //     order of arrival, so what is placed there next starts late. The tokens that are ahead, from
 //     all instances, count towards the cost of an endpoint (start.go, place.go).
@@ -54,6 +56,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srlimit"
 )
 
 // Ask is a request that needs an endpoint.
@@ -185,7 +189,9 @@
 	// ranks is indexed by rankKey.
 	ranks      map[int]*rank
 	throughput throughput
-	starts     startPredictor
+	limiter    *srlimit.Limiter
+	// learner returns what learns about an endpoint, of the limiter.
+	learner func(slots int) learner
 	// lastReturn is the latest return time scheduled for a refused caller.
 	lastReturn time.Time
 	// running is the number of requests in flight from this instance.
@@ -195,9 +201,12 @@
 
 // New returns a Service without endpoints.
 func New(o Options) *Service {
+	l := srlimit.New()
 	return &Service{
 		opts:      o,
 		rand:      rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		limiter:   l,
+		learner:   func(slots int) learner { return l.Add(slots) },
 		endpoints: make(map[string]*endpoint),
 		ranks:     make(map[int]*rank),
 	}
@@ -212,7 +221,7 @@
 		s.endpointIDs = append(s.endpointIDs, e.ID)
 		known, ok := s.endpoints[e.ID]
 		if !ok {
-			known = &endpoint{}
+			known = &endpoint{learned: s.learner(e.Slots)}
 			known.setPeerLoad(s.peerLoad[e.ID])
 			s.endpoints[e.ID] = known
 		}
@@ -221,12 +230,20 @@
 	for id, e := range s.endpoints {
 		e.usable = usable[id]
 		if e.forgettable(now) {
-			delete(s.endpoints, id)
+			s.forget(id)
 		}
 	}
 	return s.dispatch(now)
 }
 
+// forget removes an endpoint and what was learned of it.
+func (s *Service) forget(id string) {
+	if e, ok := s.endpoints[id].learned.(*srlimit.Endpoint); ok {
+		s.limiter.Remove(e)
+	}
+	delete(s.endpoints, id)
+}
+
 // Load is what other instances have at an endpoint.
 type Load struct {
 	// Running is the number of requests in flight.
@@ -273,7 +290,7 @@
 	if !ok {
 		return
 	}
-	s.starts.observe(float64(max(e.pendingTokens, prompt)), first.Seconds()/e.slowdown(s.medianPace()))
+	e.learned.Started(now, prompt, max(e.pendingTokens, prompt), first)
 	e.pendingTokens = max(e.pendingTokens-prompt, 0)
 	s.trackHealth(now, e, e.answerStarted)
 }
@@ -323,7 +340,7 @@
 	s.running--
 	s.trackHealth(now, e, func() { e.finishRequest(now, r) })
 	if e.forgettable(now) {
-		delete(s.endpoints, id)
+		s.forget(id)
 	}
 	return s.dispatch(now)
 }
@@ -414,10 +431,13 @@
 // Waiting returns the number of waiting asks.
 func (s *Service) Waiting() int { return len(s.queue) }
 
+// maxSkipped is the number of asks that may be passed over in a row, which bounds the time that
+// a long queue takes.
+const maxSkipped = 32
+
 // dispatch places as many asks as possible, in order.
 func (s *Service) dispatch(now time.Time) []Decision {
 	var out []Decision
-	median := s.medianPace()
 	skipped := 0
 	for skipped < len(s.queue) {
 		i := s.nextIndex(now)
@@ -425,11 +445,12 @@
 			i = skipped
 		}
 		w := s.queue[i]
-		id := s.place(now, w, median)
+		id := s.place(now, w)
 		if id == "" {
-			// Another ask may fit an available endpoint that this one must avoid.
+			// Another ask may fit an available endpoint that this one must avoid, or where it
+			// would start late.
 			skipped++
-			if !s.anyAvailable(now) {
+			if skipped > maxSkipped || !s.anyAvailable(now) {
 				break
 			}
 			continue
@@ -439,6 +460,9 @@
 		s.charge(now, w)
 		out = append(out, s.complete(now, w, Decision{Kind: Placed, Endpoint: id}))
 	}
+	if len(s.queue) > 0 && s.probeLimits(now) {
+		return append(out, s.dispatch(now)...)
+	}
 	return out
 }
 
@@ -456,8 +480,7 @@
 func (s *Service) assign(now time.Time, id string, a Ask) {
 	s.throughput.advance(now, s.running)
 	e := s.endpoints[id]
-	e.addRequest(now)
-	e.pendingTokens += a.Prompt
+	e.addRequest(now, a.Prompt)
 	s.running++
 }
 
--- a/internal/policy/srdispatch/start.go
+++ b/internal/policy/srdispatch/start.go
@@ -1,60 +1,60 @@
 package srdispatch
 
-import "time"
+import (
+	"time"
 
-const (
-	// startSamples is the number of starts over which the regression averages: each new
-	// one reduces the weight of the older ones by 1/startSamples.
-	startSamples = 200.0
-	// minStarts is the decayed number of starts needed to predict a start time.
-	minStarts = 20.0
-	// maxSlowdown bounds how much slower, or faster, than the median an endpoint can
-	// appear.
-	maxSlowdown = 20.0
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srlimit"
 )
 
-// startPredictor predicts the time to the start of an answer from the number of prompt
-// tokens to process until then, by linear regression over recent starts. The fields are
-// the decayed sums of the regression, with the tokens as x and the seconds as y.
-type startPredictor struct {
-	n, x, y, xx, xy float64
+// LimitChange is a change in the number of requests that an endpoint gets at once.
+type LimitChange struct {
+	Endpoint string
+	Limit    int
+	Slots    int
+	// Running is the number of requests in flight there.
+	Running int
+	// Slowness is the time that answers of the endpoint take relative to the median of the
+	// endpoints with the same load.
+	Slowness float64
+	Reason   srlimit.Reason
 }
 
-// observe adds a sample: the time to the start for a number of prompt tokens, scaled to
-// an endpoint of median speed.
-func (s *startPredictor) observe(tokens, seconds float64) {
-	f := 1 - 1/startSamples
-	s.n = s.n*f + 1
-	s.x = s.x*f + tokens
-	s.y = s.y*f + seconds
-	s.xx = s.xx*f + tokens*tokens
-	s.xy = s.xy*f + tokens*seconds
+// LimitChanges returns and clears the changes since the last call. The limiter bounds them.
+func (s *Service) LimitChanges(now time.Time) []LimitChange {
+	var out []LimitChange
+	for _, c := range s.limiter.Changes() {
+		for id, e := range s.endpoints {
+			if e.learned == c.Endpoint {
+				out = append(out, LimitChange{Endpoint: id, Limit: c.Limit, Slots: c.Slots, Running: e.inFlight(), Slowness: e.learned.Slowness(now), Reason: c.Reason})
+			}
+		}
+	}
+	return out
 }
 
-// predict returns the expected seconds for a number of prompt tokens, 0 when there are
-// too few samples.
-func (s *startPredictor) predict(tokens float64) float64 {
-	if s.n < minStarts {
-		return 0
-	}
-	slope := 0.0
-	if spread := s.n*s.xx - s.x*s.x; spread > 0 {
-		slope = max((s.n*s.xy-s.x*s.y)/spread, 0)
+// Limits returns the number of requests that each usable endpoint gets at most at once.
+func (s *Service) Limits() map[string]int {
+	out := make(map[string]int, len(s.endpointIDs))
+	for _, id := range s.endpointIDs {
+		out[id] = s.endpoints[id].learned.Limit()
 	}
-	base := max((s.y-slope*s.x)/s.n, 0)
-	return base + slope*tokens
+	return out
 }
 
-// slowdown returns the endpoint's time per event relative to the median, 1 when unknown.
-func (e *endpoint) slowdown(median float64) float64 {
-	if e.pace == 0 || median == 0 {
-		return 1
+// probeLimits raises the limits that keep asks waiting where the endpoints may take more. It
+// reports whether it has raised any.
+func (s *Service) probeLimits(now time.Time) bool {
+	raised := false
+	for _, id := range s.endpointIDs {
+		e := s.endpoints[id]
+		if e.learned.Limit() < e.Slots && e.freeSlots() <= 0 && e.healthy(now) && !e.paused(now) && e.learned.Probe(now) {
+			raised = true
+		}
 	}
-	return min(max(e.pace/median, 1/maxSlowdown), maxSlowdown)
+	return raised
 }
 
 // timeToStart predicts the time until an ask's answer starts at an endpoint.
-func (s *Service) timeToStart(e *endpoint, w *queuedAsk, median float64) time.Duration {
-	seconds := s.starts.predict(float64(e.pendingTokens+e.peerPending+w.Prompt)) * e.slowdown(median)
-	return time.Duration(seconds * float64(time.Second))
+func (e *endpoint) timeToStart(now time.Time, w *queuedAsk) time.Duration {
+	return e.learned.StartTime(now, e.pendingTokens+e.peerPending+w.Prompt)
 }
