--- a/internal/app/srforward/coordinate.go
+++ b/internal/app/srforward/coordinate.go
@@ -80,6 +80,18 @@
 	return c.groups[name]
 }
 
+func (c *coordinator) dump() map[string]groupDump {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]groupDump, len(c.groups))
+	for name, g := range c.groups {
+		g.mu.Lock()
+		out[name] = groupDump{Waiting: g.group.Waiting(), Limits: g.group.Limits()}
+		g.mu.Unlock()
+	}
+	return out
+}
+
 func (g *ownGroup) close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -125,6 +137,7 @@
 // schedule starts the timer, or shortens it. The caller must hold g.mu.
 func (g *ownGroup) schedule(now time.Time) {
 	g.logHealthChanges()
+	g.logLimitChanges(now)
 	wait := idleTick
 	if next, waits := g.group.Next(); waits {
 		wait = min(max(next.Sub(now), 0), maxTick)
@@ -147,6 +160,12 @@
 	}
 }
 
+func (g *ownGroup) logLimitChanges(now time.Time) {
+	for _, c := range g.group.LimitChanges(now) {
+		g.n.logLimitChange(c, srlog.Group, g.name)
+	}
+}
+
 // send delivers decisions without waiting. A holder that does not get one asks again.
 func (g *ownGroup) send(list []srgroup.Delivery) {
 	for _, d := range list {
--- a/internal/app/srforward/dump.go
+++ b/internal/app/srforward/dump.go
@@ -24,8 +24,10 @@
 	Endpoints []endpointDump
 	Evacuated []string
 	Queues    map[string]queueDump
-	Spent     map[string]float64
-	Dropped   int64
+	// Groups are those that this instance coordinates.
+	Groups  map[string]groupDump
+	Spent   map[string]float64
+	Dropped int64
 	// Opened is the number of connections opened to endpoints.
 	Opened int64
 }
@@ -43,6 +45,13 @@
 type queueDump struct {
 	Waiting int
 	Running map[string]int
+	// Limits has the number of requests that an endpoint gets at most at once, by endpoint.
+	Limits map[string]int
+}
+
+type groupDump struct {
+	Waiting int
+	Limits  map[string]int
 }
 
 // dump returns the current state.
@@ -62,6 +71,7 @@
 		Fleet:    n.members.fleetSize(now),
 		Alive:    n.members.alive(now),
 		Queues:   make(map[string]queueDump),
+		Groups:   n.coordinator.dump(),
 		Spent:    n.limits.spent(),
 		Dropped:  n.Log.Dropped(),
 		Opened:   n.Upstream.Opened(),
@@ -85,7 +95,7 @@
 		load := make(map[string]srdispatch.Load)
 		q.mu.Lock()
 		q.dispatcher.AddLoad(load)
-		d.Queues[name] = queueDump{Waiting: q.dispatcher.Waiting(), Running: runningOf(load)}
+		d.Queues[name] = queueDump{Waiting: q.dispatcher.Waiting(), Running: runningOf(load), Limits: q.dispatcher.Limits()}
 		q.mu.Unlock()
 	}
 	return d
--- a/internal/app/srforward/queues.go
+++ b/internal/app/srforward/queues.go
@@ -204,8 +204,10 @@
 // answerStarted records that an endpoint sent the first event of an answer.
 func (s *queue) answerStarted(endpoint string, prompt int, first time.Duration) {
 	s.mu.Lock()
-	s.dispatcher.AnswerStarted(time.Now(), endpoint, prompt, first)
+	now := time.Now()
+	s.dispatcher.AnswerStarted(now, endpoint, prompt, first)
 	s.logHealthChanges()
+	s.logLimitChanges(now)
 	s.mu.Unlock()
 	s.holders.started(s.name, sr.SlotStart{Endpoint: endpoint, Prompt: prompt, First: first})
 }
@@ -252,8 +254,10 @@
 func (s *queue) update(step func(now time.Time) []srdispatch.Decision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deliver(step(time.Now()))
+	now := time.Now()
+	s.deliver(step(now))
 	s.logHealthChanges()
+	s.logLimitChanges(now)
 	s.schedule()
 }
 
@@ -268,6 +272,20 @@
 	}
 }
 
+func (s *queue) logLimitChanges(now time.Time) {
+	for _, c := range s.dispatcher.LimitChanges(now) {
+		s.holders.n.logLimitChange(c, srlog.Service, s.name)
+	}
+}
+
+// logLimitChange logs and counts that an endpoint of a service or group gets more or fewer
+// requests at once.
+func (n *Instance) logLimitChange(c srdispatch.LimitChange, of, name string) {
+	n.stats.count("endpoint.limit." + string(c.Reason))
+	n.Log.State("endpoint-limit", srlog.Endpoint, c.Endpoint, of, name, srlog.Limit, c.Limit, srlog.Slots, c.Slots,
+		srlog.Running, c.Running, srlog.Slowness, c.Slowness, srlog.Reason, string(c.Reason))
+}
+
 func (s *queue) deliver(list []srdispatch.Decision) {
 	for _, d := range list {
 		if ch, ok := s.waiting[d.Ask]; ok {
@@ -296,6 +314,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timerSet = false
-	s.deliver(s.dispatcher.Tick(time.Now()))
+	now := time.Now()
+	s.deliver(s.dispatcher.Tick(now))
+	s.logLimitChanges(now)
 	s.schedule()
 }
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -95,6 +95,10 @@
 	// Fleet is the number of instances.
 	Fleet = "fleet"
 	Slots = "slots"
+	// Limit is the number of requests that an endpoint gets at most at once, Slowness the time
+	// that its answers take relative to the median of the endpoints with the same load.
+	Limit    = "limit"
+	Slowness = "slowness"
 	// Usable counts the endpoints of a service that may be used, Out those of them
 	// that are ejected as unhealthy, Paused those that have asked for no requests for some
 	// time, Others the requests of the other instances.
--- a/internal/policy/srgroup/group.go
+++ b/internal/policy/srgroup/group.go
@@ -313,6 +313,14 @@
 // HealthChanges returns and clears the health changes since the last call.
 func (g *Group) HealthChanges() []srdispatch.HealthChange { return g.dispatcher.HealthChanges() }
 
+// LimitChanges returns and clears the changes of learned limits since the last call.
+func (g *Group) LimitChanges(now time.Time) []srdispatch.LimitChange {
+	return g.dispatcher.LimitChanges(now)
+}
+
+// Limits returns the number of requests that each endpoint gets at most at once.
+func (g *Group) Limits() map[string]int { return g.dispatcher.Limits() }
+
 // deliver records decisions and sorts them by holder.
 func (g *Group) deliver(now time.Time, list []srdispatch.Decision) []Delivery {
 	byHolder := make(map[sr.InstanceID]*Delivery)
