Place long answers where they end by their deadline

Cause: a third of the endpoints of a service may take several times as long for each event. Change: the number of events for the length that a client expects is learned, and with the learned speed of an endpoint the time to the end of an answer. An endpoint where it would end late is the last choice, as one where it would start late.

--- a/internal/policy/srdispatch/learner.go
+++ b/internal/policy/srdispatch/learner.go
@@ -18,4 +18,5 @@
 	Limit() int
 	Slowness(now time.Time) float64
 	StartTime(now time.Time, tokens int) time.Duration
+	EventTime(now time.Time) time.Duration
 }
--- a/internal/policy/srdispatch/limits_test.go
+++ b/internal/policy/srdispatch/limits_test.go
@@ -348,6 +348,8 @@
 	return min(max(f.pace/known[len(known)/2], 0.05), 20)
 }
 
+func (f *formerLearner) EventTime(time.Time) time.Duration { return 0 }
+
 func (f *formerLearner) StartTime(now time.Time, tokens int) time.Duration {
 	p := f.paces
 	if p.n < 20 {
--- a/internal/policy/srdispatch/place.go
+++ b/internal/policy/srdispatch/place.go
@@ -23,22 +23,26 @@
 	// startCost is the cost of an endpoint where the answer would start just in time, as a
 	// fraction of a full load.
 	startCost = 1.0
+	// runCost is the cost of an endpoint where the answer would end just at the deadline, as a
+	// fraction of a full load.
+	runCost = 1.0
 	// holdMargin is how long before the end of its wait an ask takes an endpoint where it starts
 	// late, two intervals at which a queue is looked at.
 	holdMargin = 40 * time.Millisecond
-	// lateCost puts endpoints where the answer would start late behind all others.
+	// lateCost puts endpoints where the answer would start late, or not end by the deadline,
+	// behind all others.
 	lateCost = 100
 )
 
 // place returns the best available endpoint for an ask, or "" when there is none. An ask
-// that can still meet its objective goes to an endpoint where it would start late only
-// when no endpoint can start it in time once it has a free slot, or the ask may not wait any
-// longer.
+// that can still meet its objective goes to an endpoint where it would start late, or not end by
+// its deadline, only when no endpoint can do better once it has a free slot, or the ask may not
+// wait any longer.
 func (s *Service) place(now time.Time, w *queuedAsk) string {
 	skip := s.skipsUnhealthy(now) && len(w.Only) == 0
 	best, bestCost := "", 0.0
-	// late is set when the answer would start late at the best endpoint, hold when another
-	// one can start it in time.
+	// late is set when the best endpoint would start the answer late or not end it, hold when
+	// another one can do better.
 	late, hold := false, false
 	preferred := s.preferredEndpoints(w.LastPart)
 	left := w.Target.Sub(now)
@@ -47,7 +51,8 @@
 		if !w.accepts(id) || e.paused(now) || skip && !e.healthy(now) {
 			continue
 		}
-		hold = hold || left > 0 && e.learned.StartTime(now, w.Prompt) <= left
+		run := s.runTime(now, e, w)
+		hold = hold || s.inTime(now, w, e.learned.StartTime(now, w.Prompt), run)
 		if !e.available(now) {
 			continue
 		}
@@ -56,18 +61,18 @@
 			cost -= cacheGain
 		}
 		start := e.timeToStart(now, w)
-		startsLate := left > 0 && start > left
+		inTime := s.inTime(now, w, start, run)
 		switch {
+		case !inTime:
+			cost += lateCost
 		case left <= 0:
 			// Already late: leave the fast endpoints to asks that can be in time.
 			cost /= e.learned.Slowness(now)
-		case startsLate:
-			cost += lateCost
 		default:
-			cost += startCost * float64(start) / float64(left)
+			cost += startCost*float64(start)/float64(left) + runCost*float64(run)/float64(w.Deadline.Sub(now))
 		}
 		if best == "" || cost < bestCost {
-			best, bestCost, late = id, cost, startsLate
+			best, bestCost, late = id, cost, !inTime
 		}
 	}
 	if late && hold && len(w.Only) == 0 && s.waitLimit(w).Sub(now) > holdMargin {
@@ -76,6 +81,15 @@
 	return best
 }
 
+// inTime reports whether an answer that starts after start and runs for run meets the objective
+// of an ask, unless that has passed, and ends by its deadline.
+func (s *Service) inTime(now time.Time, w *queuedAsk, start, run time.Duration) bool {
+	if left := w.Target.Sub(now); left > 0 && start > left {
+		return false
+	}
+	return start+run <= w.Deadline.Sub(now)
+}
+
 // accepts reports whether an ask may be placed at an endpoint.
 func (a Ask) accepts(id string) bool {
 	return !slices.Contains(a.Avoid, id) && (len(a.Only) == 0 || slices.Contains(a.Only, id))
--- a/internal/policy/srdispatch/replay_test.go
+++ b/internal/policy/srdispatch/replay_test.go
@@ -44,8 +44,10 @@
 
 type ask struct {
 	srdispatch.Ask
-	kind     string
-	work     time.Duration
+	kind string
+	work time.Duration
+	// events is the number of events of a stream, 0 for ten.
+	events   int
 	started  time.Time
 	finishes time.Time
 	endpoint string
@@ -130,7 +132,11 @@
 		}
 		a.done = true
 		e.running = slices.DeleteFunc(e.running, func(o *ask) bool { return o == a })
-		sim.apply(sim.s.Release(sim.now, id, srdispatch.Result{Pace: a.finishes.Sub(a.started) / 10}))
+		r := srdispatch.Result{Pace: a.finishes.Sub(a.started) / 10}
+		if a.events > 0 {
+			r = srdispatch.Result{Pace: a.finishes.Sub(a.started) / time.Duration(a.events), Events: a.events, Length: a.Length}
+		}
+		sim.apply(sim.s.Release(sim.now, id, r))
 	}
 	for !e.hangs && len(e.waiting) > 0 && len(e.running) < e.slots {
 		a := e.waiting[0]
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -192,6 +192,8 @@
 	limiter    *srlimit.Limiter
 	// learner returns what learns about an endpoint, of the limiter.
 	learner func(slots int) learner
+	// lengths is what is known of the events of streams.
+	lengths lengths
 	// lastReturn is the latest return time scheduled for a refused caller.
 	lastReturn time.Time
 	// running is the number of requests in flight from this instance.
@@ -338,6 +340,7 @@
 	s.throughput.advance(now, s.running)
 	s.throughput.completions++
 	s.running--
+	s.lengths.observe(r.Events, r.Length)
 	s.trackHealth(now, e, func() { e.finishRequest(now, r) })
 	if e.forgettable(now) {
 		s.forget(id)
--- a/internal/policy/srlimit/endpoint.go
+++ b/internal/policy/srlimit/endpoint.go
@@ -459,3 +459,8 @@
 func (e *Endpoint) StartTime(now time.Time, tokens int) time.Duration {
 	return time.Duration(e.limiter.starts.predict(float64(tokens)) * e.Slowness(now) * float64(time.Second))
 }
+
+// EventTime predicts the time per event of a stream while all slots are used, 0 when unknown.
+func (e *Endpoint) EventTime(now time.Time) time.Duration {
+	return time.Duration(e.limiter.paces.predict(1) * e.Slowness(now) * float64(time.Second))
+}
