Let returned requests with little time left wait as long as before

Cause: A quarter of the time left is less than the 0.5 s that a returned request waited until now, when less than 2 s are left. Change: A late request waits for 0.5 s at least.

--- a/internal/policy/srdispatch/late.go
+++ b/internal/policy/srdispatch/late.go
@@ -33,7 +33,7 @@
 	}
 	// A caller does not wait past the deadline, however patient it is.
 	patience := min(w.Patience, w.Deadline.Sub(w.queuedAt))
-	return w.queuedAt.Add(time.Duration(float64(patience) * lateWaitShare))
+	return w.queuedAt.Add(max(time.Duration(float64(patience)*lateWaitShare), maxReturnedWait))
 }
 
 // nextChange returns when an ask reaches its wait limit, or when it cannot be in time any more.
