Divide the slots of a rank only while its asks do not all fit

Change: Asks stay in the order of their objectives while each one of the rank is reached in time by four fifths of the throughput that higher ranks leave.

--- a/internal/policy/srdispatch/fair.go
+++ b/internal/policy/srdispatch/fair.go
@@ -6,9 +6,14 @@
 	"time"
 )
 
-// fixedWork is the work of a request besides its prompt, in prompt tokens: any request holds a
-// slot for its answer. A prompt of a page is about as long.
-const fixedWork = 1000
+const (
+	// fixedWork is the work of a request besides its prompt, in prompt tokens: any request holds a
+	// slot for its answer. A prompt of a page is about as long.
+	fixedWork = 1000
+	// fitReserve is the fraction of the throughput on which fits does not count, since more asks
+	// come meanwhile. With none, the other workspaces lose some that could have been in time.
+	fitReserve = 0.2
+)
 
 // work returns the work of an ask for the division between workspaces.
 func (a Ask) work() float64 { return float64(a.Prompt + fixedWork) }
@@ -32,6 +37,9 @@
 		return
 	}
 	slices.SortStableFunc(list, compareAsks)
+	if s.fits(list, lo) {
+		return
+	}
 	shares := s.ranks[key].shares
 	next := make(map[string]float64)
 	for _, w := range list {
@@ -50,6 +58,29 @@
 	})
 }
 
+// fits reports whether each ask of a rank that was not kept is reached within its limit when
+// they are served in the order of list, after others ahead of them and beside the asks of
+// higher ranks that come meanwhile. Nobody gains from a division then.
+func (s *Service) fits(list []*queuedAsk, others int) bool {
+	rate := (1 - fitReserve) * s.throughput.rate(s.running)
+	for key, r := range s.ranks {
+		if key < rankKey(list[0].Ask) {
+			rate -= r.timely / rankTimeConstant.Seconds()
+		}
+	}
+	if rate <= 0 {
+		return false
+	}
+	now := s.throughput.at
+	for i, w := range list {
+		wait := time.Duration(float64(others+i+1) / rate * float64(time.Second))
+		if !w.kept && now.Add(wait).After(s.nextChange(w)) {
+			return false
+		}
+	}
+	return true
+}
+
 // compareAsks orders the asks of one workspace and rank, as precedes does.
 func compareAsks(a, b *queuedAsk) int {
 	switch {
--- a/internal/policy/srdispatch/fair_test.go
+++ b/internal/policy/srdispatch/fair_test.go
@@ -231,6 +231,21 @@
 	}
 }
 
+// TestShortBurstFitsBesideTheOthers: each second one of sixteen workspaces sends forty requests
+// at once, which can all be in time if each waits its turn.
+func TestShortBurstFitsBesideTheOthers(t *testing.T) {
+	list := sixteen(70./16, 1)
+	for second := 1; second < 7; second++ {
+		burst := stream("large", "w0", 0, 800)
+		burst.from = time.Duration(second) * time.Second
+		burst.to = burst.from + 50*time.Millisecond
+		list = append(list, burst)
+	}
+	_, after := compare(t, 5, 8*time.Second, list...)
+	assert.Assert(t, after["usual"].timely() >= 0.99)
+	assert.Assert(t, after["large"].timely() >= 0.75)
+}
+
 // TestLongPromptsCountForWhatTheyTake: one workspace sends prompts of 6,600 tokens that take
 // four times as long as those of another one. The one that stays within its half gets it,
 // whichever asks for three times the half.
