Tell the coordinator of endpoints that fall silent

Cause: an endpoint that hangs was ejected only at the instance whose request had waited too long. The coordinator learned of it when that request ended, up to its deadline, and granted the other slots of the endpoint to all others. TestSlotsOfACoordinator/endpoint_hangs_for_another_instance: granted at the same endpoint. Change: SlotReport.Silent, which is reported at once.

--- a/internal/app/srforward/coordinate_test.go
+++ b/internal/app/srforward/coordinate_test.go
@@ -157,6 +157,16 @@
 			free, held := f.instance(coordinator).inFlight(n)
 			assert.Assert(t, free == slots && held == 0 && len(q.running()) == 0, "%d free, %d held, %v", free, held, q.running())
 		},
+		"endpoint hangs for another instance": func(t *testing.T, f *testFleet, coordinator string) {
+			n := f.other(coordinator)
+			d, _ := acquire(t, n, testAsk(time.Second))
+			n.queues.get("s").endpointSilent(d.Endpoint)
+			time.Sleep(20 * time.Millisecond)
+			for range 5 {
+				other, _ := acquire(t, f.other(coordinator, n.Self.Address), testAsk(time.Second))
+				assert.Assert(t, other.Granted && other.Endpoint != d.Endpoint, "%v", other)
+			}
+		},
 		"holder leaves": func(t *testing.T, f *testFleet, coordinator string) {
 			n := f.other(coordinator)
 			for range 10 {
--- a/internal/app/srforward/guard.go
+++ b/internal/app/srforward/guard.go
@@ -98,7 +98,7 @@
 		return errors.Wrap(sr.ErrInvalid, "address of the sender")
 	case len(r.Group) > maxName:
 		return errors.Wrap(sr.ErrInvalid, "group")
-	case max(len(r.Asks), len(r.Started), len(r.Released), len(r.Waiting), len(r.Held), len(r.Own)) > maxReported:
+	case max(len(r.Asks), len(r.Started), len(r.Released), len(r.Silent), len(r.Waiting), len(r.Held), len(r.Own)) > maxReported:
 		return errors.Wrap(sr.ErrInvalid, "size of a report")
 	}
 	for _, a := range r.Asks {
--- a/internal/app/srforward/guard_test.go
+++ b/internal/app/srforward/guard_test.go
@@ -229,7 +229,7 @@
 	return slotMessages{
 		Reports: []sr.SlotReport{
 			{From: id("peer"), Group: testGroup, Sequence: 1, Asks: []sr.SlotAsk{{ID: 1, Target: time.Second, Deadline: time.Minute}, {ID: 2, Weight: 1, Avoid: []string{"e"}}}, Own: map[string]int{"e": 1}},
-			{From: id("peer"), Group: testGroup, Sequence: 2, Started: []sr.SlotStart{{Endpoint: "e", First: time.Second}}, Released: []sr.SlotRelease{{Ask: 1, Result: sr.SlotResult{Pace: time.Second}}}, Waiting: []uint64{2}, Held: map[uint64]string{3: "e"}},
+			{From: id("peer"), Group: testGroup, Sequence: 2, Started: []sr.SlotStart{{Endpoint: "e", First: time.Second}}, Silent: []string{"e"}, Released: []sr.SlotRelease{{Ask: 1, Result: sr.SlotResult{Pace: time.Second}}}, Waiting: []uint64{2}, Held: map[uint64]string{3: "e"}},
 		},
 		Grants: []sr.SlotGrants{{From: id("peer"), To: id("self"), Group: testGroup, Decisions: []sr.SlotDecision{{Ask: 1, Granted: true, Endpoint: "e"}, {Ask: 2, Reason: "full", After: time.Second}}}},
 	}
--- a/internal/app/srforward/holders.go
+++ b/internal/app/srforward/holders.go
@@ -160,6 +160,15 @@
 	}
 }
 
+// silent reports that an endpoint has sent nothing to a request for too long.
+func (s *holders) silent(service, endpoint string) {
+	for _, h := range s.of(service) {
+		if h.hasAny([]string{endpoint}) {
+			h.silent(endpoint)
+		}
+	}
+}
+
 // of returns the groups of a service.
 func (s *holders) of(service string) []*groupHolder {
 	s.mu.Lock()
@@ -289,6 +298,13 @@
 	h.schedule(time.Now())
 }
 
+func (h *groupHolder) silent(endpoint string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.holder.Silent(endpoint)
+	h.schedule(time.Now())
+}
+
 // deliver applies decisions that the coordinator has sent.
 func (h *groupHolder) deliver(g sr.SlotGrants) {
 	h.mu.Lock()
--- a/internal/app/srforward/queues.go
+++ b/internal/app/srforward/queues.go
@@ -216,9 +216,10 @@
 // long.
 func (s *queue) endpointSilent(endpoint string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.dispatcher.ReportSilent(time.Now(), endpoint)
 	s.logHealthChanges()
+	s.mu.Unlock()
+	s.holders.silent(s.name, endpoint)
 }
 
 // pause records that an incarnation of an endpoint wants no requests for d, and returns the
--- a/internal/policy/srgroup/group.go
+++ b/internal/policy/srgroup/group.go
@@ -144,6 +144,9 @@
 	for _, s := range r.Started {
 		g.dispatcher.AnswerStarted(now, s.Endpoint, s.Prompt, s.First)
 	}
+	for _, id := range r.Silent {
+		g.dispatcher.ReportSilent(now, id)
+	}
 	// Asks are withdrawn before slots become free, so that none of them gets one.
 	g.withdrawUnlisted(h, r.Waiting)
 	var decisions []srdispatch.Decision
--- a/internal/policy/srgroup/holder.go
+++ b/internal/policy/srgroup/holder.go
@@ -38,6 +38,7 @@
 	held     map[uint64]string
 	started  []sr.SlotStart
 	released []sr.SlotRelease
+	silent   []string
 	// reported are the results of the report that is under way.
 	reported []sr.SlotRelease
 	// withdrawn is set when the coordinator has to be told of an ask that waits no more.
@@ -84,6 +85,13 @@
 	}
 }
 
+// Silent records that an endpoint has sent nothing to a request for too long.
+func (h *Holder) Silent(endpoint string) {
+	if len(h.silent) < maxResults {
+		h.silent = append(h.silent, endpoint)
+	}
+}
+
 // Release returns a slot of an endpoint. It returns false if none is held: requests that were
 // sent there without a slot need no report.
 func (h *Holder) Release(endpoint string, r srdispatch.Result) bool {
@@ -121,7 +129,7 @@
 		return time.Time{}, false
 	case len(h.fresh) > 0:
 		return h.silentUntil, true
-	case len(h.released) > 0, h.withdrawn:
+	case len(h.released)+len(h.silent) > 0, h.withdrawn:
 		return later(h.reportedAt.Add(releaseInterval), h.silentUntil), true
 	case len(h.waiting)+len(h.started) > 0:
 		return later(h.reportedAt.Add(waitInterval), h.silentUntil), true
@@ -149,13 +157,14 @@
 	h.reporting, h.reportedAt = true, now
 	r := sr.SlotReport{
 		From: h.self, Group: h.group, Sequence: h.sequence,
-		Asks: h.fresh, Started: h.started, Released: h.released,
+		Asks: h.fresh, Started: h.started, Released: h.released, Silent: h.silent,
 		Waiting: slices.Sorted(maps.Keys(h.waiting)), Held: maps.Clone(h.held), Own: h.without(own),
 	}
 	for _, a := range h.fresh {
 		h.waiting[a.ID] = struct{}{}
 	}
 	h.fresh, h.started, h.released, h.reported, h.withdrawn = nil, nil, nil, h.released, false
+	h.silent = nil
 	return r, true
 }
 
--- a/slotreport.go
+++ b/slotreport.go
@@ -92,6 +92,9 @@
 	Asks     []SlotAsk
 	Started  []SlotStart
 	Released []SlotRelease
+	// Silent lists the endpoints that have sent nothing to a request of the sender for too long.
+	// The request goes on waiting.
+	Silent []string
 	// Waiting lists the asks of earlier reports that still wait, Held the endpoints whose slots
 	// the sender has, by ask. Both are complete, so the coordinator can drop what is not listed.
 	Waiting []uint64
