Ask for no slot that the endpoints deny to one instance alone

Cause: an ask names the endpoints that are ejected or paused for its instance. When these were all endpoints, it waited at the coordinator until it was late, though a single instance refuses at once when all pause, and uses all when most are ejected. With more than 16 the others were granted and could not be used. TestSlotsOfACoordinator/all_endpoints_want_no_requests_from_one_instance and .../all_endpoints_fail_at_one_instance: late after 0.62 s. Change: ejected endpoints are named unless most are, paused ones first, up to 128; an instance towards which all endpoints pause decides alone.

--- a/internal/app/srforward/coordinate_test.go
+++ b/internal/app/srforward/coordinate_test.go
@@ -167,6 +167,23 @@
 				assert.Assert(t, other.Granted && other.Endpoint != d.Endpoint, "%v", other)
 			}
 		},
+		"all endpoints want no requests from one instance": func(t *testing.T, f *testFleet, coordinator string) {
+			n := f.other(coordinator)
+			for _, id := range []string{"e-1", "e-2"} {
+				n.queues.get("s").pause(id, 0, 10*time.Second)
+			}
+			d, took := acquire(t, n, testAsk(time.Second))
+			assert.Assert(t, d.Reason == srdispatch.ReasonPaused && took < 10*time.Millisecond, "%v after %v", d, took)
+			d, _ = acquire(t, f.other(coordinator, n.Self.Address), testAsk(time.Second))
+			assert.Assert(t, d.Granted, "%v", d)
+		},
+		"all endpoints fail at one instance": func(t *testing.T, f *testFleet, coordinator string) {
+			n := f.other(coordinator)
+			n.queues.get("s").endpointSilent("e-1")
+			n.queues.get("s").endpointSilent("e-2")
+			d, took := acquire(t, n, testAsk(time.Second))
+			assert.Assert(t, d.Kind == srdispatch.Placed && took <= reportTimeout, "%v after %v", d, took)
+		},
 		"holder leaves": func(t *testing.T, f *testFleet, coordinator string) {
 			n := f.other(coordinator)
 			for range 10 {
--- a/internal/app/srforward/holders.go
+++ b/internal/app/srforward/holders.go
@@ -113,8 +113,8 @@
 // instance has to decide alone.
 func (s *holders) acquire(ctx context.Context, q *queue, a srdispatch.Ask, onWait func(queue int)) (d srdispatch.Decision, decided bool, err error) {
 	list, id := s.candidates(q.name, a)
-	// The coordinator does not know the pauses of a former endpoint towards this instance.
-	if len(list) == 0 || slices.ContainsFunc(a.Only, q.paused) {
+	// The coordinator does not know the pauses of endpoints towards this instance.
+	if len(list) == 0 || slices.ContainsFunc(a.Only, q.paused) || q.allPaused() {
 		return d, false, nil
 	}
 	a.Domain = s.n.Settings.Domain
--- a/internal/app/srforward/queues.go
+++ b/internal/app/srforward/queues.go
@@ -147,8 +147,9 @@
 	return runningOf(load)
 }
 
-// maxAvoided bounds the endpoints that an ask names because this instance has seen them fail.
-const maxAvoided = 16
+// maxAvoided bounds the endpoints that an ask names because they fail or pause for this instance.
+// A group has fewer.
+const maxAvoided = 128
 
 // avoid returns the endpoints that a request must not get, with those that fail or pause for
 // this instance. One that goes back to a former endpoint does so whatever its health.
@@ -237,6 +238,13 @@
 	return s.dispatcher.Paused(time.Now(), endpoint)
 }
 
+// allPaused reports whether no endpoint wants requests from this instance.
+func (s *queue) allPaused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.AllPaused(time.Now())
+}
+
 // pauseDelay returns the retry delay of a caller while no endpoint wants requests, 0
 // otherwise.
 func (s *queue) pauseDelay(deadline time.Time) time.Duration {
--- a/internal/policy/srdispatch/pause.go
+++ b/internal/policy/srdispatch/pause.go
@@ -28,6 +28,9 @@
 	return ok && e.paused(now)
 }
 
+// AllPaused reports whether all usable endpoints are paused.
+func (s *Service) AllPaused(now time.Time) bool { return s.pauseLeft(now) > 0 }
+
 // PauseDelay returns the retry delay of a refused caller with a deadline while all usable
 // endpoints are paused, 0 otherwise.
 func (s *Service) PauseDelay(now, deadline time.Time) time.Duration {
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -420,15 +420,20 @@
 	return n
 }
 
-// Unhealthy returns the usable endpoints that are ejected or paused.
+// Unhealthy returns the usable endpoints that get no requests: the paused ones first, then those
+// that are ejected, unless most are.
 func (s *Service) Unhealthy(now time.Time) []string {
-	var out []string
+	var paused, ejected []string
+	skip := s.skipsUnhealthy(now)
 	for _, id := range s.endpointIDs {
-		if e := s.endpoints[id]; !e.healthy(now) || e.paused(now) {
-			out = append(out, id)
+		switch e := s.endpoints[id]; {
+		case e.paused(now):
+			paused = append(paused, id)
+		case skip && !e.healthy(now):
+			ejected = append(ejected, id)
 		}
 	}
-	return out
+	return append(paused, ejected...)
 }
 
 // Waiting returns the number of waiting asks.
