--- a/internal/policy/srdispatch/endpoint.go
+++ b/internal/policy/srdispatch/endpoint.go
@@ -6,8 +6,8 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srlimit"
 )
 
-// defaultSlots applies to endpoints whose slot count is not configured.
-const defaultSlots = 4
+// DefaultSlots applies to endpoints whose slot count is not configured.
+const DefaultSlots = 4
 
 // endpoint is the state of one endpoint.
 type endpoint struct {
@@ -33,7 +33,7 @@
 // configure applies the configured properties of the endpoint.
 func (e *endpoint) configure(now time.Time, c Endpoint) {
 	if c.Slots <= 0 {
-		c.Slots = defaultSlots
+		c.Slots = DefaultSlots
 	}
 	if c.Born != e.Born {
 		e.pausedUntil = time.Time{}
--- a/internal/policy/srdispatch/share.go
+++ b/internal/policy/srdispatch/share.go
@@ -53,7 +53,7 @@
 	for i := range list {
 		e := &list[i]
 		if e.Slots <= 0 {
-			e.Slots = defaultSlots
+			e.Slots = DefaultSlots
 		}
 		sharers := sharerCount(e.Slots, len(list), len(others)+1)
 		o := s.orders[e.ID]
--- a/internal/policy/srgroup/group_test.go
+++ b/internal/policy/srgroup/group_test.go
@@ -153,3 +153,13 @@
 		})
 	}
 }
+
+// TestNeeded: endpoints whose slots are not configured count with the default.
+func TestNeeded(t *testing.T) {
+	for _, c := range []struct {
+		fleet, slots int
+		want         bool
+	}{{16, 8, false}, {17, 8, true}, {1, 0, false}, {8, 0, false}, {9, 0, true}} {
+		assert.Equal(t, Needed(c.fleet, c.slots), c.want, "%d instances, %d slots", c.fleet, c.slots)
+	}
+}
--- a/internal/policy/srgroup/split.go
+++ b/internal/policy/srgroup/split.go
@@ -20,7 +20,12 @@
 
 // Needed reports whether instances of a fleet of that size need groups: an equal share of an
 // endpoint's slots would be far below one slot.
-func Needed(fleet, slots int) bool { return fleet > srdispatch.MaxInstancesPerSlot*slots }
+func Needed(fleet, slots int) bool {
+	if slots <= 0 {
+		slots = srdispatch.DefaultSlots
+	}
+	return fleet > srdispatch.MaxInstancesPerSlot*slots
+}
 
 // Split divides the endpoints of a service into groups, by name. Instances with the same list
 // agree on them, and a changed list moves few endpoints.
