Coordinate no group while most other instances are out of reach

Cause: an instance that is cut off from the others counts them as silent after a second, and as sharers for 5 s. Meanwhile it coordinated all groups by its own view and granted itself all slots, where it had used only its share before. TestSlotsOfACoordinator/instance_that_hears_no_other_one: it coordinates s/0. Change: groups are used while at least half of the sharers are heard.

--- a/internal/app/srforward/coordinate.go
+++ b/internal/app/srforward/coordinate.go
@@ -236,7 +236,8 @@
 		for _, e := range list {
 			slots = max(slots, e.Slots)
 		}
-		if !srgroup.Needed(sharers, slots) {
+		// An instance that hears less than half of the others would grant slots that they use.
+		if !srgroup.Needed(sharers, slots) || len(members) < sharers/2 {
 			continue
 		}
 		for name, ids := range n.division.groups(service, list) {
--- a/internal/app/srforward/coordinate_test.go
+++ b/internal/app/srforward/coordinate_test.go
@@ -184,6 +184,14 @@
 			d, took := acquire(t, n, testAsk(time.Second))
 			assert.Assert(t, d.Kind == srdispatch.Placed && took <= reportTimeout, "%v after %v", d, took)
 		},
+		"instance that hears no other one": func(t *testing.T, f *testFleet, coordinator string) {
+			n := f.other(coordinator)
+			f.setCut(n.Self.Address, true)
+			time.Sleep(3 * time.Second)
+			assert.Assert(t, n.coordinator.get(testGroup) == nil)
+			d, took := acquire(t, n, testAsk(time.Second))
+			assert.Assert(t, d.Kind == srdispatch.Placed && !d.Granted && took <= decidedAlone, "%v after %v", d, took)
+		},
 		"holder leaves": func(t *testing.T, f *testFleet, coordinator string) {
 			n := f.other(coordinator)
 			for range 10 {
