Hand groups over when the stop of their coordinator is announced

TestSlotsOfACoordinator/coordinator_leaves: not granted 0.1 s after the announcement, three of three runs. Change: the message configures the groups. Conclusion: one that hears of it some ms before the next coordinator is still refused once.

--- a/internal/app/srforward/coordinate_test.go
+++ b/internal/app/srforward/coordinate_test.go
@@ -207,7 +207,11 @@
 		"coordinator leaves": func(t *testing.T, f *testFleet, coordinator string) {
 			n := f.instance(coordinator)
 			f.wg.Go(func() { f.leave(t.Context(), coordinator) })
-			time.Sleep(drainNotice - 100*time.Millisecond)
+			// The others know once its message has arrived.
+			time.Sleep(100 * time.Millisecond)
+			d, _ := acquire(t, f.other(coordinator, f.agreed(t)), testAsk(time.Second))
+			assert.Assert(t, d.Granted, "%v", d)
+			time.Sleep(drainNotice - 200*time.Millisecond)
 			next := f.agreed(t)
 			assert.Assert(t, next != coordinator)
 			for _, n := range []*Instance{n, f.other(coordinator, next)} {
--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -75,8 +75,12 @@
 		n.Log.State("member", srlog.Peer, g.From.Address, srlog.Domain, g.Domain, srlog.State, choose(g.Leaving, "leaving", "heard"), srlog.Fleet, n.members.fleetSize(now))
 	}
 	n.limits.receive(now, g)
-	if !g.Leaving {
+	switch {
+	case !g.Leaving:
 		n.logSuspects(n.crashes.receive(now, g.Crashes), g.From.Address)
+	case changed:
+		// Its groups get other coordinators.
+		n.configure()
 	}
 	if !g.Leaving && !g.Joining {
 		n.reportUpdate(srview.Update{Facts: n.view.Settle(n.Clock(), extentOf(g).Position, g.Settled)}, g.From.Address)
