--- a/internal/policy/srdispatch/limits_test.go
+++ b/internal/policy/srdispatch/limits_test.go
@@ -538,6 +538,7 @@
 	const seeds = 3
 	for _, load := range rigLoads {
 		t.Run(load.name, func(t *testing.T) {
+			t.Parallel()
 			out := make(map[variant]*rigResult)
 			for _, v := range []variant{former, weighted, learns} {
 				out[v] = &rigResult{last: make(map[string][]int)}
