Exchange records with few peers in a fleet of more than 16 instances

Cause: each instance exchanged gossip with each other one. Change: an instance of a larger fleet publishes its record in srgossip and exchanges with its peers, one silent member a second, and with one further member while its view is not confirmed. Records count as contact, tell members, shares, coordinators and quotas, and are checked before they are applied. The silence of members, and with it what srshare assumes, follows the time in which records spread. Up to 16 instances nothing changes. Messages state whether their sender exchanges records; to others, and after a failure, the complete usage is sent as before, and messages without it have a call of their own. Leaving is still told to all directly. Loads are part of a record up to 128 instances.

--- a/internal/app/srforward/dissemination_test.go
+++ b/internal/app/srforward/dissemination_test.go
@@ -95,6 +95,8 @@
 	// unaware holds the instances of an earlier version, which neither states nor reads
 	// the era.
 	unaware map[string]bool
+	// older holds the instances of an earlier version that exchanges no records.
+	older map[string]bool
 	// stop ends an instance.
 	stop map[string]context.CancelFunc
 	wg   sync.WaitGroup
@@ -307,6 +309,9 @@
 	if p.unaware() {
 		g.Era, g.Prior = 0, sr.Position{}
 	}
+	if p.older() {
+		g.Relays, g.Relay = false, nil
+	}
 	answer, err := p.fleet.instance(p.to).Gossip(ctx, g)
 	if err != nil {
 		return answer, err
@@ -314,9 +319,26 @@
 	if p.unaware() {
 		answer.Era, answer.Prior = 0, sr.Position{}
 	}
+	if p.older() {
+		answer.Relays, answer.Relay = false, nil
+	}
 	return answer, p.transfer(ctx, p.to, p.address, smallMessageBytes)
 }
 
+func (p testPeer) Exchange(ctx context.Context, g sr.Gossip) (sr.Gossip, error) {
+	if p.older() {
+		return sr.Gossip{}, errors.Wrap(sr.ErrUnreachable, "test network: unknown method")
+	}
+	return p.Gossip(ctx, g)
+}
+
+// older reports whether the caller or the called instance exchanges no records.
+func (p testPeer) older() bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.fleet.older[p.address] || p.fleet.older[p.to]
+}
+
 // unaware reports whether the caller or the called instance is of an earlier version.
 func (p testPeer) unaware() bool {
 	p.fleet.mu.Lock()
@@ -394,7 +416,7 @@
 // newTestFleet returns instances with slow links in four failure domains.
 func newTestFleet(t *testing.T, size int, cfg srforwardsettings.Settings) *testFleet {
 	f := &testFleet{
-		changed: make(chan struct{}), era: 1, cfg: cfg, cut: make(map[string]bool), unaware: make(map[string]bool), calls: make(map[string]int),
+		changed: make(chan struct{}), era: 1, cfg: cfg, cut: make(map[string]bool), unaware: make(map[string]bool), older: make(map[string]bool), calls: make(map[string]int),
 		instances: make(map[string]*Instance), stop: make(map[string]context.CancelFunc),
 		sending: make(map[string]*testLink), receiving: make(map[string]*testLink),
 	}
--- a/internal/app/srforward/gossip.go
+++ b/internal/app/srforward/gossip.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
@@ -18,7 +20,10 @@
 	if err := n.receive(g); err != nil {
 		return sr.Gossip{}, err
 	}
-	answer := n.localGossip()
+	answer := n.localGossip(g.Relay != nil)
+	if g.Relay != nil {
+		answer.Relay = n.relay.message(time.Now(), g.From.Address)
+	}
 	if g.Era == 0 && answer.Era > 0 && g.AsOf > answer.AsOf {
 		// An instance of an earlier version compares revisions alone. Its view may be from
 		// before a restore of the registry, so this answer must not confirm it.
@@ -27,24 +32,32 @@
 	return answer, nil
 }
 
-// localGossip returns the state that this instance sends to the others.
-func (n *Instance) localGossip() sr.Gossip {
+// Exchange implements sr.FleetHandler.
+func (n *Instance) Exchange(ctx context.Context, g sr.Gossip) (sr.Gossip, error) {
+	if g.Relay == nil {
+		return sr.Gossip{}, errors.Wrap(sr.ErrInvalid, "exchange without records")
+	}
+	return n.Gossip(ctx, g)
+}
+
+// localGossip returns the state that this instance sends to the others. The usage is left out
+// between instances that exchange records.
+func (n *Instance) localGossip(relayed bool) sr.Gossip {
 	now := time.Now()
-	running, pending := n.queues.load()
 	g := sr.Gossip{
 		From:    n.Self,
 		Domain:  n.Settings.Domain,
 		Leaving: n.draining.Load(),
 		Final:   n.refusing.Load(),
 		Joining: !n.hasJoined(),
-		Known:   n.members.knownIDs(now),
-		Usage: sr.Usage{
-			Spent:   n.limits.spent(),
-			Running: running,
-			Pending: pending,
-		},
 		Crashes: n.crashes.report(now),
 		Power:   n.Settings.Power,
+		Relays:  true,
+	}
+	if !relayed {
+		g.Known = n.members.knownIDs(now)
+		g.Usage.Spent = n.limits.spent()
+		g.Usage.Running, g.Usage.Pending = n.queues.load()
 	}
 	position, age := n.view.AsOf(n.Clock())
 	g.AsOf, g.Era, g.Age = position.Revision, position.Era, age
@@ -62,6 +75,9 @@
 func (n *Instance) receive(g sr.Gossip) error {
 	now := time.Now()
 	err := checkGossip(g)
+	if err == nil && g.Relay != nil {
+		err = checkRelay(*g.Relay)
+	}
 	changed := false
 	if err == nil {
 		changed, err = n.members.receive(now, g)
@@ -74,7 +90,13 @@
 	if changed {
 		n.Log.State("member", srlog.Peer, g.From.Address, srlog.Domain, g.Domain, srlog.State, choose(g.Leaving, "leaving", "heard"), srlog.Fleet, n.members.fleetSize(now))
 	}
-	n.limits.receive(now, g)
+	if g.Relay != nil {
+		if err := n.receiveRecords(now, g.From, *g.Relay); err != nil {
+			return err
+		}
+	} else {
+		n.limits.receive(now, g.From, g.Final, func(workspace string) float64 { return g.Usage.Spent[workspace] })
+	}
 	switch {
 	case !g.Leaving:
 		n.logSuspects(n.crashes.receive(now, g.Crashes), g.From.Address)
@@ -111,7 +133,8 @@
 	for srtimer.Wait(ctx, gossipTick) == nil {
 		now := time.Now()
 		confirm := n.view.Age(n.Clock()) > n.Settings.QueryAfter()/2
-		for _, address := range n.members.due(now, confirm) {
+		n.publish(now)
+		for _, address := range n.due(now, confirm) {
 			// A failure has been counted.
 			wg.Go(func() { _ = n.exchange(ctx, address) })
 		}
@@ -128,8 +151,10 @@
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
 	requestedAt := n.Clock()
-	g, err := n.Fleet.FleetPeer(address).Gossip(ctx, n.localGossip())
+	g, err := n.send(ctx, address)
+	n.relay.answered(address, err == nil)
 	if err != nil {
+		n.members.recordFailure(address)
 		n.stats.count("fleet.failed")
 		return err
 	}
@@ -148,7 +173,7 @@
 // announceLeaving notifies the members that this instance shuts down, or spends no more.
 func (n *Instance) announceLeaving(ctx context.Context) {
 	var wg sync.WaitGroup
-	g := n.localGossip()
+	g := n.localGossip(false)
 	for _, address := range n.members.alive(time.Now()) {
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
--- a/internal/app/srforward/guard.go
+++ b/internal/app/srforward/guard.go
@@ -207,6 +207,11 @@
 	return h.n.Gossip(ctx, g)
 }
 
+func (h guardedHandler) Exchange(ctx context.Context, g sr.Gossip) (out sr.Gossip, err error) {
+	defer h.n.recoverPanic("exchange", &err)
+	return h.n.Exchange(ctx, g)
+}
+
 func (h guardedHandler) Pull(ctx context.Context, after uint64) (out sr.Changes, err error) {
 	defer h.n.recoverPanic("pull", &err)
 	return h.n.Pull(ctx, after)
--- a/internal/app/srforward/instance.go
+++ b/internal/app/srforward/instance.go
@@ -57,6 +57,7 @@
 	Deps
 	view           *srview.View
 	members        *members
+	relay          *relay
 	limits         *limits
 	queues         *queues
 	coordinator    *coordinator
@@ -104,6 +105,7 @@
 			LapseTimeout: d.Settings.Lapse(),
 		}),
 		members:        newMembers(d.Self, d.Settings.Domain, d.Settings.Seeds, int64(float64(d.Settings.Memory)*usageMemoryRatio*(1<<20))),
+		relay:          newRelay(d.Self, d.Settings.Domain),
 		stats:          newStats(),
 		memory:         srmemory.NewFair(int64(float64(d.Settings.Memory) * memoryRatio * (1 << 20))),
 		random:         newRandom(d.Seed),
--- a/internal/app/srforward/limits.go
+++ b/internal/app/srforward/limits.go
@@ -131,16 +131,17 @@
 	return out
 }
 
-// receive applies the costs that another instance has spent.
-func (l *limits) receive(now time.Time, g sr.Gossip) {
+// receive applies what another instance has spent of each workspace's quota. It spends no more if
+// final is set.
+func (l *limits) receive(now time.Time, from sr.InstanceID, final bool, spent func(workspace string) float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, b := range l.buckets {
-		if g.Final {
-			b.ReceiveFinalTotal(now, g.From, g.Usage.Spent[name])
+		if final {
+			b.ReceiveFinalTotal(now, from, spent(name))
 			continue
 		}
-		b.ReceiveTotal(now, g.From, g.Usage.Spent[name])
+		b.ReceiveTotal(now, from, spent(name))
 	}
 }
 
--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -13,6 +13,7 @@
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srgroup"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srgossip"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srmemory"
 )
 
@@ -40,6 +41,9 @@
 	// last did.
 	firstContact time.Time
 	lastJoin     time.Time
+	// lastProbe is when an exchange with a silent member was last started, lastFurther when one
+	// with a further member, to confirm the view.
+	lastProbe, lastFurther time.Time
 	// total is the load of the members that are not silent, by endpoint. Adding up all of them
 	// anew would cost several percent of an instance's processor in a fleet of hundreds.
 	total map[string]srdispatch.Load
@@ -80,6 +84,9 @@
 	silent bool
 	// power is the share of a processor core that the member may use, 0 when unknown.
 	power float64
+	// relays is set if the member exchanges records, unsure if its last exchange failed: it may
+	// have been replaced by one of an earlier version.
+	relays, unsure bool
 }
 
 // silentMember is a member that fell silent, with the time since its last contact.
@@ -127,12 +134,23 @@
 		}
 		e = &member{knownSince: now}
 	}
-	held, ok := m.hold(e, g.Usage)
-	if !ok {
+	e.relays, e.unsure = g.Relays, false
+	if g.Relay == nil && !m.setUsage(e, g.Usage) {
 		return false, errors.Wrap(sr.ErrOverloaded, "memory for the loads of all instances")
 	}
+	changed = m.hear(now, now, e, g)
+	e.extent = extentOf(g)
+	for _, id := range g.Known {
+		m.addKnown(now, id)
+	}
+	return changed, nil
+}
+
+// hear records that a member was alive at a time, and reports whether it was new or silent before.
+// The caller must hold m.mu.
+func (m *members) hear(now, at time.Time, e *member, g sr.Gossip) (changed bool) {
 	m.byAddress[g.From.Address] = e
-	joined := e.id != g.From || now.Sub(e.lastContact) > memberRetention
+	joined := e.id != g.From || at.Sub(e.lastContact) > memberRetention
 	if m.firstContact.IsZero() {
 		m.firstContact = now
 	}
@@ -140,13 +158,57 @@
 		m.lastJoin = now
 	}
 	changed = e.silent || joined
-	e.id, e.domain, e.lastContact, e.silent = g.From, g.Domain, now, false
-	e.usage, e.held, e.extent = sr.Usage{Running: g.Usage.Running, Pending: g.Usage.Pending}, held, extentOf(g)
+	e.id, e.domain, e.silent = g.From, g.Domain, false
 	e.joining, e.power = g.Joining, g.Power
-	for _, id := range g.Known {
-		m.addKnown(now, id)
+	if at.After(e.lastContact) {
+		e.lastContact = at
 	}
-	return changed, nil
+	return changed
+}
+
+// receiveRecord records what an instance published about itself some time ago and others passed
+// on. It reports whether the record was applied, and whether the state of that member changed.
+func (m *members) receiveRecord(now time.Time, age time.Duration, g sr.Gossip) (applied, changed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if g.From.Address == m.self.Address {
+		return false, false
+	}
+	if g.Leaving {
+		return true, m.recordLeft(now, g)
+	}
+	at := now.Add(-age)
+	e, ok := m.byAddress[g.From.Address]
+	_, left := m.left[g.From]
+	switch {
+	case left, age > m.silenceTimeoutLocked():
+		return false, false
+	case ok && e.id != g.From && e.lastContact.After(at):
+		// The record of an earlier incarnation arrives late.
+		return false, false
+	case !ok && !m.makeRoom(now):
+		return false, false
+	case !ok:
+		e = &member{knownSince: now}
+	}
+	if !m.setUsage(e, g.Usage) {
+		return false, false
+	}
+	e.relays = true
+	if e.id != g.From || e.extent.Position.Before(extentOf(g).Position) {
+		e.extent = extentOf(g)
+	}
+	return true, m.hear(now, at, e, g)
+}
+
+// setUsage sets the load of a member if there is memory for it. The caller must hold m.mu.
+func (m *members) setUsage(e *member, u sr.Usage) bool {
+	held, ok := m.hold(e, u)
+	if !ok {
+		return false
+	}
+	e.usage, e.held = sr.Usage{Running: u.Running, Pending: u.Pending}, held
+	return true
 }
 
 // recordLeft records that an instance has announced its shutdown, and reports whether that is
@@ -238,8 +300,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []silentMember
+	timeout := m.silenceTimeoutLocked()
 	for _, e := range m.byAddress {
-		if age := now.Sub(e.lastContact); !e.lastContact.IsZero() && !e.silent && age > m.silenceTimeoutLocked() {
+		if age := now.Sub(e.lastContact); !e.lastContact.IsZero() && !e.silent && age > timeout {
 			e.silent = true
 			out = append(out, silentMember{id: e.id, age: age})
 		}
@@ -264,10 +327,66 @@
 	return max(gossipInterval, time.Duration(len(m.byAddress)+1)*gossipIntervalPerMember)
 }
 
+// heard returns the number of members that were heard and exchange records, and that of the
+// others. The caller must hold m.mu.
+func (m *members) heard() (relaying, direct int) {
+	for _, e := range m.byAddress {
+		switch {
+		case e.lastContact.IsZero():
+		case e.relays:
+			relaying++
+		default:
+			direct++
+		}
+	}
+	return relaying, direct
+}
+
+// isLarge reports whether the fleet exchanges records. The caller must hold m.mu.
+func (m *members) isLarge() bool {
+	relaying, direct := m.heard()
+	return relaying > 0 && 1+relaying+direct > maxDirectFleet
+}
+
+// large is isLarge for callers that do not hold m.mu.
+func (m *members) large() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isLarge()
+}
+
+// relaysTo reports whether records are sent to a member: it exchanges them, or may do so. It is
+// unsure before the first contact and after a failure.
+func (m *members) relaysTo(address string) (relays, unsure bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.byAddress[address]
+	unsure = !ok || e.lastContact.IsZero() || e.unsure
+	return m.isLarge() && (unsure || e.relays), unsure
+}
+
+// recordFailure records that a member has not answered.
+func (m *members) recordFailure(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e, ok := m.byAddress[address]; ok {
+		e.unsure = true
+	}
+}
+
 // silenceTimeoutLocked returns the time without contact after which a member is
 // considered silent. The caller must hold m.mu.
 func (m *members) silenceTimeoutLocked() time.Duration {
-	return max(minSilenceTimeout, maxMissedExchanges*m.exchangeInterval())
+	relaying, direct := m.heard()
+	timeout := max(minSilenceTimeout, maxMissedExchanges*m.exchangeInterval())
+	if relaying == 0 || 1+relaying+direct <= maxDirectFleet {
+		return timeout
+	}
+	spread := maxMissedExchanges * srgossip.Delay(1+relaying)
+	if direct == 0 {
+		return spread
+	}
+	return max(timeout, spread)
 }
 
 // silenceTimeout is silenceTimeoutLocked for callers that do not hold m.mu.
@@ -279,18 +398,34 @@
 
 // due returns the addresses with which to start an exchange now: the members
 // without recent contact or, if confirm is set, all of them. The view needs to be
-// confirmed then, and only the answer to an exchange confirms it.
+// confirmed then, and only the answer to an exchange confirms it. In a large fleet the members
+// that exchange records are left to srgossip, but for one that is silent and, with confirm, one
+// more.
 func (m *members) due(now time.Time, confirm bool) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []string
+	interval, timeout, large := m.exchangeInterval(), m.silenceTimeoutLocked(), m.isLarge()
+	var silent, further *member
 	for address, e := range m.byAddress {
-		interval := m.exchangeInterval()
-		if now.Sub(e.lastAttempt) >= interval && (confirm || now.Sub(e.lastContact) >= interval) {
+		switch {
+		case large && e.relays && now.Sub(e.lastContact) > timeout:
+			silent = lessTried(silent, e)
+		case large && e.relays:
+			further = lessTried(further, e)
+		case now.Sub(e.lastAttempt) >= interval && (confirm || now.Sub(e.lastContact) >= interval):
 			e.lastAttempt = now
 			out = append(out, address)
 		}
 	}
+	if silent != nil && now.Sub(m.lastProbe) >= probeInterval {
+		m.lastProbe, silent.lastAttempt = now, now
+		out = append(out, silent.id.Address)
+	}
+	if confirm && further != nil && now.Sub(m.lastFurther) >= gossipInterval {
+		m.lastFurther, further.lastAttempt = now, now
+		out = append(out, further.id.Address)
+	}
 	for _, address := range m.seeds {
 		if _, ok := m.byAddress[address]; !ok && address != m.self.Address {
 			// The incarnation is not known before the first exchange.
@@ -301,6 +436,30 @@
 	return out
 }
 
+// lessTried returns the one of two members with which an exchange was started less lately.
+func lessTried(a, b *member) *member {
+	if a == nil || b.lastAttempt.Before(a.lastAttempt) || b.lastAttempt.Equal(a.lastAttempt) && b.id.Address < a.id.Address {
+		return b
+	}
+	return a
+}
+
+// peers returns the members that may be chosen as peers, nil in a small fleet.
+func (m *members) peers(now time.Time) []srgossip.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.isLarge() {
+		return nil
+	}
+	var out []srgossip.Member
+	for _, e := range m.recentMembers(now, m.silenceTimeoutLocked()) {
+		if e.relays {
+			out = append(out, srgossip.Member{Address: e.id.Address, Domain: e.domain})
+		}
+	}
+	return out
+}
+
 // sweep removes members without contact for memberRetention, except for seeds.
 func (m *members) sweep(now time.Time) {
 	m.mu.Lock()
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -197,6 +197,7 @@
 	for srtimer.Wait(ctx, sweepInterval) == nil {
 		n.view.Sweep(n.Clock())
 		n.members.sweep(time.Now())
+		n.relay.sweep(time.Now())
 		n.crashes.sweep(time.Now())
 		n.configure()
 		n.logSuperseded()
--- a/internal/app/srforward/timing.go
+++ b/internal/app/srforward/timing.go
@@ -33,6 +33,15 @@
 	// that the work of an instance does not grow with the fleet.
 	gossipInterval          = 200 * time.Millisecond
 	gossipIntervalPerMember = 10 * time.Millisecond
+	// maxDirectFleet is the number of instances up to which each exchanges with each other one.
+	// In a larger fleet an exchange with each would cost more than the records of srgossip.
+	maxDirectFleet = 16
+	// maxLoadFleet is the number of instances up to which records contain the load. In a larger
+	// one the coordinators of groups know it, and it would be most of the bytes.
+	maxLoadFleet = 128
+	// probeInterval is the interval at which an instance of a large fleet tries one of the silent
+	// members, so that the parts of a fleet find each other after a cut.
+	probeInterval = time.Second
 	// gossipTick is the interval at which due exchanges are started.
 	gossipTick = 50 * time.Millisecond
 	// gossipTimeout bounds one exchange.
--- a/internal/peer/srinstance/fleet.go
+++ b/internal/peer/srinstance/fleet.go
@@ -11,6 +11,7 @@
 
 const (
 	gossipMethod      = "Gossip"
+	exchangeMethod    = "Exchange"
 	pullMethod        = "Pull"
 	entriesMethod     = "Entries"
 	sinceMethod       = "EntriesSince"
@@ -81,6 +82,10 @@
 	return call[sr.Gossip, sr.Gossip](ctx, p.fleet.exchanges.client(p.address), gossipMethod, g)
 }
 
+func (p fleetPeer) Exchange(ctx context.Context, g sr.Gossip) (sr.Gossip, error) {
+	return call[sr.Gossip, sr.Gossip](ctx, p.fleet.exchanges.client(p.address), exchangeMethod, g)
+}
+
 func (p fleetPeer) Pull(ctx context.Context, after uint64) (sr.Changes, error) {
 	return call[uint64, sr.Changes](ctx, p.fleet.transfers.client(p.address), pullMethod, after)
 }
@@ -119,6 +124,11 @@
 	return serveCall(m.ctx, args, reply, m.handler.Gossip)
 }
 
+// Exchange handles a gossip message between instances that exchange records.
+func (m *fleetMethods) Exchange(args Args[sr.Gossip], reply *Reply[sr.Gossip]) error {
+	return serveCall(m.ctx, args, reply, m.handler.Exchange)
+}
+
 // Pull returns the registry entries that changed after a revision, all entries for 0.
 func (m *fleetMethods) Pull(args Args[uint64], reply *Reply[sr.Changes]) error {
 	return m.list(reply, serveCall(m.ctx, args, reply, m.handler.Pull))
--- a/internal/peer/srinstance/limits_test.go
+++ b/internal/peer/srinstance/limits_test.go
@@ -33,6 +33,10 @@
 	return g, nil
 }
 
+func (h *fleetHandler) Exchange(ctx context.Context, g sr.Gossip) (sr.Gossip, error) {
+	return h.Gossip(ctx, g)
+}
+
 func (h *fleetHandler) list() (sr.Changes, error) {
 	c := sr.Changes{AsOf: 1 << 40}
 	for range h.entries {
--- a/live.go
+++ b/live.go
@@ -205,11 +205,20 @@
 	Crashes CrashReport
 	// Power is the share of a processor core that the sender may use, 0 when unstated.
 	Power float64
+	// Relays marks a sender that understands Relay.
+	Relays bool
+	// Relay is set between two instances of a large fleet. The usage of the sender is part of it
+	// then, and Usage and Known are empty unless the sender does not know yet what the receiver
+	// understands.
+	Relay *Relay
 }
 
 // FleetHandler serves the calls of the other forwarding instances.
 type FleetHandler interface {
 	Gossip(ctx context.Context, g Gossip) (Gossip, error)
+	// Exchange is Gossip between instances that exchange records. Those of earlier versions do
+	// not have it, and never get a message without the usage of its sender.
+	Exchange(ctx context.Context, g Gossip) (Gossip, error)
 	// Pull returns registry entries after a revision, a full listing for 0. Only
 	// instances of earlier versions call it.
 	Pull(ctx context.Context, after uint64) (Changes, error)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,9 +3,10 @@
 # separately; their results are printed and do not fail the script.
 #
 # The policy bench and srgossip, whose tests simulate fleets of 1,000 instances, start no
-# goroutines and run without the race detector. The proofs in virtual time (internal/proof/srrig) all run without it, and only some of them with
-# it as well: in the others, which start many goroutines, the runtime of the detector
-# fails an internal check ("tsan_rtl.cpp: CHECK failed").
+# goroutines and run without the race detector. The proofs in virtual time
+# (internal/proof/srrig) all run without it, and only some of them with it as well: in the
+# others, which start many goroutines, the runtime of the detector fails an internal check
+# ("tsan_rtl.cpp: CHECK failed").
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
