Ignore late messages of leaving instances, and confirm views by peers only

Cause: an answer that was made before its instance announced that it leaves could arrive after the announcement, and brought it back until its record followed: under the race detector TestEndOfAnInstanceOfALargeFleetIsKnown failed once with "10.0.3.23:1 does not know that 10.0.0.8:1 leaves". And an instance of a large fleet whose view was not confirmed, which is more than half of the time, exchanged with one further member every 200 ms: a new link each time, on which all records pass in both directions. Change: a message without the mark of an incarnation that has announced its leaving is ignored. Views are confirmed by the peers alone; an instance whose view grows old queries the registry, as before. Figures: go test -race -count 3 -run LargeFleetIsKnown passes.

--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -41,9 +41,8 @@
 	// last did.
 	firstContact time.Time
 	lastJoin     time.Time
-	// lastProbe is when an exchange with a silent member was last started, lastFurther when one
-	// with a further member, to confirm the view.
-	lastProbe, lastFurther time.Time
+	// lastProbe is when an exchange with a silent member was last started.
+	lastProbe time.Time
 	// total is the load of the members that are not silent, by endpoint. Adding up all of them
 	// anew would cost several percent of an instance's processor in a fleet of hundreds.
 	total map[string]srdispatch.Load
@@ -127,6 +126,10 @@
 	if g.Leaving {
 		return m.recordLeft(now, g), nil
 	}
+	if _, left := m.left[g.From]; left {
+		// The message was sent before the instance announced that it leaves.
+		return false, nil
+	}
 	e, ok := m.byAddress[g.From.Address]
 	if !ok {
 		if !m.makeRoom(now) {
@@ -399,20 +402,18 @@
 // due returns the addresses with which to start an exchange now: the members
 // without recent contact or, if confirm is set, all of them. The view needs to be
 // confirmed then, and only the answer to an exchange confirms it. In a large fleet the members
-// that exchange records are left to srgossip, but for one that is silent and, with confirm, one
-// more.
+// that exchange records are left to srgossip, but for one that is silent.
 func (m *members) due(now time.Time, confirm bool) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []string
 	interval, timeout, large := m.exchangeInterval(), m.silenceTimeoutLocked(), m.isLarge()
-	var silent, further *member
+	var silent *member
 	for address, e := range m.byAddress {
 		switch {
 		case large && e.relays && now.Sub(e.lastContact) > timeout:
 			silent = lessTried(silent, e)
 		case large && e.relays:
-			further = lessTried(further, e)
 		case now.Sub(e.lastAttempt) >= interval && (confirm || now.Sub(e.lastContact) >= interval):
 			e.lastAttempt = now
 			out = append(out, address)
@@ -422,10 +423,6 @@
 		m.lastProbe, silent.lastAttempt = now, now
 		out = append(out, silent.id.Address)
 	}
-	if confirm && further != nil && now.Sub(m.lastFurther) >= gossipInterval {
-		m.lastFurther, further.lastAttempt = now, now
-		out = append(out, further.id.Address)
-	}
 	for _, address := range m.seeds {
 		if _, ok := m.byAddress[address]; !ok && address != m.self.Address {
 			// The incarnation is not known before the first exchange.
--- a/internal/app/srforward/members_test.go
+++ b/internal/app/srforward/members_test.go
@@ -168,6 +168,23 @@
 	assert.Equal(t, len(m.newlySilent(now.Add(time.Minute))), 0)
 }
 
+// A message that overtook the announcement, or was passed on, does not bring a leaving instance back.
+// Another incarnation at its address does.
+func TestLateMessageDoesNotBringBackALeavingMember(t *testing.T) {
+	m := newMembers(id("a"), "d", nil, testUsageBytes)
+	receive(t, m, epoch, sr.Gossip{From: id("b")})
+	receive(t, m, epoch, sr.Gossip{From: id("b"), Leaving: true})
+	assert.Assert(t, !receive(t, m, epoch, sr.Gossip{From: id("b")}))
+	applied, _ := m.receiveRecord(epoch, 0, sr.Gossip{From: id("b"), Relays: true})
+	assert.Assert(t, !applied)
+	assert.Equal(t, len(m.alive(epoch)), 0)
+	again := sr.InstanceID{Address: "b", Incarnation: 2}
+	assert.Assert(t, receive(t, m, epoch.Add(time.Second), sr.Gossip{From: again}))
+	applied, _ = m.receiveRecord(epoch.Add(time.Second), 500*time.Millisecond, sr.Gossip{From: sr.InstanceID{Address: "b", Incarnation: 3}, Relays: true})
+	assert.Assert(t, !applied, "the record of an earlier incarnation")
+	assert.Assert(t, m.knows(again))
+}
+
 // configure must return only the quotas that differ from the last
 // configuration.
 func TestConfigureReturnsChangedQuotas(t *testing.T) {
