Let instances try silent members in different orders

Cause: after a cut all instances tried the silent member with the lowest address first. Change: of members that were never tried the order is by a hash of both addresses.

--- a/internal/app/srforward/members.go
+++ b/internal/app/srforward/members.go
@@ -351,13 +351,6 @@
 	return relaying > 0 && 1+relaying+direct > maxDirectFleet
 }
 
-// large is isLarge for callers that do not hold m.mu.
-func (m *members) large() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.isLarge()
-}
-
 // relaysTo reports whether records are sent to a member: it exchanges them, or may do so. It is
 // unsure before the first contact and after a failure.
 func (m *members) relaysTo(address string) (relays, unsure bool) {
@@ -412,7 +405,7 @@
 	for address, e := range m.byAddress {
 		switch {
 		case large && e.relays && now.Sub(e.lastContact) > timeout:
-			silent = lessTried(silent, e)
+			silent = m.lessTried(silent, e)
 		case large && e.relays:
 		case now.Sub(e.lastAttempt) >= interval && (confirm || now.Sub(e.lastContact) >= interval):
 			e.lastAttempt = now
@@ -433,9 +426,11 @@
 	return out
 }
 
-// lessTried returns the one of two members with which an exchange was started less lately.
-func lessTried(a, b *member) *member {
-	if a == nil || b.lastAttempt.Before(a.lastAttempt) || b.lastAttempt.Equal(a.lastAttempt) && b.id.Address < a.id.Address {
+// lessTried returns the one of two members with which an exchange was started less lately. Of two
+// that were never tried, instances choose differently, so that not all try the same one.
+func (m *members) lessTried(a, b *member) *member {
+	key := func(e *member) uint64 { return xxhash.Sum64String(m.self.Address + "/" + e.id.Address) }
+	if a == nil || b.lastAttempt.Before(a.lastAttempt) || b.lastAttempt.Equal(a.lastAttempt) && key(b) < key(a) {
 		return b
 	}
 	return a
--- a/internal/app/srforward/relay_test.go
+++ b/internal/app/srforward/relay_test.go
@@ -96,6 +96,13 @@
 	})
 }
 
+// large is isLarge for callers that do not hold m.mu.
+func (m *members) large() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isLarge()
+}
+
 // memberID returns the identity of a member, the zero one if there is none.
 func (m *members) memberID(address string) sr.InstanceID {
 	m.mu.Lock()
