Bound the loads and crashes in the records of others

Cause: an instance kept the loads and crashes of all records, whatever their size; only the messages were bounded. Change: the counts of all records together and the parts of prompts in the crashes of a record have a maximum. What is beyond it is not passed on. TestTableIsBounded covers both.

--- a/internal/state/srgossip/table.go
+++ b/internal/state/srgossip/table.go
@@ -53,6 +53,12 @@
 	// together. They have about 50 bytes each.
 	maxTotals    = 4096
 	maxAllTotals = 1 << 17
+	// maxAllCounts is the maximum number of endpoints in the loads of all records together. Up to
+	// 128 instances state theirs, each with some dozens.
+	maxAllCounts = 1 << 17
+	// maxCrashParts is the maximum number of parts of prompts in the crashes of a record, some
+	// hundred requests. Direct messages have all.
+	maxCrashParts = 1024
 	// maxLinks is the maximum number of peers whose positions are kept. An instance talks to about
 	// eight at a time.
 	maxLinks = 64
@@ -88,6 +94,8 @@
 	last uint64
 	// totals is the number of totals in all records.
 	totals int
+	// counts is the number of counts in the loads of all records.
+	counts int
 	links  map[string]*link
 	// lastLink is the ID of the last link.
 	lastLink uint32
@@ -245,17 +253,40 @@
 }
 
 func (t *Table) setLoad(r *record, l sr.MemberLoad) {
-	if !sameCounts(r.load.Running, l.Running) || !sameCounts(r.load.Pending, l.Pending) {
-		r.load, r.loadAt = l, t.last
+	if sameCounts(r.load.Running, l.Running) && sameCounts(r.load.Pending, l.Pending) {
+		return
+	}
+	t.counts -= countsOf(r.load)
+	if t.counts+countsOf(l) > maxAllCounts {
+		l = sr.MemberLoad{}
 	}
+	t.counts += countsOf(l)
+	r.load, r.loadAt = l, t.last
 }
 
+func countsOf(l sr.MemberLoad) int { return len(l.Running) + len(l.Pending) }
+
 // setCrashes sets the report of crashes. Its ages grow, so that a report is a change whenever it
 // is not empty.
 func (t *Table) setCrashes(r *record, c sr.CrashReport) {
 	if len(c.Crashes)+len(c.Sound)+len(r.crashes.Crashes)+len(r.crashes.Sound) > 0 {
-		r.crashes, r.crashesAt = sr.CrashReport{Crashes: c.Crashes, Sound: c.Sound}, t.last
+		r.crashes, r.crashesAt = sr.CrashReport{Crashes: limitParts(c.Crashes), Sound: c.Sound[:min(len(c.Sound), maxCrashParts)]}, t.last
+	}
+}
+
+// limitParts returns the first crashes, which are the latest, with maxCrashParts at most.
+func limitParts(list []sr.Crash) []sr.Crash {
+	parts := 0
+	for i, c := range list {
+		parts++
+		for _, r := range c.Requests {
+			parts += len(r)
+		}
+		if parts > maxCrashParts {
+			return list[:i]
+		}
 	}
+	return list
 }
 
 func sameCounts(a, b map[string]int) bool {
@@ -524,6 +555,7 @@
 	for key, r := range t.records {
 		if r != t.self && now.Sub(r.issuedAt) > retention {
 			t.totals -= len(r.spent)
+			t.counts -= countsOf(r.load)
 			t.unlink(r)
 			delete(t.records, key)
 		}
--- a/internal/state/srgossip/table_test.go
+++ b/internal/state/srgossip/table_test.go
@@ -155,20 +155,27 @@
 	a := testTable(0)
 	for i := range maxRecords + 500 {
 		m := sr.Relay{Until: 1, Records: []sr.MemberRecord{{Key: keyOf(testID(i + 1)), Version: 1, State: &sr.MemberState{ID: testID(i + 1)}, Spent: map[string]float64{}}}}
+		running := make(map[string]int)
 		for w := range 100 {
 			m.Records[0].Spent[fmt.Sprint(i, "-", w)] = 1
+			running[fmt.Sprint("e", w)] = 1
 		}
+		m.Records[0].Load = &sr.MemberLoad{Running: running}
+		m.Records[0].Crashes = &sr.CrashReport{Crashes: []sr.Crash{{Requests: [][]string{make([]string, maxCrashParts)}}}}
 		_, err := a.Receive(epoch, testID(i+1), m)
 		assert.NilError(t, err)
 		a.Answered(epoch, testID(i+1).Address, false)
 	}
-	assert.Assert(t, a.Size() <= maxRecords && a.totals <= maxAllTotals && len(a.links) <= maxLinks && len(a.avoided) <= maxRecords)
+	assert.Assert(t, a.Size() <= maxRecords && a.totals <= maxAllTotals && a.counts <= maxAllCounts && len(a.links) <= maxLinks && len(a.avoided) <= maxRecords)
 	for _, beats := range [][]byte{{1}, make([]byte, 8), make([]byte, 9), make([]byte, maxBeats+1), appendBeat(nil, beat{age: 2 * retention})} {
 		_, err := a.Receive(epoch, testID(1), sr.Relay{Beats: beats})
 		assert.ErrorIs(t, err, sr.ErrInvalid)
 	}
+	for _, r := range a.records {
+		assert.Equal(t, len(r.crashes.Crashes), 0)
+	}
 	a.Sweep(epoch.Add(retention + 1))
-	assert.Equal(t, a.totals, 0)
+	assert.Equal(t, a.totals+a.counts, 0)
 	assert.Equal(t, a.Size(), 1)
 }
 
