Keep facts recent among many failure domains

Cause: the fleet of 1,000 instances in 23 failure domains was tested in calm and after kills only. With half of it cut off a fact was 2.74 s old, of 2.5 s allowed ("half is cut off: a fact is 2.74s old"): eight links from each domain are few among so many. Change: a domain has links for two thirds of the number of domains, eight at least.

--- a/internal/state/srgossip/peers.go
+++ b/internal/state/srgossip/peers.go
@@ -16,10 +16,12 @@
 	// one after it. One order would connect all; two random ones are short ways, and go on when
 	// some end.
 	rings = 2
-	// crossings is the number of instances of a failure domain that choose a peer of another one
+	// minCrossings is the number of instances of a failure domain that choose a peer of another one
 	// as well. Bytes between failure domains cost most. With eight, and as many from the other
-	// side, a domain is not alone when half of the fleet is killed.
-	crossings = 8
+	// side, a domain is not alone when half of the fleet is killed. Among many domains there are
+	// more, crossingsPerDomain for each other one, so that the ways do not become longer.
+	minCrossings       = 8
+	crossingsPerDomain = 2.0 / 3
 	// avoidTime is the time for which a peer that did not answer is not chosen. It is longer than
 	// the silence after which it is no member any more.
 	avoidTime = 10 * time.Second
@@ -49,7 +51,9 @@
 		}
 	}
 	var near, far []string
+	domains := make(map[string]struct{})
 	for _, m := range members {
+		domains[m.Domain] = struct{}{}
 		switch _, avoid := t.avoided[m.Address]; {
 		case avoid || m.Address == t.opts.Self.Address:
 		case m.Domain == t.opts.Domain:
@@ -70,7 +74,7 @@
 			out = append(out, next)
 		}
 	}
-	if next := t.next("crossing", far); next != "" && t.crosses(near) {
+	if next := t.next("crossing", far); next != "" && t.crosses(near, len(domains)) {
 		out = append(out, next)
 	}
 	slices.Sort(out)
@@ -91,15 +95,15 @@
 }
 
 // crosses reports whether this instance is one of those of its failure domain that choose a peer
-// of another one.
-func (t *Table) crosses(near []string) bool {
+// of another one, in a fleet of that many domains.
+func (t *Table) crosses(near []string, domains int) bool {
 	own, before := hash("crosses", t.opts.Self.Address), 0
 	for _, address := range near {
 		if cmp.Less(hash("crosses", address), own) {
 			before++
 		}
 	}
-	return before < crossings
+	return before < max(minCrossings, int(crossingsPerDomain*float64(domains)))
 }
 
 func hash(ring, address string) uint64 { return xxhash.Sum64String(ring + "/" + address) }
