Explain what a dispatcher would decide on an ask

Cause: operators want to know where a request would go now, and why, without sending it. The decisions of a Service were only to be had by an ask that takes a slot.

Averages decay, medians are refreshed and limits are probed while a decision is made, so a second version of that would differ from the first one.

Change: Explain copies the Service, reads the endpoints as place does, and lets the copy decide. place and Explain use one function for the score of an endpoint (score), one for what excludes it (exclusion) and one for what occupies it (obstacle); Add is split so that the expected wait can be read before an ask is admitted. Limiter and Shares get Clone.

Conclusion: an explanation costs a copy of the queue and the endpoints.

--- a/internal/policy/srdispatch/endpoint.go
+++ b/internal/policy/srdispatch/endpoint.go
@@ -110,8 +110,18 @@
 
 // available reports whether the endpoint may get a request now.
 func (e *endpoint) available(now time.Time) bool {
-	if !e.usable || e.paused(now) || e.freeSlots() <= 0 {
-		return false
+	return e.usable && e.obstacle(now) == ""
+}
+
+// obstacle returns why a usable endpoint may not get a request now, "" if it may.
+func (e *endpoint) obstacle(now time.Time) Obstacle {
+	switch {
+	case e.paused(now):
+		return ObstaclePaused
+	case e.freeSlots() <= 0:
+		return ObstacleFull
+	case e.ColdRate > 0 && now.Before(e.coldNext):
+		return ObstacleCold
 	}
-	return e.ColdRate == 0 || !now.Before(e.coldNext)
+	return ""
 }
--- a/internal/policy/srdispatch/place.go
+++ b/internal/policy/srdispatch/place.go
@@ -45,10 +45,9 @@
 	// another one can do better.
 	late, hold := false, false
 	preferred := s.preferredEndpoints(w.LastPart)
-	left := w.Target.Sub(now)
 	for _, id := range s.endpointIDs {
 		e := s.endpoints[id]
-		if !w.accepts(id) || e.paused(now) || skip && !e.healthy(now) {
+		if w.exclusion(now, e, skip) != "" {
 			continue
 		}
 		run := s.runTime(now, e, w)
@@ -56,23 +55,9 @@
 		if !e.available(now) {
 			continue
 		}
-		cost := s.cost(now, e, w)
-		if slices.Contains(preferred[:], id) {
-			cost -= cacheGain
-		}
-		start := e.timeToStart(now, w)
-		inTime := s.inTime(now, w, start, run)
-		switch {
-		case !inTime:
-			cost += lateCost
-		case left <= 0:
-			// Already late: leave the fast endpoints to asks that can be in time.
-			cost /= e.learned.Slowness(now)
-		default:
-			cost += startCost*float64(start)/float64(left) + runCost*float64(run)/float64(w.Deadline.Sub(now))
-		}
-		if best == "" || cost < bestCost {
-			best, bestCost, late = id, cost, !inTime
+		c := s.score(now, e, w, run, preferred)
+		if best == "" || c.cost < bestCost {
+			best, bestCost, late = id, c.cost, !c.inTime
 		}
 	}
 	if late && hold && len(w.Only) == 0 && s.waitLimit(w).Sub(now) > holdMargin {
@@ -81,6 +66,49 @@
 	return best
 }
 
+// score is what an ask would meet at an endpoint. The one with the lowest cost gets it.
+type score struct {
+	// start is the predicted time until the answer starts.
+	start  time.Duration
+	inTime bool
+	cost   float64
+}
+
+// score returns the score of an endpoint where an answer runs for the time run.
+func (s *Service) score(now time.Time, e *endpoint, w *queuedAsk, run time.Duration, preferred [preferredCount]string) score {
+	cost := s.cost(now, e, w)
+	if slices.Contains(preferred[:], e.ID) {
+		cost -= cacheGain
+	}
+	start := e.timeToStart(now, w)
+	inTime := s.inTime(now, w, start, run)
+	left := w.Target.Sub(now)
+	switch {
+	case !inTime:
+		cost += lateCost
+	case left <= 0:
+		// Already late: leave the fast endpoints to asks that can be in time.
+		cost /= e.learned.Slowness(now)
+	default:
+		cost += startCost*float64(start)/float64(left) + runCost*float64(run)/float64(w.Deadline.Sub(now))
+	}
+	return score{start: start, inTime: inTime, cost: cost}
+}
+
+// exclusion returns why an endpoint does not count for an ask, "" if it does. skip is whether
+// unhealthy endpoints are skipped.
+func (w *queuedAsk) exclusion(now time.Time, e *endpoint, skip bool) Obstacle {
+	switch {
+	case !w.accepts(e.ID):
+		return ObstacleAvoided
+	case e.paused(now):
+		return ObstaclePaused
+	case skip && !e.healthy(now):
+		return ObstacleEjected
+	}
+	return ""
+}
+
 // inTime reports whether an answer that starts after start and runs for run meets the objective
 // of an ask, unless that has passed, and ends by its deadline.
 func (s *Service) inTime(now time.Time, w *queuedAsk, start, run time.Duration) bool {
--- a/internal/policy/srdispatch/refuse.go
+++ b/internal/policy/srdispatch/refuse.go
@@ -97,13 +97,8 @@
 		s.Withdraw(w.ID)
 		return []Decision{s.refuse(now, w, ReasonPaused)}
 	}
-	s.throughput.advance(now, s.running)
-	rate := s.throughput.rate(s.running)
-	if rate == 0 {
-		return nil
-	}
-	wait := time.Duration(float64(s.ahead(now, w)+1) / rate * float64(time.Second))
-	if !now.Add(wait).After(s.waitLimit(w)) {
+	wait, known := s.expectedWait(now, w)
+	if !known || !now.Add(wait).After(s.waitLimit(w)) {
 		return nil
 	}
 	if s.keep(now, w) {
@@ -114,6 +109,16 @@
 	return []Decision{s.refuse(now, w, ReasonFull)}
 }
 
+// expectedWait predicts how long an ask in the queue waits, and reports whether that is known.
+func (s *Service) expectedWait(now time.Time, w *queuedAsk) (wait time.Duration, known bool) {
+	s.throughput.advance(now, s.running)
+	rate := s.throughput.rate(s.running)
+	if rate == 0 {
+		return 0, false
+	}
+	return time.Duration(float64(s.ahead(now, w)+1) / rate * float64(time.Second)), true
+}
+
 // ahead counts the asks that are placed before w: all asks ahead of it in the queue, or
 // only those of its own rank when that rank is starved and so served first.
 func (s *Service) ahead(now time.Time, w *queuedAsk) int {
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -179,6 +179,8 @@
 type Service struct {
 	opts Options
 	rand *rand.Rand
+	// pcg is the source of rand.
+	pcg *rand.PCG
 	// endpoints holds the usable endpoints, and the unusable ones that have requests in
 	// flight or are paused, by ID. endpointIDs lists the usable ones.
 	endpoints   map[string]*endpoint
@@ -204,9 +206,11 @@
 // New returns a Service without endpoints.
 func New(o Options) *Service {
 	l := srlimit.New()
+	pcg := rand.NewPCG(o.Seed, o.Seed)
 	return &Service{
 		opts:      o,
-		rand:      rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		rand:      rand.New(pcg),
+		pcg:       pcg,
 		limiter:   l,
 		learner:   func(slots int) learner { return l.Add(slots) },
 		endpoints: make(map[string]*endpoint),
@@ -265,17 +269,22 @@
 
 // Add queues an ask.
 func (s *Service) Add(now time.Time, a Ask) []Decision {
-	w := s.newQueuedAsk(now, a)
-	r := s.rank(a)
-	r.addArrival(now)
-	s.insert(w)
-	out := s.dispatch(now)
+	w, out := s.enqueue(now, a)
 	if slices.Contains(s.queue, w) {
 		out = append(out, s.admit(now, w)...)
 	}
 	return out
 }
 
+// enqueue queues an ask and places as many asks as possible.
+func (s *Service) enqueue(now time.Time, a Ask) (*queuedAsk, []Decision) {
+	w := s.newQueuedAsk(now, a)
+	r := s.rank(a)
+	r.addArrival(now)
+	s.insert(w)
+	return w, s.dispatch(now)
+}
+
 // Withdraw removes an ask whose caller has left.
 func (s *Service) Withdraw(id uint64) {
 	if i := slices.IndexFunc(s.queue, func(w *queuedAsk) bool { return w.ID == id }); i >= 0 {
--- a/internal/policy/srfair/shares.go
+++ b/internal/policy/srfair/shares.go
@@ -55,6 +55,17 @@
 // New returns Shares without workspaces.
 func New() *Shares { return &Shares{flows: make(map[string]*flow)} }
 
+// Clone returns a copy that changes on its own.
+func (s *Shares) Clone() *Shares {
+	c := *s
+	c.flows = make(map[string]*flow, len(s.flows))
+	for name, f := range s.flows {
+		copied := *f
+		c.flows[name] = &copied
+	}
+	return &c
+}
+
 // Start returns the start tag of the next request of a workspace.
 func (s *Shares) Start(workspace string) float64 {
 	if f, ok := s.flows[workspace]; ok {
--- a/internal/policy/srlimit/limiter.go
+++ b/internal/policy/srlimit/limiter.go
@@ -126,6 +126,20 @@
 	return e
 }
 
+// Clone returns a copy that changes on its own, and the copies of its endpoints.
+func (l *Limiter) Clone() (*Limiter, map[*Endpoint]*Endpoint) {
+	c := *l
+	c.endpoints, c.changes = make([]*Endpoint, len(l.endpoints)), nil
+	copies := make(map[*Endpoint]*Endpoint, len(l.endpoints))
+	for i, e := range l.endpoints {
+		copied := *e
+		copied.limiter = &c
+		copied.samples, copied.pending = slices.Clone(e.samples), slices.Clone(e.pending)
+		c.endpoints[i], copies[e] = &copied, &copied
+	}
+	return &c, copies
+}
+
 // Remove removes an endpoint.
 func (l *Limiter) Remove(e *Endpoint) {
 	l.endpoints = slices.DeleteFunc(l.endpoints, func(o *Endpoint) bool { return o == e })
