Answer operators where a request would go

Cause: operators ask for a tool that explains where a request would go now without sending it.

Ruled out: sending a marked request through the usual path, which takes a slot and a part of the quota until it is withdrawn.

Change: GET /v1/place at the operators' address takes host, path, workspace, service, prompt and length. The answer has the state of the instance, the route, what is left of the quota, a refusal before any queue, and for each service who decides, the groups as their coordinators stated them last, and the decision with its candidates. An instance that coordinates a group adds the decision of the group. Checks that admit and place share are functions (refusesAll, refuseUnconfirmedKey, quotaCost, groupAsk). The quota is read from a copy of the bucket. The workspace is given by name, and a name that does not exist is not repeated, since it may be a key.

Figures: TestPlace: six answers as golden files; the dump before and after is the same, a second answer equals the first, and no answer has the key. TestPlaceInAGroup: 20 instances; the coordinator's count of free slots is the same after the questions, and a coordinator that is cut off is shown as not asked. go test of srforward, srgroup, srshare and srdispatch passed; the tests of place and TestSlotsOfACoordinator with the race detector too.

Conclusion: candidates of a group are exact at its coordinator only.

--- a/internal/app/srforward/dump.go
+++ b/internal/app/srforward/dump.go
@@ -101,7 +101,7 @@
 	return d
 }
 
-// operatorHandler serves the state dump and the metrics.
+// operatorHandler serves the state dump, explanations of placements and the metrics.
 func (n *Instance) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) {
@@ -111,6 +111,7 @@
 		// The operator may have disconnected.
 		_ = e.Encode(n.dump())
 	})
+	mux.HandleFunc("GET "+PlacePath, n.servePlace)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		n.stats.write(w)
--- a/internal/app/srforward/holders.go
+++ b/internal/app/srforward/holders.go
@@ -117,8 +117,7 @@
 	if len(list) == 0 || slices.ContainsFunc(a.Only, q.paused) || q.allPaused() {
 		return d, false, nil
 	}
-	a.Domain = s.n.Settings.Domain
-	a.Avoid = q.avoid(a)
+	a = s.n.groupAsk(q, a)
 	for _, h := range list[:min(len(list), maxGroupsAsked)] {
 		answer, ok, err := h.acquire(ctx, id, a, onWait)
 		switch {
@@ -141,6 +140,12 @@
 	return d, decided, nil
 }
 
+// groupAsk returns an ask as a coordinator gets it.
+func (n *Instance) groupAsk(q *queue, a srdispatch.Ask) srdispatch.Ask {
+	a.Domain, a.Avoid = n.Settings.Domain, q.avoid(a)
+	return a
+}
+
 // release returns a slot to the coordinator that granted it. The endpoint may have left its group
 // meanwhile.
 func (s *holders) release(service, endpoint string, r srdispatch.Result) {
--- a/internal/app/srforward/limits.go
+++ b/internal/app/srforward/limits.go
@@ -111,6 +111,21 @@
 	return ok, wait, level
 }
 
+// peek returns what acquire would, without taking anything. limited is false for a workspace
+// without a limit.
+func (l *limits) peek(now time.Time, workspace string, cost float64, maxWait time.Duration) (ok bool, wait time.Duration, level float64, limited bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, limited := l.buckets[workspace]
+	if !limited {
+		return true, 0, 0, false
+	}
+	b = b.Clone()
+	level = b.Level(now)
+	ok, wait = b.Spend(now, cost, maxWait)
+	return ok, wait, level, true
+}
+
 // refund returns the cost of a request that did not run.
 func (l *limits) refund(now time.Time, workspace string, cost float64) {
 	l.mu.Lock()
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -188,17 +188,11 @@
 	st := q.view.State()
 	in, err := q.Codec.Inbound(q.r.Header)
 	q.inbound = in
-	switch {
-	case err != nil:
+	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: reasonHeader}
-	case q.refusing.Load():
-		return refuseDraining()
-	case st.Routing == nil:
-		return &refusal{status: http.StatusServiceUnavailable, reason: reasonNoRouting, retryAfter: shortRetryAfter}
-	case !q.hasJoined():
-		return &refusal{status: http.StatusServiceUnavailable, reason: reasonJoining, retryAfter: shortRetryAfter}
-	case q.superseded():
-		return &refusal{status: http.StatusServiceUnavailable, reason: reasonStaleView, retryAfter: shortRetryAfter}
+	}
+	if ref := q.refusesAll(st, q.hasJoined()); ref != nil {
+		return ref
 	}
 	size, lines := headerSize(q.r)
 	if maxHeader := st.Routing.Limits.Header; maxHeader > 0 && size > maxHeader {
@@ -224,6 +218,21 @@
 	return q.spendQuota()
 }
 
+// refusesAll returns the refusal that every request gets now, nil if the instance serves.
+func (n *Instance) refusesAll(st *srview.State, joined bool) *refusal {
+	switch {
+	case n.refusing.Load():
+		return refuseDraining()
+	case st.Routing == nil:
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonNoRouting, retryAfter: shortRetryAfter}
+	case !joined:
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonJoining, retryAfter: shortRetryAfter}
+	case n.superseded():
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonStaleView, retryAfter: shortRetryAfter}
+	}
+	return nil
+}
+
 // awaitJoin waits until the instance that starts has joined, joinTimeout from its start at most.
 // A client that is refused meanwhile comes back later than that.
 func (q *request) awaitJoin() {
@@ -264,12 +273,16 @@
 		q.workspace, q.keyed = w, ok && !route.Public
 	}
 	if q.keyed && !q.keysCurrent() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: reasonUnconfirmedKey, retryAfter: shortRetryAfter}
+		return refuseUnconfirmedKey()
 	}
 	q.service = q.chooseService(route.Services)
 	return nil
 }
 
+func refuseUnconfirmedKey() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: reasonUnconfirmedKey, retryAfter: shortRetryAfter}
+}
+
 // refuseUnknown refuses a route or key that the configuration lacks. While a newer
 // configuration may have it, the refusal asks the client to retry.
 func (q *request) refuseUnknown(status int, reason string) *refusal {
@@ -320,8 +333,7 @@
 	if !q.keyed {
 		return nil
 	}
-	cost := q.workspace.Allowance.Cost(q.inbound.Prompt + q.inbound.Output)
-	maxWait := max(time.Duration(float64(q.route.Target-q.elapsed)*quotaWaitRatio), 0)
+	cost, maxWait := q.quotaCost()
 	ok, wait, level := q.limits.acquire(time.Now(), q.workspace.Name, cost, maxWait)
 	if !ok {
 		q.Log.Failed("over-allowance", srlog.Request, q.inbound.ID, srlog.Workspace, q.workspace.Name, srlog.Rank, q.route.Rank, srlog.Cost, cost, srlog.Level, level, srlog.After, wait)
@@ -336,6 +348,12 @@
 	return nil
 }
 
+// quotaCost returns the request's cost and for how long it may wait for that.
+func (q *request) quotaCost() (cost float64, maxWait time.Duration) {
+	return q.workspace.Allowance.Cost(q.inbound.Prompt + q.inbound.Output),
+		max(time.Duration(float64(q.route.Target-q.elapsed)*quotaWaitRatio), 0)
+}
+
 // refuse ends a request that has not run and will not run.
 func (q *request) refuse(ref refusal) {
 	q.refund()
--- a/internal/policy/srgroup/group.go
+++ b/internal/policy/srgroup/group.go
@@ -304,6 +304,11 @@
 // Next returns when Tick should be called, and whether any ask waits.
 func (g *Group) Next() (time.Time, bool) { return g.dispatcher.Next() }
 
+// Explain returns where an ask would go now, without a change.
+func (g *Group) Explain(now time.Time, a srdispatch.Ask) srdispatch.Explanation {
+	return g.dispatcher.Explain(now, a)
+}
+
 // Free returns the number of slots that a request could get now.
 func (g *Group) Free(now time.Time) int { return g.dispatcher.Free(now) }
 
--- a/internal/policy/srgroup/holder.go
+++ b/internal/policy/srgroup/holder.go
@@ -64,6 +64,9 @@
 // Room returns the number of free slots that the coordinator has stated less its waiting asks.
 func (h *Holder) Room() int { return h.free - h.queue }
 
+// Stated returns the free slots and the waiting asks that the coordinator has stated last.
+func (h *Holder) Stated() (free, waiting int) { return h.free, h.queue }
+
 // Ask queues an ask for the next report.
 func (h *Holder) Ask(now time.Time, id uint64, a srdispatch.Ask) {
 	h.fresh = append(h.fresh, NewAsk(now, id, a))
--- a/internal/policy/srshare/bucket.go
+++ b/internal/policy/srshare/bucket.go
@@ -124,6 +124,17 @@
 // Limit returns the current limit.
 func (b *Bucket) Limit() Limit { return b.limit }
 
+// Clone returns a copy that changes on its own.
+func (b *Bucket) Clone() *Bucket {
+	c := *b
+	c.peers = make(map[string]*peer, len(b.peers))
+	for address, p := range b.peers {
+		copied := *p
+		c.peers[address] = &copied
+	}
+	return &c
+}
+
 // Level returns the cost that may be spent now without a wait.
 func (b *Bucket) Level(now time.Time) float64 {
 	b.refill(now)
