--- a/internal/app/srcli/cli.go
+++ b/internal/app/srcli/cli.go
@@ -8,6 +8,7 @@
 //	sassafrasrail bundle --manifest manifest/ --number 7
 //	sassafrasrail dump --operate 127.0.0.1:7200
 //	sassafrasrail explain --operate 127.0.0.1:7200 TICKET
+//	sassafrasrail place --operate 127.0.0.1:7200 --host api.example --path /v1/chat
 //	sassafrasrail send --to 127.0.0.1:7100 --key KEY --model MODEL PROMPT
 //	sassafrasrail call --to 127.0.0.1:7100 --key KEY --service S --operation O BODY
 //	sassafrasrail version
@@ -50,6 +51,7 @@
 	Dump    dumpCommand    `cmd:"" help:"Print the state of a running instance as JSON."`
 	Ready   readyCommand   `cmd:"" help:"Check whether an instance accepts requests."`
 	Explain explainCommand `cmd:"" help:"Print the scheduling decisions for a ticket."`
+	Place   placeCommand   `cmd:"" help:"Print where a request would go now, and why, without sending it."`
 	Send    sendCommand    `cmd:"" help:"Send a model request."`
 	Call    callCommand    `cmd:"" help:"Call a plain service once."`
 	Version versionCommand `cmd:"" help:"Print the version."`
--- a/internal/app/srcli/operator.go
+++ b/internal/app/srcli/operator.go
@@ -85,26 +85,32 @@
 
 // operatorGet returns the answer of an instance's operator interface to a GET request.
 func operatorGet(address, path string) ([]byte, error) {
+	status, body, err := operatorAsk(address, path)
+	if err == nil && status != http.StatusOK {
+		err = answerError(status, body)
+	}
+	return body, err
+}
+
+// operatorAsk is operatorGet for callers that tell statuses apart.
+func operatorAsk(address, path string) (status int, body []byte, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
 	if err != nil {
-		return nil, errors.Wrapf(sr.ErrInvalid, "srcli: operator address %q", address)
+		return 0, nil, errors.Wrapf(sr.ErrInvalid, "srcli: operator address %q", address)
 	}
 	client := &http.Client{Transport: &http.Transport{Proxy: nil}}
 	res, err := client.Do(req)
 	if err != nil {
-		return nil, errors.Wrap(err, "srcli")
+		return 0, nil, errors.Wrap(err, "srcli")
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	body, err = io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, errors.Wrap(err, "srcli: read the answer of the instance")
-	}
-	if res.StatusCode != http.StatusOK {
-		return nil, answerError(res.StatusCode, body)
+		return 0, nil, errors.Wrap(err, "srcli: read the answer of the instance")
 	}
-	return body, nil
+	return res.StatusCode, body, nil
 }
 
 func answerError(status int, body []byte) error {
