Wait in a test of coordinators as long as the fleet may take to notice a silence

Cause: in a fleet of more than 16 instances a member is silent after three intervals of records, not three exchanges, and the records of some arrive later than those of others. The test waited for 3 s; it waits for the time that follows from the design now.

--- a/internal/app/srforward/coordinate_test.go
+++ b/internal/app/srforward/coordinate_test.go
@@ -12,6 +12,7 @@
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srforwardsettings"
+	"github.com/sassafrasrail/sassafrasrail/internal/state/srgossip"
 )
 
 const (
@@ -107,7 +108,8 @@
 			f.setCut(coordinator, true)
 			d, took := acquire(t, f.other(coordinator), testAsk(time.Second))
 			assert.Assert(t, d.Kind == srdispatch.Placed && !d.Granted && took <= decidedAlone, "%v after %v", d, took)
-			time.Sleep(3 * time.Second)
+			// All count it as silent, the last of them as late as a record may arrive.
+			time.Sleep(f.other(coordinator).members.silenceTimeout() + srgossip.Delay(groupedFleet) + sweepInterval)
 			next := f.agreed(t)
 			assert.Assert(t, next != coordinator)
 			d, took = acquire(t, f.other(coordinator, next), testAsk(time.Second))
