Try the head of the queue when a starved rank gets no endpoint

Cause: dispatch tries the first ask of a starved rank before the head of the queue. When that ask got no endpoint (all busy that it may use, or held back for a better one), the next index tried was 1, so the head of the queue was never tried and an endpoint that it may use stayed free. TestStarvedRankHoldsUpNoFreeEndpoint: 0 decisions instead of 1. Change: after the first ask that is passed over, the others are tried from the head.

--- /dev/null
+++ b/internal/policy/srdispatch/dispatch_test.go
@@ -0,0 +1,53 @@
+package srdispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+)
+
+// queue is a Service whose asks have a second to their objective.
+type queue struct {
+	t   *testing.T
+	now time.Time
+	s   *srdispatch.Service
+	// id is that of the last ask.
+	id uint64
+}
+
+func newQueue(t *testing.T, o srdispatch.Options, endpoints ...srdispatch.Endpoint) *queue {
+	q := &queue{t: t, now: time.Unix(0, 0), s: srdispatch.New(o)}
+	q.s.Configure(q.now, endpoints)
+	return q
+}
+
+func (q *queue) add(a srdispatch.Ask) []srdispatch.Decision {
+	q.id++
+	a.ID, a.Target, a.Deadline = q.id, q.now.Add(time.Second), q.now.Add(5*time.Second)
+	return q.s.Add(q.now, a)
+}
+
+// TestStarvedRankHoldsUpNoFreeEndpoint: the asks of a starved rank wait for a busy endpoint while
+// another one becomes free, which the first ask in the queue may use.
+func TestStarvedRankHoldsUpNoFreeEndpoint(t *testing.T) {
+	q := newQueue(t, srdispatch.Options{Seed: 1}, srdispatch.Endpoint{ID: "a", Slots: 1, Share: 1}, srdispatch.Endpoint{ID: "b", Slots: 1, Share: 1})
+	placed := q.add(srdispatch.Ask{Avoid: []string{"b"}})
+	assert.Equal(t, placed[0].Endpoint, "a")
+	for range 10 {
+		placed = q.add(srdispatch.Ask{Avoid: []string{"a"}})
+		assert.Equal(t, placed[0].Endpoint, "b")
+		q.s.Release(q.now, "b", srdispatch.Result{})
+	}
+	assert.Equal(t, len(q.add(srdispatch.Ask{Avoid: []string{"a"}})), 1)
+	for range 8 {
+		assert.Equal(t, len(q.add(srdispatch.Ask{Route: 1, Avoid: []string{"b"}})), 0)
+	}
+	assert.Equal(t, len(q.add(srdispatch.Ask{Avoid: []string{"a"}})), 0)
+	first := q.id
+	placed = q.s.Release(q.now, "b", srdispatch.Result{})
+	assert.Equal(t, len(placed), 1)
+	assert.Equal(t, placed[0].Ask, first)
+}
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -452,24 +452,29 @@
 // a long queue takes.
 const maxSkipped = 32
 
-// dispatch places as many asks as possible, in order.
+// dispatch places as many asks as possible, in order. An ask that gets no endpoint is passed
+// over, since another one may fit an available endpoint that this one must avoid, or where it
+// would start late.
 func (s *Service) dispatch(now time.Time) []Decision {
 	var out []Decision
-	skipped := 0
-	for skipped < len(s.queue) {
-		i := s.nextIndex(now)
-		if skipped > 0 {
-			i = skipped
+	// After the first ask that was passed over, the others follow from the head of the queue.
+	i, skipped := 0, 0
+	for i < len(s.queue) {
+		if skipped == 0 {
+			i = s.nextIndex(now)
 		}
 		w := s.queue[i]
 		id := s.place(now, w)
 		if id == "" {
-			// Another ask may fit an available endpoint that this one must avoid, or where it
-			// would start late.
 			skipped++
 			if skipped > maxSkipped || !s.anyAvailable(now) {
 				break
 			}
+			if skipped == 1 && i > 0 {
+				i = 0
+			} else {
+				i++
+			}
 			continue
 		}
 		s.remove(i)
