Pass over asks for certain endpoints without counting them

Cause: resumed streams that may go to certain endpoints only are at the head of the queue and wait up to their deadline. With more than maxSkipped of them, nothing behind them was placed although other endpoints were free. TestResumedStreamsHoldUpNoOthers (40 streams): 0 decisions instead of 1. Change: an ask whose endpoints are all unavailable does not count towards maxSkipped.

--- a/internal/policy/srdispatch/dispatch_test.go
+++ b/internal/policy/srdispatch/dispatch_test.go
@@ -51,3 +51,16 @@
 	assert.Equal(t, len(placed), 1)
 	assert.Equal(t, placed[0].Ask, first)
 }
+
+// TestResumedStreamsHoldUpNoOthers: more streams than may be passed over wait for the endpoint
+// that has started them, which is full. The other endpoint is used by those behind them.
+func TestResumedStreamsHoldUpNoOthers(t *testing.T) {
+	q := newQueue(t, srdispatch.Options{Seed: 1, Fair: true}, srdispatch.Endpoint{ID: "a", Slots: 1, Share: 1}, srdispatch.Endpoint{ID: "b", Slots: 1, Share: 1})
+	assert.Equal(t, len(q.add(srdispatch.Ask{Only: []string{"a"}})), 1)
+	for range 40 {
+		assert.Equal(t, len(q.add(srdispatch.Ask{Resumed: true, Only: []string{"a"}})), 0)
+	}
+	placed := q.add(srdispatch.Ask{})
+	assert.Equal(t, len(placed), 1)
+	assert.Equal(t, placed[0].Endpoint, "b")
+}
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -448,8 +448,8 @@
 // Waiting returns the number of waiting asks.
 func (s *Service) Waiting() int { return len(s.queue) }
 
-// maxSkipped is the number of asks that may be passed over in a row, which bounds the time that
-// a long queue takes.
+// maxSkipped is the number of asks that may be passed over, which bounds the time that a long
+// queue takes. Those that wait for certain endpoints do not count.
 const maxSkipped = 32
 
 // dispatch places as many asks as possible, in order. An ask that gets no endpoint is passed
@@ -457,30 +457,33 @@
 // would start late.
 func (s *Service) dispatch(now time.Time) []Decision {
 	var out []Decision
-	// After the first ask that was passed over, the others follow from the head of the queue.
 	i, skipped := 0, 0
+	// inOrder is set when an ask was passed over. The others are tried from the head of the queue.
+	inOrder := false
 	for i < len(s.queue) {
-		if skipped == 0 {
+		if !inOrder {
 			i = s.nextIndex(now)
 		}
 		w := s.queue[i]
-		id := s.place(now, w)
-		if id == "" {
-			skipped++
-			if skipped > maxSkipped || !s.anyAvailable(now) {
-				break
-			}
-			if skipped == 1 && i > 0 {
-				i = 0
-			} else {
-				i++
-			}
+		if id := s.place(now, w); id != "" {
+			s.remove(i)
+			s.assign(now, id, w.Ask)
+			s.charge(now, w)
+			out = append(out, s.complete(now, w, Decision{Kind: Placed, Endpoint: id}))
 			continue
 		}
-		s.remove(i)
-		s.assign(now, id, w.Ask)
-		s.charge(now, w)
-		out = append(out, s.complete(now, w, Decision{Kind: Placed, Endpoint: id}))
+		if !s.waitsForOnly(now, w.Ask) {
+			skipped++
+		}
+		if skipped > maxSkipped || !s.anyAvailable(now) {
+			break
+		}
+		if inOrder || i == 0 {
+			i++
+		} else {
+			i = 0
+		}
+		inOrder = true
 	}
 	if len(s.queue) > 0 && s.probeLimits(now) {
 		return append(out, s.dispatch(now)...)
@@ -488,6 +491,15 @@
 	return out
 }
 
+// waitsForOnly reports whether an ask may get certain endpoints only, and none of them is
+// available. Such asks are cheap to pass over, and may wait up to their deadline.
+func (s *Service) waitsForOnly(now time.Time, a Ask) bool {
+	return len(a.Only) > 0 && !slices.ContainsFunc(a.Only, func(id string) bool {
+		e, ok := s.endpoints[id]
+		return ok && e.available(now)
+	})
+}
+
 // anyAvailable reports whether any endpoint is available.
 func (s *Service) anyAvailable(now time.Time) bool {
 	for _, id := range s.endpointIDs {
