Bound the ranks that a queue remembers

Cause: Service.ranks got an entry for each rank that an ask of any instance states, and kept it. The key overflows for huge ranks, and a route rank of 65,536 or more, or a negative one, counted as a route of another workspace's rank. With the old code and the same tests: TestRanksAreBounded finds 10,002 ranks, TestRanksOutOfBoundsKeepTheirOrder fails. Change: at most 256 ranks are kept beside those with a waiting ask; the one that was not used for longest is forgotten. Ranks out of bounds count as the nearest within. Conclusion: keys of the usual ranks are the same, and so is the digest of TestDecisionsWithoutFairSharesAreUnchanged.

--- a/internal/policy/srdispatch/fair.go
+++ b/internal/policy/srdispatch/fair.go
@@ -94,7 +94,7 @@
 
 // charge records that an ask was placed.
 func (s *Service) charge(now time.Time, w *queuedAsk) {
-	r := s.rank(w.Ask)
+	r := s.rank(now, w.Ask)
 	r.addGrant(now, w.late)
 	if s.opts.Fair && !w.Resumed {
 		r.shares.Serve(now, w.WorkspaceName, w.Weight, w.work())
--- a/internal/policy/srdispatch/late.go
+++ b/internal/policy/srdispatch/late.go
@@ -133,7 +133,7 @@
 		return out
 	}
 	key := rankKey(w.Ask)
-	out.last = &s.rank(w.Ask).lastReturn
+	out.last = &s.rank(now, w.Ask).lastReturn
 	out.after = time.Duration(float64(s.upTo(w)) / max(out.rate, minReturnRate) * float64(time.Second))
 	out.rate -= s.timelyRate(now, key)
 	for k, r := range s.ranks {
--- a/internal/policy/srdispatch/order.go
+++ b/internal/policy/srdispatch/order.go
@@ -18,6 +18,13 @@
 	// minArrivals is the decayed number of arrivals from which the served share of a rank
 	// is meaningful.
 	minArrivals = 5
+	// maxRanks bounds the ranks that are remembered without a waiting ask, several times those
+	// of a large deployment: other instances state the ranks of their asks.
+	maxRanks = 256
+	// routeRanks is the number of different ranks of routes.
+	routeRanks = 1 << 16
+	// maxWorkspaceRank bounds the ranks of workspaces, so that keys do not overflow.
+	maxWorkspaceRank = 1 << 31
 )
 
 // queuedAsk is an ask in the queue.
@@ -45,24 +52,50 @@
 	shares *srfair.Shares
 	// lastReturn is the latest return time scheduled for a refused caller of the rank.
 	lastReturn time.Time
+	// usedAt is when an ask of the rank last came or was decided.
+	usedAt time.Time
 }
 
-// rankKey orders ranks by workspace, then by route. A lower key comes first.
+// rankKey orders ranks by workspace, then by route. A lower key comes first. Ranks out of
+// bounds count as the nearest one within.
 func rankKey(a Ask) int {
-	const routes = 1 << 16
-	return a.Workspace*routes + a.Route
+	workspace := min(max(a.Workspace, -maxWorkspaceRank), maxWorkspaceRank)
+	route := min(max(a.Route, -routeRanks/2), routeRanks/2-1)
+	return workspace*routeRanks + route
 }
 
-func (s *Service) rank(a Ask) *rank {
+func (s *Service) rank(now time.Time, a Ask) *rank {
 	key := rankKey(a)
 	r, ok := s.ranks[key]
 	if !ok {
+		if len(s.ranks) >= maxRanks {
+			s.forgetRank()
+		}
 		r = &rank{shares: srfair.New()}
 		s.ranks[key] = r
 	}
+	r.usedAt = now
 	return r
 }
 
+// forgetRank forgets the rank that was not used for longest, of those without a waiting ask.
+func (s *Service) forgetRank() {
+	waiting := make(map[int]bool)
+	for _, w := range s.queue {
+		waiting[rankKey(w.Ask)] = true
+	}
+	var oldest *rank
+	oldestKey := 0
+	for key, r := range s.ranks {
+		if !waiting[key] && (oldest == nil || r.usedAt.Before(oldest.usedAt) || r.usedAt.Equal(oldest.usedAt) && key > oldestKey) {
+			oldest, oldestKey = r, key
+		}
+	}
+	if oldest != nil {
+		delete(s.ranks, oldestKey)
+	}
+}
+
 func (r *rank) addArrival(now time.Time) {
 	r.decay(now)
 	r.arrivals++
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -279,7 +279,7 @@
 // enqueue queues an ask and places as many asks as possible.
 func (s *Service) enqueue(now time.Time, a Ask) (*queuedAsk, []Decision) {
 	w := s.newQueuedAsk(now, a)
-	r := s.rank(a)
+	r := s.rank(now, a)
 	r.addArrival(now)
 	s.insert(w)
 	return w, s.dispatch(now)
