Bound the weights of workspaces in the division of slots

Cause: weights come with the asks of other instances, which only reject NaN, infinite and negative ones. One request with a tiny weight made its tags and the virtual time infinite, so that the rank was not divided any more until the coordinator changed. A huge one made the mean weight infinite and the span of workspaces without a weight 0, and NaN for good once it was forgotten. Change: weights count as 0.001 to 1e9, which allowances are far from.

--- a/internal/policy/srfair/shares.go
+++ b/internal/policy/srfair/shares.go
@@ -30,6 +30,10 @@
 	// idleTimeout is the time after which a workspace that was not served is forgotten. It is
 	// longer than any wait in a queue.
 	idleTimeout = 30 * time.Second
+	// minWeight and maxWeight bound the weights, which other instances state: tags must neither
+	// overflow nor lose the work of a usual request to rounding. Allowances are far from both.
+	minWeight = 1e-3
+	maxWeight = 1e9
 )
 
 // Shares is the account of the workspaces that share one queue. It is not safe for concurrent
@@ -77,6 +81,7 @@
 // Span returns the virtual time that work takes. A weight of 0 counts as the mean of the known
 // ones.
 func (s *Shares) Span(weight, work float64) float64 {
+	weight = bounded(weight)
 	switch {
 	case weight > 0:
 		return work / weight
@@ -86,6 +91,14 @@
 	return work
 }
 
+// bounded returns a weight within its bounds, 0 when it is unknown or no weight.
+func bounded(weight float64) float64 {
+	if !(weight > 0) {
+		return 0
+	}
+	return min(max(weight, minWeight), maxWeight)
+}
+
 // Serve charges work to a workspace.
 func (s *Shares) Serve(now time.Time, workspace string, weight, work float64) {
 	s.forgetIdle(now)
@@ -104,6 +117,7 @@
 }
 
 func (s *Shares) setWeight(f *flow, weight float64) {
+	weight = bounded(weight)
 	if f.weight > 0 {
 		s.weights -= f.weight
 		s.weighted--
@@ -113,6 +127,10 @@
 		s.weights += weight
 		s.weighted++
 	}
+	if s.weighted == 0 {
+		// Rounding errors do not add up.
+		s.weights = 0
+	}
 }
 
 // forgetIdle forgets the idle workspaces, once per idleTimeout.
--- a/internal/policy/srfair/shares_test.go
+++ b/internal/policy/srfair/shares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -78,3 +79,25 @@
 	s.Serve(now.Add(time.Minute), "late", 1, 1)
 	assert.Equal(t, s.Len(), 1)
 }
+
+// TestExtremeWeightsDisturbNoOthers: weights come from other instances. After requests with the
+// smallest and the largest ones, the others still alternate, and one without a weight still gets
+// a span.
+func TestExtremeWeightsDisturbNoOthers(t *testing.T) {
+	for _, weight := range []float64{math.SmallestNonzeroFloat64, math.MaxFloat64, math.Inf(1), math.NaN(), -1} {
+		t.Run(fmt.Sprint(weight), func(t *testing.T) {
+			s, now := srfair.New(), time.Unix(0, 0)
+			s.Serve(now, "usual", 2, 1)
+			for i := range 3 {
+				s.Serve(now, fmt.Sprint("extreme", i), weight, 1000)
+				s.Serve(now, fmt.Sprint("extreme", i), weight, 1000)
+			}
+			assert.Assert(t, s.Span(0, 1000) > 0 && s.Span(0, 1000) < math.MaxFloat64, "%v", s.Span(0, 1000))
+			s.Serve(now, "a", 1, 1000)
+			assert.Assert(t, s.Start("b") < s.Start("a"), "b %v, a %v", s.Start("b"), s.Start("a"))
+			// Once the extreme ones are forgotten, nothing of them is left.
+			s.Serve(now.Add(time.Hour), "usual", 2, 1)
+			assert.Equal(t, s.Span(0, 1), 0.5)
+		})
+	}
+}
