Leave a return time that is too late for a caller to the next one

Cause: each refused caller took the next return time, also one that was past a third of the time that it has left and got a random time instead. In an overload the times ran minutes ahead, and long after it callers still got random ones. The line that should have set the time back compared the delay after it had been cut to its bound, so it never did. TestReturnTimesRecoverFromAnOverload: 3.05 s instead of 1.25 s, 10 s after 100 refusals. Change: with Options.Fair only a time that a caller gets counts. An instance that decides alone is as before, since the digest of TestDecisionsWithoutFairSharesAreUnchanged pins its return times; the dead line is removed.

--- a/internal/policy/srdispatch/dispatch_test.go
+++ b/internal/policy/srdispatch/dispatch_test.go
@@ -64,3 +64,24 @@
 	assert.Equal(t, len(placed), 1)
 	assert.Equal(t, placed[0].Endpoint, "b")
 }
+
+// TestReturnTimesRecoverFromAnOverload: 100 callers are refused at once, far more than can return
+// one after the other. A caller that is refused 10 s later gets the first return time again.
+func TestReturnTimesRecoverFromAnOverload(t *testing.T) {
+	q := newQueue(t, srdispatch.Options{Seed: 1, Fair: true}, srdispatch.Endpoint{ID: "a", Slots: 1, Share: 1})
+	refuse := func(n int) []srdispatch.Decision {
+		for range n {
+			q.id++
+			q.s.Add(q.now, srdispatch.Ask{ID: q.id, Target: q.now, Deadline: q.now.Add(30 * time.Second)})
+		}
+		q.now = q.now.Add(time.Second)
+		return q.s.Tick(q.now)
+	}
+	assert.Equal(t, len(q.add(srdispatch.Ask{})), 1)
+	assert.Equal(t, len(refuse(100)), 100)
+	q.now = q.now.Add(10 * time.Second)
+	refused := refuse(1)
+	assert.Equal(t, len(refused), 1)
+	// The least delay, and a second for the one slot a second that is assumed.
+	assert.Equal(t, refused[0].After, 1250*time.Millisecond)
+}
--- a/internal/policy/srdispatch/refuse.go
+++ b/internal/policy/srdispatch/refuse.go
@@ -187,20 +187,21 @@
 	if room.last.Before(earliest) {
 		*room.last = earliest
 	}
-	*room.last = room.last.Add(gap)
+	next := room.last.Add(gap)
 	maxAfter := min(maxRetryAfter, max(deadline.Sub(now)/retryAfterDivisor, minRetryAfter))
-	after := room.last.Sub(now)
-	if after > maxAfter {
-		// The next free return time is too late for this caller: pick a random one in the
-		// later half of its range, and after the pause if that is within the range.
-		first := maxAfter / 2
-		if pause < maxAfter {
-			first = max(first, pause)
-		}
-		after = first + time.Duration(s.rand.Float64()*float64(maxAfter-first))
+	after := next.Sub(now)
+	if after <= maxAfter || !s.opts.Fair {
+		*room.last = next
 	}
-	if after > maxRetryAfter {
-		*room.last = earliest
+	if after <= maxAfter {
+		return after
+	}
+	// The next free return time is too late for this caller: pick a random one in the
+	// later half of its range, and after the pause if that is within the range. With
+	// Options.Fair the free one is left to the next caller.
+	first := maxAfter / 2
+	if pause < maxAfter {
+		first = max(first, pause)
 	}
-	return after
+	return first + time.Duration(s.rand.Float64()*float64(maxAfter-first))
 }
