Make a full queue cheaper

Cause: with all slots taken, each message to a coordinator searched an endpoint for the head of the queue, and the order of the queue compared keys that were computed again each time. Change: nothing is tried while no endpoint is available; the key of an ask is kept. compareAsks compares directly instead of calling precedes twice. Conclusion: the digests of TestDecisionsUnderLoad and TestDecisionsWithoutFairSharesAreUnchanged stay. The rest is mostly the sort of a rank.

--- a/internal/policy/srdispatch/fair.go
+++ b/internal/policy/srdispatch/fair.go
@@ -25,11 +25,11 @@
 		return
 	}
 	lo := 0
-	for lo < len(s.queue) && (s.queue[lo].Resumed || rankKey(s.queue[lo].Ask) < key) {
+	for lo < len(s.queue) && (s.queue[lo].Resumed || s.queue[lo].key < key) {
 		lo++
 	}
 	hi := lo
-	for hi < len(s.queue) && rankKey(s.queue[hi].Ask) == key {
+	for hi < len(s.queue) && s.queue[hi].key == key {
 		hi++
 	}
 	list := s.queue[lo:hi]
@@ -64,7 +64,7 @@
 func (s *Service) fits(list []*queuedAsk, others int) bool {
 	rate := (1 - fitReserve) * s.throughput.rate(s.running)
 	for key, r := range s.ranks {
-		if key < rankKey(list[0].Ask) {
+		if key < list[0].key {
 			rate -= r.timely / rankTimeConstant.Seconds()
 		}
 	}
@@ -81,17 +81,6 @@
 	return true
 }
 
-// compareAsks orders the asks of one workspace and rank, as precedes does.
-func compareAsks(a, b *queuedAsk) int {
-	switch {
-	case a.precedes(b):
-		return -1
-	case b.precedes(a):
-		return 1
-	}
-	return 0
-}
-
 // charge records that an ask was placed.
 func (s *Service) charge(now time.Time, w *queuedAsk) {
 	r := s.rank(now, w.Ask)
--- a/internal/policy/srdispatch/late.go
+++ b/internal/policy/srdispatch/late.go
@@ -9,7 +9,7 @@
 
 // newQueuedAsk returns an ask as it is queued.
 func (s *Service) newQueuedAsk(now time.Time, a Ask) *queuedAsk {
-	w := &queuedAsk{Ask: a, queuedAt: now, late: a.Returned}
+	w := &queuedAsk{Ask: a, key: rankKey(a), queuedAt: now, late: a.Returned}
 	if s.opts.Fair {
 		// A returned request that can still be in time is like any other.
 		w.late = !a.Target.After(now)
@@ -77,7 +77,7 @@
 	}
 	s.throughput.advance(now, s.running)
 	if rate := s.throughput.rate(s.running); rate > 0 {
-		rate -= s.timelyRate(now, rankKey(w.Ask))
+		rate -= s.timelyRate(now, w.key)
 		if rate <= 0 || float64(s.upTo(w))/rate > left.Seconds() {
 			return false
 		}
@@ -102,7 +102,7 @@
 func (s *Service) upTo(w *queuedAsk) int {
 	n := 0
 	for _, o := range s.queue {
-		if o.Resumed || rankKey(o.Ask) <= rankKey(w.Ask) {
+		if o.Resumed || o.key <= w.key {
 			n++
 		}
 	}
@@ -132,7 +132,7 @@
 	if !s.opts.Fair {
 		return out
 	}
-	key := rankKey(w.Ask)
+	key := w.key
 	out.last = &s.rank(now, w.Ask).lastReturn
 	out.after = time.Duration(float64(s.upTo(w)) / max(out.rate, minReturnRate) * float64(time.Second))
 	out.rate -= s.timelyRate(now, key)
--- a/internal/policy/srdispatch/order.go
+++ b/internal/policy/srdispatch/order.go
@@ -1,6 +1,7 @@
 package srdispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -30,6 +31,8 @@
 // queuedAsk is an ask in the queue.
 type queuedAsk struct {
 	Ask
+	// key is the rankKey of the ask.
+	key      int
 	queuedAt time.Time
 	// late marks an ask that goes after those of its rank and workspace that can be in time.
 	late bool
@@ -82,7 +85,7 @@
 func (s *Service) forgetRank() {
 	waiting := make(map[int]bool)
 	for _, w := range s.queue {
-		waiting[rankKey(w.Ask)] = true
+		waiting[w.key] = true
 	}
 	var oldest *rank
 	oldestKey := 0
@@ -131,7 +134,7 @@
 		i--
 	}
 	s.queue = slices.Insert(s.queue, i, w)
-	s.arrange(rankKey(w.Ask))
+	s.arrange(w.key)
 }
 
 func (s *Service) remove(i int) {
@@ -145,16 +148,29 @@
 	if w.Resumed != o.Resumed {
 		return w.Resumed
 	}
-	if a, b := rankKey(w.Ask), rankKey(o.Ask); a != b {
-		return a < b
+	if w.key != o.key {
+		return w.key < o.key
 	}
-	if w.kept != o.kept {
-		return o.kept
+	return compareAsks(w, o) < 0
+}
+
+// compareAsks orders the asks of one workspace and rank.
+func compareAsks(a, b *queuedAsk) int {
+	if c := cmp.Compare(a.lateness(), b.lateness()); c != 0 {
+		return c
 	}
-	if w.late != o.late {
-		return o.late
+	return a.Target.Compare(b.Target)
+}
+
+// lateness is 0 for an ask that can still be in time, 1 for a late one, 2 for one that was kept.
+func (w *queuedAsk) lateness() int {
+	switch {
+	case w.kept:
+		return 2
+	case w.late:
+		return 1
 	}
-	return w.Target.Before(o.Target)
+	return 0
 }
 
 // nextIndex returns the index of the next ask to place: the first in the queue, unless a
@@ -164,9 +180,9 @@
 		return 0
 	}
 	threshold := s.starvationThreshold(now)
-	checked := rankKey(s.queue[0].Ask)
+	checked := s.queue[0].key
 	for i, w := range s.queue {
-		key := rankKey(w.Ask)
+		key := w.key
 		if key == checked {
 			continue
 		}
--- a/internal/policy/srdispatch/refuse.go
+++ b/internal/policy/srdispatch/refuse.go
@@ -102,7 +102,7 @@
 		return nil
 	}
 	if s.keep(now, w) {
-		s.arrange(rankKey(w.Ask))
+		s.arrange(w.key)
 		return nil
 	}
 	s.Withdraw(w.ID)
@@ -122,13 +122,13 @@
 // ahead counts the asks that are placed before w: all asks ahead of it in the queue, or
 // only those of its own rank when that rank is starved and so served first.
 func (s *Service) ahead(now time.Time, w *queuedAsk) int {
-	starved := s.starved(now, rankKey(w.Ask), s.starvationThreshold(now))
+	starved := s.starved(now, w.key, s.starvationThreshold(now))
 	n := 0
 	for _, o := range s.queue {
 		if o == w {
 			break
 		}
-		if !starved || rankKey(o.Ask) == rankKey(w.Ask) {
+		if !starved || o.key == w.key {
 			n++
 		}
 	}
@@ -149,7 +149,7 @@
 		abandoned := len(w.Only) > 0 && s.hasNoEndpoint(w.Ask)
 		stays := !paused && !abandoned && (now.Before(s.waitLimit(w)) || s.keep(now, w))
 		if !stays || w.late != late {
-			changed = append(changed, rankKey(w.Ask))
+			changed = append(changed, w.key)
 		}
 		if stays {
 			i++
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -288,7 +288,7 @@
 // Withdraw removes an ask whose caller has left.
 func (s *Service) Withdraw(id uint64) {
 	if i := slices.IndexFunc(s.queue, func(w *queuedAsk) bool { return w.ID == id }); i >= 0 {
-		key := rankKey(s.queue[i].Ask)
+		key := s.queue[i].key
 		s.remove(i)
 		s.arrange(key)
 	}
@@ -460,7 +460,7 @@
 	i, skipped := 0, 0
 	// inOrder is set when an ask was passed over. The others are tried from the head of the queue.
 	inOrder := false
-	for i < len(s.queue) {
+	for i < len(s.queue) && s.anyAvailable(now) {
 		if !inOrder {
 			i = s.nextIndex(now)
 		}
@@ -475,7 +475,7 @@
 		if !s.waitsForOnly(now, w.Ask) {
 			skipped++
 		}
-		if skipped > maxSkipped || !s.anyAvailable(now) {
+		if skipped > maxSkipped {
 			break
 		}
 		if inOrder || i == 0 {
