Measure the time per event of an endpoint without its client

Cause: the time per event of a stream included the writes to the client, so a client that reads slowly made its endpoint look slow, and lowered its limit. A resumed answer that repeats events was divided by the new events alone. Change: all events that were read count, and nothing is reported when more than a tenth of the time went to writing. Conclusion: nothing is learned from streams of slow clients.

--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -26,6 +26,7 @@
 	defer events.release()
 	before, resumed := q.eventsSent, q.headerSent
 	var first time.Time
+	var pace paceMeter
 	// reached is set when an answer that began at the first event has had the last one, too.
 	reached := false
 	for {
@@ -49,15 +50,16 @@
 				q.queues.get(q.service).answerStarted(t.endpoint, q.inbound.Prompt, first.Sub(t.sent))
 			}
 			t.sound = t.sound || time.Since(first) >= soundAfter
-			if werr := q.writeEvent(a, event); werr != nil {
+			begin := time.Now()
+			werr := q.writeEvent(a, event)
+			pace.observe(time.Since(begin))
+			if werr != nil {
 				t.outcome, t.err = outcomeEnded, q.clientWriteFailed(werr)
 				return t
 			}
 			continue
 		}
-		if n := q.eventsSent - before; n > 1 {
-			t.result.Pace = time.Since(first) / time.Duration(n-1)
-		}
+		t.result.Pace = pace.pace(first)
 		if err == io.EOF {
 			t.end = endOf(a)
 			t.sound = t.sound || t.end == endComplete
@@ -82,6 +84,37 @@
 	}
 }
 
+// maxWriteShare is the share of the time of a stream up to which writing it to the client does
+// not hide the speed of the endpoint.
+const maxWriteShare = 0.1
+
+// paceMeter measures the time per event of a stream.
+type paceMeter struct {
+	// events counts those that were read, also those that the client already has.
+	events int
+	// writing is the time for which events were written to the client.
+	writing time.Duration
+}
+
+// observe adds an event that was written for some time.
+func (p *paceMeter) observe(writing time.Duration) {
+	p.events++
+	p.writing += writing
+}
+
+// pace returns the time per event since the first one, 0 when it is not known because there
+// are too few events or the client reads slowly.
+func (p *paceMeter) pace(first time.Time) time.Duration {
+	if p.events < 2 {
+		return 0
+	}
+	total := time.Since(first)
+	if float64(p.writing) > maxWriteShare*float64(total) {
+		return 0
+	}
+	return total / time.Duration(p.events-1)
+}
+
 // checkEnd returns io.EOF if an answer of some events may end here, after the bytes rest of
 // an incomplete event. If the answer to the client needs a last chunk, which proves that it
 // is complete, the end of a connection is not enough. reached is set if the answer began at
