Count clients that leave during a stream

Cause: outcomes counted a client that leaves before its answer as left, but one that leaves during a stream as nothing. TestClientThatLeavesAStreamIsCounted: rank.1.left missing. Change: it is recorded where ended.client-gone is counted.

--- a/internal/app/srforward/stream.go
+++ b/internal/app/srforward/stream.go
@@ -186,6 +186,7 @@
 
 func (q *request) clientWriteFailed(err error) error {
 	q.stats.count("ended." + reasonClientGone)
+	q.outcomes.record(q, outcomeLeft, "")
 	q.Log.Failed("client-gone", srlog.Request, q.inbound.ID, srlog.Attempt, q.attempts, srlog.Events, q.eventsSent, srlog.Error, errorText(err), srlog.Total, time.Since(q.start))
 	return errors.Wrap(err, "write to client")
 }
--- a/internal/app/srforward/stream_test.go
+++ b/internal/app/srforward/stream_test.go
@@ -1,6 +1,7 @@
 package srforward
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -64,13 +65,10 @@
 					}
 					_ = events.Close()
 				}()
-				q := &request{Instance: f.instances["10.0.0.0:1"], service: "s", start: time.Now(), ctx: t.Context(), w: slowClient{httptest.NewRecorder(), tt.delay}}
-				q.r, q.Codec = httptest.NewRequest(http.MethodPost, "/", http.NoBody), plainCodec{}
-				q.heldAnswer = srmemory.New(1 << 20).Hold()
+				q, a := streamOf(t, f, slowClient{httptest.NewRecorder(), tt.delay}, body)
 				if tt.had > 0 {
 					q.headerSent, q.eventsSent, q.lastEvent = true, tt.had, fmt.Sprint(tt.had)
 				}
-				a := &srupstream.Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Framing: srupstream.FramingChunks, Length: -1, Body: body}
 				got := q.handleStream(attempt{endpoint: "e", sent: time.Now(), silence: &srupstream.Silence{}}, a)
 				assert.NilError(t, got.err)
 				assert.Equal(t, strings.Count(q.w.(slowClient).Body.String(), "id: "), 20-tt.had)
@@ -80,3 +78,34 @@
 		})
 	}
 }
+
+// goneClient fails each write.
+type goneClient struct{ slowClient }
+
+func (goneClient) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// TestClientThatLeavesAStreamIsCounted: a client that leaves during a stream is counted as one
+// that leaves before.
+func TestClientThatLeavesAStreamIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1, srforwardsettings.Settings{Memory: 184, Heartbeat: 1200 * time.Millisecond, ConfigTimeout: 3 * time.Second, Drain: 3 * time.Second})
+		f.put(testRouting(1, 49))
+		f.run(t)
+		time.Sleep(time.Second)
+		q, a := streamOf(t, f, goneClient{slowClient{httptest.NewRecorder(), 0}}, io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n")))
+		q.route = sr.Route{Name: "r", Rank: 1, Kind: sr.RouteStream}
+		got := q.handleStream(attempt{endpoint: "e", sent: time.Now(), silence: &srupstream.Silence{}}, a)
+		assert.ErrorIs(t, got.err, io.ErrClosedPipe)
+		var out bytes.Buffer
+		q.stats.write(&out)
+		assert.Assert(t, strings.Contains(out.String(), "rank.1.left 1\n"), out.String())
+	})
+}
+
+// streamOf returns a request of a client, and an answer that is a stream.
+func streamOf(t *testing.T, f *testFleet, client http.ResponseWriter, body io.ReadCloser) (*request, *srupstream.Answer) {
+	q := &request{Instance: f.instances["10.0.0.0:1"], service: "s", start: time.Now(), ctx: t.Context(), w: client}
+	q.r, q.Codec = httptest.NewRequest(http.MethodPost, "/", http.NoBody), plainCodec{}
+	q.heldAnswer = srmemory.New(1 << 20).Hold()
+	return q, &srupstream.Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Framing: srupstream.FramingChunks, Length: -1, Body: body}
+}
