Weigh workspaces in one unit

Cause: the weight of a workspace was the rate of its allowance whatever its unit, so one with 20,000 tokens a second got a thousand times the share of one with 20 requests a second. TestWeightsHaveOneUnit: 20 and 20,000. Change: an allowance in requests counts as 1,000 tokens for each. Conclusion: divisions between workspaces of the same unit are as before, since only the ratios count. Not played on a deployment.

--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -227,13 +227,26 @@
 	if q.workspace.HasRank {
 		a.Workspace = q.workspace.Rank
 	}
-	a.WorkspaceName, a.Weight = q.workspace.Name, q.workspace.Allowance.Rate
+	a.WorkspaceName, a.Weight = q.workspace.Name, weight(q.workspace.Allowance)
 	if len(q.inbound.Parts) > 0 {
 		a.LastPart = q.inbound.Parts[len(q.inbound.Parts)-1].ID
 	}
 	return a
 }
 
+// usualTokens is the number of tokens that a request counts as in the weight of a workspace whose
+// allowance is in requests. A prompt of a page has about as many.
+const usualTokens = 1000
+
+// weight returns the weight of a workspace when slots are divided: its allowance in tokens per
+// second, 0 when it has none.
+func weight(allowance sr.Quota) float64 {
+	if allowance.Tokens {
+		return allowance.Rate
+	}
+	return allowance.Rate * usualTokens
+}
+
 // logWaiting logs that the request waits for an endpoint with a free slot.
 func (q *request) logWaiting(queue int) {
 	q.Log.Served("waits", srlog.Request, q.inbound.ID, srlog.Service, q.service, srlog.Queue, queue, srlog.Attempt, q.attempts+1)
--- a/internal/app/srforward/run_test.go
+++ b/internal/app/srforward/run_test.go
@@ -81,3 +81,13 @@
 	running, _ := n.queues.load()
 	assert.Equal(t, running["e-1"], 0)
 }
+
+// TestWeightsHaveOneUnit: a workspace whose allowance is in tokens gets no more than one whose
+// allowance is as many requests of usual size.
+func TestWeightsHaveOneUnit(t *testing.T) {
+	byRequests := &request{workspace: sr.RoutedWorkspace{Name: "a", Allowance: sr.Quota{Rate: 20}}}
+	byTokens := &request{workspace: sr.RoutedWorkspace{Name: "b", Allowance: sr.Quota{Rate: 20_000, Tokens: true}}}
+	unlimited := &request{workspace: sr.RoutedWorkspace{Name: "c"}}
+	assert.Equal(t, byRequests.ask().Weight, byTokens.ask().Weight)
+	assert.Equal(t, unlimited.ask().Weight, 0.0)
+}
