Place what still fits before refusing after a pause of the process

Cause: Tick refused the asks past their wait limit before it looked for endpoints, so after a suspension an ask was refused beside a free endpoint (TestLateTickRefusesNoneThatFits: refused). A slot that became free before that Tick went to an ask past its deadline, for nothing (TestAskPastItsDeadlineIsNotPlaced: ask 2 instead of 3). Change: Tick places first, and asks past their deadline are passed over.

--- a/internal/policy/srdispatch/dispatch_test.go
+++ b/internal/policy/srdispatch/dispatch_test.go
@@ -85,3 +85,31 @@
 	// The least delay, and a second for the one slot a second that is assumed.
 	assert.Equal(t, refused[0].After, 1250*time.Millisecond)
 }
+
+// TestLateTickRefusesNoneThatFits: the process is suspended past the wait limit of an ask, whose
+// endpoint has become available meanwhile.
+func TestLateTickRefusesNoneThatFits(t *testing.T) {
+	for _, fair := range []bool{false, true} {
+		q := newQueue(t, srdispatch.Options{Seed: 1, Fair: fair}, srdispatch.Endpoint{ID: "a", Slots: 4, Share: 4, ColdRate: 2})
+		assert.Equal(t, len(q.add(srdispatch.Ask{})), 1)
+		assert.Equal(t, len(q.add(srdispatch.Ask{})), 0)
+		q.now = q.now.Add(700 * time.Millisecond)
+		decided := q.s.Tick(q.now)
+		assert.Equal(t, len(decided), 1)
+		assert.Equal(t, decided[0].Kind, srdispatch.Placed)
+	}
+}
+
+// TestAskPastItsDeadlineIsNotPlaced: a slot becomes free after the process was suspended past the
+// deadline of the first ask.
+func TestAskPastItsDeadlineIsNotPlaced(t *testing.T) {
+	q := newQueue(t, srdispatch.Options{Seed: 1, Fair: true}, srdispatch.Endpoint{ID: "a", Slots: 1, Share: 1})
+	assert.Equal(t, len(q.add(srdispatch.Ask{})), 1)
+	assert.Equal(t, len(q.add(srdispatch.Ask{})), 0)
+	q.now = q.now.Add(6 * time.Second)
+	assert.Equal(t, len(q.add(srdispatch.Ask{})), 0)
+	fresh := q.id
+	decided := q.s.Release(q.now, "a", srdispatch.Result{})
+	assert.Equal(t, len(decided), 1)
+	assert.Equal(t, decided[0].Ask, fresh)
+}
--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -377,10 +377,12 @@
 	return out
 }
 
-// Tick refuses the asks that have reached their wait limit and places asks at endpoints
-// that have become available.
+// Tick places asks at endpoints that have become available, and refuses those that have reached
+// their wait limit.
 func (s *Service) Tick(now time.Time) []Decision {
-	out := s.expire(now)
+	// An ask whose limit has passed while the process was suspended may still be placed.
+	out := s.dispatch(now)
+	out = append(out, s.expire(now)...)
 	return append(out, s.dispatch(now)...)
 }
 
@@ -449,7 +451,7 @@
 func (s *Service) Waiting() int { return len(s.queue) }
 
 // maxSkipped is the number of asks that may be passed over, which bounds the time that a long
-// queue takes. Those that wait for certain endpoints do not count.
+// queue takes. Blocked ones do not count.
 const maxSkipped = 32
 
 // dispatch places as many asks as possible, in order. An ask that gets no endpoint is passed
@@ -465,18 +467,17 @@
 			i = s.nextIndex(now)
 		}
 		w := s.queue[i]
-		if id := s.place(now, w); id != "" {
-			s.remove(i)
-			s.assign(now, id, w.Ask)
-			s.charge(now, w)
-			out = append(out, s.complete(now, w, Decision{Kind: Placed, Endpoint: id}))
-			continue
-		}
-		if !s.waitsForOnly(now, w.Ask) {
-			skipped++
-		}
-		if skipped > maxSkipped {
-			break
+		if !s.blocked(now, w.Ask) {
+			if id := s.place(now, w); id != "" {
+				s.remove(i)
+				s.assign(now, id, w.Ask)
+				s.charge(now, w)
+				out = append(out, s.complete(now, w, Decision{Kind: Placed, Endpoint: id}))
+				continue
+			}
+			if skipped++; skipped > maxSkipped {
+				break
+			}
 		}
 		if inOrder || i == 0 {
 			i++
@@ -491,9 +492,13 @@
 	return out
 }
 
-// waitsForOnly reports whether an ask may get certain endpoints only, and none of them is
-// available. Such asks are cheap to pass over, and may wait up to their deadline.
-func (s *Service) waitsForOnly(now time.Time, a Ask) bool {
+// blocked reports whether an ask gets no endpoint whatever the load of the others: its deadline
+// has passed, or it may get certain endpoints only, and none of them is available. Such asks are
+// cheap to pass over.
+func (s *Service) blocked(now time.Time, a Ask) bool {
+	if !now.Before(a.Deadline) {
+		return true
+	}
 	return len(a.Only) > 0 && !slices.ContainsFunc(a.Only, func(id string) bool {
 		e, ok := s.endpoints[id]
 		return ok && e.available(now)
