Count late messages of one holder no further than the bound of overlap

Cause: the slots granted beyond those of an endpoint follow from the mean time for which a slot is held while the endpoint does not have the request. One holder whose reports take half a second raised it for all: TestSlowHolderAddsNoSlots, answers of 20 ms, messages of 2 ms and one of ten holders late: 12 instead of 9 slots at endpoints with 8. Change: each request counts with at most the bound that held for the mean. Conclusion: with overlaps that differ widely fewer slots are added than before. Not played on a deployment.

--- a/internal/policy/srgroup/overlap.go
+++ b/internal/policy/srgroup/overlap.go
@@ -10,11 +10,13 @@
 const (
 	// overlapTimeConstant is the time constant of the averages of overlap.
 	overlapTimeConstant = 2 * time.Second
-	// maxOverlap bounds the slots that are granted beyond those of an endpoint, as a fraction of
-	// them.
+	// maxOverlap bounds the overlap of a request, as a fraction of the time at the endpoint, and
+	// so the slots that are granted beyond those of an endpoint, as a fraction of them.
 	maxOverlap = 0.5
 	// minOverlapSamples is the decayed number of requests needed for an overlap.
 	minOverlapSamples = 20
+	// roundingError is more than the sums lose, so that a whole slot is not missed.
+	roundingError = 1e-6
 )
 
 // overlap measures for which part of the time a slot is granted while the endpoint does not have
@@ -31,6 +33,8 @@
 	if ran <= 0 || held < ran {
 		return
 	}
+	// Messages of one holder that are late add slots at the endpoints of all others.
+	held = min(held, time.Duration((1+maxOverlap)*float64(ran)))
 	f := o.decay.Factor(now, overlapTimeConstant)
 	o.held = o.held*f + held.Seconds()
 	o.ran = o.ran*f + ran.Seconds()
@@ -43,6 +47,6 @@
 	if o.samples < minOverlapSamples {
 		return slots
 	}
-	extra := min((o.held-o.ran)/o.ran, maxOverlap)
-	return slots + int(math.Floor(float64(slots)*extra))
+	extra := (o.held - o.ran) / o.ran
+	return slots + int(math.Floor(float64(slots)*extra+roundingError))
 }
