Account for prompts whose start or return was not reported

Cause: the coordinator counts the prompt tokens at an endpoint whose answers have not started. A slot that came back unused since its ask waited no more did not state its prompt, and the starts in a report that failed were dropped. In both cases the tokens stayed, so the endpoint looked ever busier. TestPromptsDoNotStayPending, both parts: 500 pending tokens beside one started request. Change: an unused slot gives back the prompt of its grant; starts are reported again, like results. Conclusion: a start that arrives twice is subtracted twice. The count does not fall below 0 and is right again when no prompt is pending.

--- a/internal/policy/srgroup/group.go
+++ b/internal/policy/srgroup/group.go
@@ -227,6 +227,10 @@
 		return nil
 	}
 	delete(h.grants, ask)
+	if r.Unsent {
+		// A holder that does not wait any more does not know the prompt.
+		r.Prompt = held.prompt
+	}
 	g.overlap.observe(now, now.Sub(held.grantedAt), r.Ran)
 	return g.dispatcher.Release(now, held.endpoint, r)
 }
--- a/internal/policy/srgroup/holder.go
+++ b/internal/policy/srgroup/holder.go
@@ -39,8 +39,9 @@
 	started  []sr.SlotStart
 	released []sr.SlotRelease
 	silent   []string
-	// reported are the results of the report that is under way.
-	reported []sr.SlotRelease
+	// reported and reportedStarts are the results and starts of the report that is under way.
+	reported       []sr.SlotRelease
+	reportedStarts []sr.SlotStart
 	// withdrawn is set when the coordinator has to be told of an ask that waits no more.
 	withdrawn bool
 	// reporting is set while a report is under way, reportedAt is when it was sent.
@@ -166,8 +167,8 @@
 	for _, a := range h.fresh {
 		h.waiting[a.ID] = struct{}{}
 	}
-	h.fresh, h.started, h.released, h.reported, h.withdrawn = nil, nil, nil, h.released, false
-	h.silent = nil
+	h.reported, h.reportedStarts = h.released, h.started
+	h.fresh, h.started, h.released, h.silent, h.withdrawn = nil, nil, nil, nil, false
 	return r, true
 }
 
@@ -185,7 +186,7 @@
 
 // Reply applies the answer to a report. It returns the decisions on asks that wait.
 func (h *Holder) Reply(now time.Time, r sr.SlotReply) []srdispatch.Decision {
-	h.reporting, h.reported = false, nil
+	h.reporting, h.reported, h.reportedStarts = false, nil, nil
 	h.free, h.queue = r.Free, r.Waiting
 	return h.Deliver(now, r.Decisions)
 }
@@ -220,11 +221,11 @@
 }
 
 // Fail records that a report was not answered. It returns the asks that have to be decided
-// elsewhere. Results are reported again, since the report may not have arrived.
+// elsewhere. Results and starts are reported again, since the report may not have arrived.
 func (h *Holder) Fail(now time.Time) []uint64 {
 	h.reporting = false
-	h.released = append(h.reported, h.released...)
-	h.released, h.reported = h.released[:min(len(h.released), maxResults)], nil
+	h.released, h.reported = again(h.reported, h.released), nil
+	h.started, h.reportedStarts = again(h.reportedStarts, h.started), nil
 	h.silentUntil = now.Add(silentDelay)
 	h.free, h.queue = 0, 0
 	out := slices.Sorted(maps.Keys(h.waiting))
@@ -235,3 +236,9 @@
 	clear(h.waiting)
 	return out
 }
+
+// again returns what is reported again and what is new, at most maxResults.
+func again[T any](reported, fresh []T) []T {
+	all := append(reported, fresh...)
+	return all[:min(len(all), maxResults)]
+}
