Bound predicted times

Cause: sizes of prompts, expected lengths and events come from clients and other instances. The predicted time to a start or an end overflowed for extreme ones and became negative, so such a request counted as in time anywhere, at the lowest cost.

--- a/internal/policy/srdispatch/length.go
+++ b/internal/policy/srdispatch/length.go
@@ -8,6 +8,9 @@
 	lengthSamples = 500.0
 	// minLengths is the decayed number of streams needed to expect a number of events.
 	minLengths = 20.0
+	// maxRunTime bounds the expected time of an answer, so that it does not overflow. Requests
+	// take minutes at most.
+	maxRunTime = 24 * time.Hour
 )
 
 // lengths learns how many events a stream has for a number of generated tokens that its client
@@ -38,5 +41,6 @@
 // runTime returns how long an endpoint is expected to take from the first event of an ask to the
 // last one, 0 when that is not known.
 func (s *Service) runTime(now time.Time, e *endpoint, w *queuedAsk) time.Duration {
-	return time.Duration(s.lengths.expect(w.Length) * float64(e.learned.EventTime(now)))
+	run := s.lengths.expect(w.Length) * float64(e.learned.EventTime(now))
+	return time.Duration(min(run, float64(maxRunTime)))
 }
--- a/internal/policy/srlimit/endpoint.go
+++ b/internal/policy/srlimit/endpoint.go
@@ -62,6 +62,8 @@
 	maxSlowness = 20.0
 	// maxPending bounds the requests whose start is awaited, above the slots of any endpoint.
 	maxPending = 1024
+	// maxPrediction bounds predicted times. Requests take minutes at most.
+	maxPrediction = 24 * time.Hour
 )
 
 // Endpoint is what is known of one endpoint.
@@ -457,10 +459,15 @@
 // StartTime predicts the time to the start of an answer for a number of prompt tokens to
 // process until then, 0 when unknown.
 func (e *Endpoint) StartTime(now time.Time, tokens int) time.Duration {
-	return time.Duration(e.limiter.starts.predict(float64(tokens)) * e.Slowness(now) * float64(time.Second))
+	return duration(e.limiter.starts.predict(float64(tokens)) * e.Slowness(now))
 }
 
 // EventTime predicts the time per event of a stream while all slots are used, 0 when unknown.
 func (e *Endpoint) EventTime(now time.Time) time.Duration {
-	return time.Duration(e.limiter.paces.predict(1) * e.Slowness(now) * float64(time.Second))
+	return duration(e.limiter.paces.predict(1) * e.Slowness(now))
+}
+
+// duration returns a predicted time, which is bounded so that it does not overflow.
+func duration(seconds float64) time.Duration {
+	return time.Duration(min(seconds, maxPrediction.Seconds()) * float64(time.Second))
 }
--- a/internal/policy/srlimit/limiter_test.go
+++ b/internal/policy/srlimit/limiter_test.go
@@ -87,3 +87,20 @@
 	assert.Equal(t, slow.Slowness(now), 1.0)
 	assert.DeepEqual(t, l.Changes()[0].Reason, srlimit.Forgotten)
 }
+
+// TestPredictionsAreBounded: the sizes of prompts come from clients. The time predicted for the
+// largest ones does not overflow, so that no endpoint looks free because of them.
+func TestPredictionsAreBounded(t *testing.T) {
+	l := srlimit.New()
+	e := l.Add(8)
+	now := time.Unix(0, 0)
+	for i := range 100 {
+		now = now.Add(200 * time.Millisecond)
+		prompt := 100 * (1 + i%5)
+		e.Placed(now, prompt, 0, 1)
+		e.Started(now, prompt, prompt, time.Duration(prompt)*10*time.Millisecond)
+	}
+	for tokens := 1000; tokens > 0; tokens *= 1000 {
+		assert.Assert(t, e.StartTime(now, tokens) > time.Second, "%d tokens: %v", tokens, e.StartTime(now, tokens))
+	}
+}
