--- a/internal/policy/srlimit/limiter.go
+++ b/internal/policy/srlimit/limiter.go
@@ -108,7 +108,7 @@
 	// slowness and stretch are medians over the endpoints: of the logarithm of slowness, and
 	// of that by which endpoints are slower than at their best. Both are as of refreshed.
 	slowness, stretch float64
-	// known is the number of endpoints with enough samples.
+	// known is the number of endpoints with a sample.
 	known     int
 	refreshed time.Time
 	changes   []Change
