Keep a fallen limit when the slots of an endpoint change

Cause: a limit equal to the slots followed them, also when it had fallen and the slots had shrunk to it. The slots of a coordinator's endpoints change with each measured overlap. TestLimitSurvivesAChangeOfSlots: 8 instead of 4 after 8, 4 and 8 slots. Change: a limit with a ceiling, from which it fell, does not follow. Probe raises it. The common part of two tests is now in fallen. Conclusion: when an operator adds slots to an endpoint whose limit fell and was not restored since, the limit rises by one at a time.

--- a/internal/policy/srlimit/endpoint.go
+++ b/internal/policy/srlimit/endpoint.go
@@ -149,7 +149,8 @@
 	if slots == e.slots {
 		return
 	}
-	if e.limit == e.slots || e.limit > slots {
+	// A limit that has fallen stays, also when it is as high as the slots for a moment.
+	if e.limit == e.slots && e.ceiling == 0 || e.limit > slots {
 		e.limit = slots
 	}
 	e.slots = slots
--- a/internal/policy/srlimit/limiter_test.go
+++ b/internal/policy/srlimit/limiter_test.go
@@ -58,13 +58,12 @@
 	assert.Assert(t, falls > 0)
 }
 
-// TestNextIncarnationIsNotLimited checks that an incarnation does not inherit the limit of the one
-// before, nor its speed.
-func TestNextIncarnationIsNotLimited(t *testing.T) {
-	l := srlimit.New()
-	endpoints := []*srlimit.Endpoint{l.Add(8), l.Add(8), l.Add(8)}
-	now := time.Unix(0, 0)
-	// The first endpoint is six times slower with more than four requests.
+// fallen returns endpoints with 8 slots, of which the first one is six times slower with more than
+// four requests, after 20 s.
+func fallen() (l *srlimit.Limiter, endpoints []*srlimit.Endpoint, now time.Time) {
+	l = srlimit.New()
+	endpoints = []*srlimit.Endpoint{l.Add(8), l.Add(8), l.Add(8)}
+	now = time.Unix(0, 0)
 	for i := range 4000 {
 		now = now.Add(5 * time.Millisecond)
 		running := 1 + i/200%8
@@ -78,6 +77,13 @@
 			e.Ended(now, srlimit.Answer{Pace: took, Running: running})
 		}
 	}
+	return l, endpoints, now
+}
+
+// TestNextIncarnationIsNotLimited checks that an incarnation does not inherit the limit of the one
+// before, nor its speed.
+func TestNextIncarnationIsNotLimited(t *testing.T) {
+	l, endpoints, now := fallen()
 	slow := endpoints[0]
 	assert.Assert(t, slow.Limit() < 8)
 	assert.Equal(t, endpoints[1].Limit(), 8)
@@ -104,3 +110,17 @@
 		assert.Assert(t, e.StartTime(now, tokens) > time.Second, "%d tokens: %v", tokens, e.StartTime(now, tokens))
 	}
 }
+
+// TestLimitSurvivesAChangeOfSlots: a limit that has fallen stays where it is when the endpoint has
+// fewer slots for a moment, as many as the limit.
+func TestLimitSurvivesAChangeOfSlots(t *testing.T) {
+	_, endpoints, now := fallen()
+	slow := endpoints[0]
+	limit := slow.Limit()
+	assert.Assert(t, limit < 8)
+	slow.Configure(now, limit, false)
+	slow.Configure(now, 8, false)
+	assert.Equal(t, slow.Limit(), limit)
+	endpoints[1].Configure(now, 12, false)
+	assert.Equal(t, endpoints[1].Limit(), 12)
+}
