Revert "Keep the slots of holders after a suspension of the coordinator"

Cause: FuzzSlots (go test ./internal/app/srforward -run FuzzSlots) lets 10 s pass without a tick and expects that one tick frees the slots of a silent sender: 1 free instead of 2. Whether ticks that are missing mean a suspension is for the owner of that test to decide. Change: the commit is taken back.

--- a/internal/policy/srgroup/group.go
+++ b/internal/policy/srgroup/group.go
@@ -22,9 +22,6 @@
 	// loadDelay is the time after a report in which other messages may still count slots that it
 	// returned. Members of a large fleet hear of each other every 0.7 s.
 	loadDelay = time.Second
-	// suspension is the time without a tick or a report from which this instance was suspended. A
-	// group is ticked four times a second.
-	suspension = time.Second
 	// maxHolders bounds the holders that are remembered, twice the instances of a large fleet.
 	maxHolders = 2048
 	// maxWaiting bounds the waiting asks of a group, a few seconds of its requests.
@@ -49,8 +46,6 @@
 	// asks are the waiting asks by the ID that the dispatcher knows them by.
 	asks   map[uint64]origin
 	lastID uint64
-	// at is the time of the last tick or report.
-	at time.Time
 }
 
 // origin is where an ask came from.
@@ -135,7 +130,6 @@
 // and those on the asks of others. It returns ErrExpired for a report that is older than the
 // last one, and ErrOverloaded when there is no room for the holder.
 func (g *Group) Report(now time.Time, r sr.SlotReport) (sr.SlotReply, []Delivery, error) {
-	g.passTime(now)
 	h, known := g.holders[r.From]
 	switch {
 	case known && r.Sequence <= h.sequence:
@@ -284,21 +278,9 @@
 	return g.dispatcher.SetPeerLoad(now, load)
 }
 
-// passTime gives the holders the time to report again after this instance was suspended: they
-// still use their slots.
-func (g *Group) passTime(now time.Time) {
-	if now.Sub(g.at) > suspension {
-		for _, h := range g.holders {
-			h.lastReport = now
-		}
-	}
-	g.at = now
-}
-
 // Tick drops the holders that have not reported for holderTimeout, and refuses the asks that
 // have reached their wait limit.
 func (g *Group) Tick(now time.Time) []Delivery {
-	g.passTime(now)
 	var silent []*holder
 	for id, h := range g.holders {
 		if now.Sub(h.lastReport) <= holderTimeout {
