Keep a coordinator from being overrun by reports

Cause: with processor time charged, a coordinator of 66 instances that also coordinated the other service fell behind in a burst. Change: an instance gets a second group only when all that may coordinate have one. Results are returned less often where requests take long, and requests without a slot are summed only when they change. A report has 200 ms, a late one does not close its connection, and holders come back at different times. Ruled out: confirming waiting asks every 250 ms in place of 100; TestOneOrderOfWork then shows a request of rank 0 that is refused while others are placed.

--- a/internal/app/srforward/coordinate.go
+++ b/internal/app/srforward/coordinate.go
@@ -16,7 +16,7 @@
 const (
 	// reportTimeout bounds a report to a coordinator and a delivery to a holder. It is some round
 	// trips and a pause of a small machine whose share of the processor is used up.
-	reportTimeout = 100 * time.Millisecond
+	reportTimeout = 200 * time.Millisecond
 	// idleTick is the interval at which a group without waiting asks is checked.
 	idleTick = 250 * time.Millisecond
 )
@@ -231,6 +231,7 @@
 	sharers := n.members.sharers(now)
 	own := make(map[string][]srdispatch.Endpoint)
 	services := make(map[string][]groupRoute)
+	var names []string
 	for service, list := range usable {
 		slots := 0
 		for _, e := range list {
@@ -241,10 +242,17 @@
 			continue
 		}
 		for name, ids := range n.division.groups(service, list) {
-			address := n.division.coordinator(name)
-			services[service] = append(services[service], groupRoute{name: name, coordinator: address, endpoints: ids})
-			if address == n.Self.Address {
-				own[name] = selectEndpoints(list, ids)
+			services[service] = append(services[service], groupRoute{name: name, endpoints: ids})
+			names = append(names, name)
+		}
+	}
+	coordinators := n.division.assign(names)
+	for service, routes := range services {
+		for i := range routes {
+			r := &routes[i]
+			r.coordinator = coordinators[r.name]
+			if r.coordinator == n.Self.Address {
+				own[r.name] = selectEndpoints(usable[service], r.endpoints)
 			}
 		}
 	}
--- a/internal/app/srforward/divide.go
+++ b/internal/app/srforward/divide.go
@@ -16,12 +16,14 @@
 	sharings map[string]*srdispatch.Sharing
 	splits   map[string]*srgroup.Splitter
 	// members are those of the last call in order, coordinators what they make of the groups.
-	members      []srgroup.Member
+	members []srgroup.Member
+	// assigned are the groups of the last call in order.
+	assigned     []string
 	coordinators map[string]string
 }
 
 func newDivision(self string) *division {
-	return &division{self: self, sharings: make(map[string]*srdispatch.Sharing), splits: make(map[string]*srgroup.Splitter), coordinators: make(map[string]string)}
+	return &division{self: self, sharings: make(map[string]*srdispatch.Sharing), splits: make(map[string]*srgroup.Splitter)}
 }
 
 // setShares sets the shares of this instance in the endpoints of each service.
@@ -57,17 +59,15 @@
 	slices.SortFunc(members, func(a, b srgroup.Member) int { return cmp.Compare(a.Address, b.Address) })
 	if !slices.Equal(members, d.members) {
 		d.members = members
-		clear(d.coordinators)
+		d.coordinators = nil
 	}
 }
 
-// coordinator returns the address of the instance that coordinates a group. The groups are few:
-// one for many endpoints.
-func (d *division) coordinator(group string) string {
-	address, ok := d.coordinators[group]
-	if !ok {
-		address = srgroup.Coordinator(group, d.members)
-		d.coordinators[group] = address
+// assign returns the addresses of the instances that coordinate groups, by group.
+func (d *division) assign(groups []string) map[string]string {
+	slices.Sort(groups)
+	if d.coordinators == nil || !slices.Equal(groups, d.assigned) {
+		d.assigned, d.coordinators = groups, srgroup.Coordinators(groups, d.members)
 	}
-	return address
+	return d.coordinators
 }
--- a/internal/peer/srinstance/client.go
+++ b/internal/peer/srinstance/client.go
@@ -44,7 +44,7 @@
 
 // immediateMethods lists the methods that the peer answers without waiting. When such
 // a call times out, its connection is treated as broken and closed.
-var immediateMethods = []string{heartbeatMethod, gossipMethod, exchangeMethod, pullMethod, entriesMethod, routingPartMethod, reportMethod, deliverMethod}
+var immediateMethods = []string{heartbeatMethod, gossipMethod, exchangeMethod, pullMethod, entriesMethod, routingPartMethod}
 
 // errNotConnected means that no part of the call was sent to the peer.
 var errNotConnected = stderrors.Join(sr.ErrUnreachable, sr.ErrNotSent)
--- a/internal/policy/srgroup/doc.go
+++ b/internal/policy/srgroup/doc.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	groups := srgroup.Split(service, ids)
-//	coordinator := srgroup.Coordinator(name, members)
+//	coordinators := srgroup.Coordinators(names, members)
 //
 //	g := srgroup.New(srgroup.Options{Name: name, Seed: seed}) // at the coordinator
 //	g.Configure(now, endpoints)
--- a/internal/policy/srgroup/group.go
+++ b/internal/policy/srgroup/group.go
@@ -155,8 +155,10 @@
 	}
 	g.reconcile(now, h, r, &decisions)
 	maps.DeleteFunc(h.refused, func(ask uint64, _ sr.SlotDecision) bool { return !slices.Contains(r.Waiting, ask) })
-	h.own = r.Own
-	decisions = append(decisions, g.updateOwn(now)...)
+	if !maps.Equal(h.own, r.Own) {
+		h.own = r.Own
+		decisions = append(decisions, g.updateOwn(now)...)
+	}
 	refused := g.add(now, h, r.Asks, &decisions)
 	reply := sr.SlotReply{Decisions: append(refused, h.missed(r.Waiting)...)}
 	var others []Delivery
--- a/internal/policy/srgroup/holder.go
+++ b/internal/policy/srgroup/holder.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
 )
@@ -13,13 +15,22 @@
 	// waitInterval is the interval of the reports while an ask waits. An ask whose coordinator
 	// has failed is decided elsewhere after it.
 	waitInterval = 100 * time.Millisecond
+	// startInterval is the interval of the reports of starts.
+	startInterval = 100 * time.Millisecond
 	// holdInterval is the interval of the reports while a slot is held.
 	holdInterval = 500 * time.Millisecond
-	// releaseInterval is the least interval of reports that return slots. It lets a busy holder
-	// return several at once.
-	releaseInterval = 5 * time.Millisecond
-	// silentDelay is the time for which a coordinator that did not answer is not asked.
-	silentDelay = 500 * time.Millisecond
+	// The least interval of reports that return slots is a share of the time for which the
+	// endpoints have a request, from minReleaseInterval to maxReleaseInterval: a slot may be idle
+	// for that share, and a busy holder returns several at once.
+	releaseShare       = 0.02
+	minReleaseInterval = 5 * time.Millisecond
+	maxReleaseInterval = 20 * time.Millisecond
+	// ranWeight is the weight of a new sample in the moving average of that time.
+	ranWeight = 0.1
+	// silentDelay is the time for which a coordinator that did not answer is not asked. Each
+	// holder adds up to silentSpread, so that they do not come back to a slow one together.
+	silentDelay  = 500 * time.Millisecond
+	silentSpread = 500 * time.Millisecond
 	// maxResults bounds the results that wait for a report.
 	maxResults = 1024
 )
@@ -49,8 +60,10 @@
 	reportedAt time.Time
 	// silentUntil is until when the coordinator is not asked.
 	silentUntil time.Time
-	free        int
-	queue       int
+	// ran is the moving average of the time for which endpoints have a request.
+	ran   time.Duration
+	free  int
+	queue int
 }
 
 // NewHolder returns a Holder without asks and slots. Its reports have sequences after last, so
@@ -103,6 +116,9 @@
 		if id == endpoint {
 			delete(h.held, ask)
 			h.giveBack(ask, r)
+			if r.Ran > 0 {
+				h.ran += time.Duration(ranWeight * float64(r.Ran-h.ran))
+			}
 			return true
 		}
 	}
@@ -126,6 +142,11 @@
 	return out
 }
 
+// releaseInterval returns the least interval of reports that return slots.
+func (h *Holder) releaseInterval() time.Duration {
+	return min(max(time.Duration(releaseShare*float64(h.ran)), minReleaseInterval), maxReleaseInterval)
+}
+
 // Due returns when the next report is due, and false when none is.
 func (h *Holder) Due() (time.Time, bool) {
 	switch {
@@ -134,8 +155,10 @@
 	case len(h.fresh) > 0:
 		return h.silentUntil, true
 	case len(h.released)+len(h.silent) > 0, h.withdrawn:
-		return later(h.reportedAt.Add(releaseInterval), h.silentUntil), true
-	case len(h.waiting)+len(h.started) > 0:
+		return later(h.reportedAt.Add(h.releaseInterval()), h.silentUntil), true
+	case len(h.started) > 0:
+		return later(h.reportedAt.Add(startInterval), h.silentUntil), true
+	case len(h.waiting) > 0:
 		return later(h.reportedAt.Add(waitInterval), h.silentUntil), true
 	case len(h.held) > 0:
 		return later(h.reportedAt.Add(holdInterval), h.silentUntil), true
@@ -226,7 +249,7 @@
 	h.reporting = false
 	h.released, h.reported = again(h.reported, h.released), nil
 	h.started, h.reportedStarts = again(h.reportedStarts, h.started), nil
-	h.silentUntil = now.Add(silentDelay)
+	h.silentUntil = now.Add(silentDelay + time.Duration(xxhash.Sum64String(h.self.Address+"/"+h.group)%uint64(silentSpread)))
 	h.free, h.queue = 0, 0
 	out := slices.Sorted(maps.Keys(h.waiting))
 	for _, a := range h.fresh {
--- a/internal/policy/srgroup/split.go
+++ b/internal/policy/srgroup/split.go
@@ -79,9 +79,10 @@
 	Power float64
 }
 
-// Coordinator returns the address of the instance that coordinates a group, "" without
-// members. Instances with the same members agree on it.
-func Coordinator(group string, members []Member) string {
+// Coordinators returns the addresses of the instances that coordinate groups, by group. An
+// instance gets a further one only when all that may coordinate have as many. Instances with the
+// same groups and members agree on it.
+func Coordinators(groups []string, members []Member) map[string]string {
 	most := 0.0
 	for _, m := range members {
 		most = max(most, m.Power)
@@ -92,5 +93,15 @@
 			eligible = append(eligible, m.Address)
 		}
 	}
-	return highest(eligible, group)
+	out := make(map[string]string, len(groups))
+	var free []string
+	for _, group := range slices.Sorted(slices.Values(groups)) {
+		if len(free) == 0 {
+			free = slices.Clone(eligible)
+		}
+		address := highest(free, group)
+		free = slices.DeleteFunc(free, func(a string) bool { return a == address })
+		out[group] = address
+	}
+	return out
 }
