--- a/internal/policy/srdispatch/service.go
+++ b/internal/policy/srdispatch/service.go
@@ -45,6 +45,8 @@
 //     a request that is already late goes to a slow one (start.go, place.go).
 //   - An endpoint that slows down long before it is full, or for a time. It gets no more
 //     requests than it is known to take well (internal/policy/srlimit).
+//   - Answers whose lengths differ a hundredfold, at endpoints that differ in speed. A long one goes
+//     where it is expected to end by its deadline (length.go, place.go).
 //   - A prompt of ten times the usual size among small ones. An endpoint processes prompts in
 //     order of arrival, so what is placed there next starts late. The tokens that are ahead, from
 //     all instances, count towards the cost of an endpoint (start.go, place.go).
