--- a/internal/app/srforward/holders.go
+++ b/internal/app/srforward/holders.go
@@ -1,6 +1,7 @@
 package srforward
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -44,7 +45,7 @@
 	former := s.byName
 	s.services, s.byName = make(map[string][]*groupHolder), make(map[string]*groupHolder)
 	for service, routes := range services {
-		slices.SortFunc(routes, func(a, b groupRoute) int { return compareNames(a.name, b.name) })
+		slices.SortFunc(routes, func(a, b groupRoute) int { return cmp.Compare(a.name, b.name) })
 		for _, route := range routes {
 			h, ok := former[route.name]
 			if !ok {
@@ -61,16 +62,6 @@
 	}
 }
 
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func (s *holders) get(name string) *groupHolder {
 	s.mu.Lock()
 	defer s.mu.Unlock()
