--- a/internal/policy/srgroup/split.go
+++ b/internal/policy/srgroup/split.go
@@ -12,7 +12,7 @@
 const (
 	// maxGroupSize is the mean number of endpoints of a group beyond which a service gets
 	// another one. It bounds the work of a coordinator.
-	maxGroupSize = 96
+	maxGroupSize = 64
 	// minPowerRatio is the power of a coordinator relative to that of the most powerful
 	// member, at least.
 	minPowerRatio = 0.5
