--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Builds the stand-ins of the cases 6 to 10 into target/review-2/. Needs no network.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+go build -C review/lab2 -o "$PWD/target/review-2/lab" .
