Reject an answer whose status line is malformed

What callers saw: an endpoint in trouble answered with status 000. The bytes after its header were read as the answer, those of its body too, so a client could get a success that the endpoint never sent. The same held for 001 to 099, +20 and -00. A 101, which nobody had asked for, another major version than HTTP/1 and control bytes in the status line were passed on or overlooked.

Cause: conn.readHeader left the check of the status line to the parser of net/http, which takes any three characters that strconv.Atoi reads as a number, and skipped every status below 200 as an interim one.

Change: srconn.Head checks the bytes of a head as they arrive. The read that brings a malformed byte fails, so the exchange ends as one whose answer was lost: the request may have run, and the connection is closed.

Why it works: the check sees the same bytes as the parser, before it.

--- /dev/null
+++ b/internal/peer/srconn/head.go
@@ -0,0 +1,134 @@
+package srconn
+
+import "github.com/pkg/errors"
+
+// ErrMalformed means that the bytes of a peer are not an answer in HTTP/1.1.
+var ErrMalformed = errors.New("malformed answer")
+
+// headState is the position of the next byte in a head.
+type headState uint8
+
+const (
+	// headDone: no head is expected, or it has ended.
+	headDone headState = iota
+	headStatus
+	// headLine: the first byte of a line after the status line.
+	headLine
+	headField
+)
+
+const (
+	// statusSize is the length of "HTTP/1.1 200".
+	statusSize = 12
+	// statusSwitching is the interim status after which another protocol follows.
+	statusSwitching = "101"
+)
+
+// Head checks the head of an answer while its bytes arrive: the status line and the lines up
+// to the empty one, of interim answers too. It rejects what the parser of net/http lets pass
+// although it is malformed. It holds no line, so its size is bounded. The zero value expects no
+// head.
+type Head struct {
+	state headState
+	// status is the start of the status line, size how many bytes it has so far.
+	status [statusSize]byte
+	size   int
+	// cr is set if the last byte was a CR.
+	cr      bool
+	interim bool
+	err     error
+}
+
+// Begin expects the head of the next answer.
+func (h *Head) Begin() { *h = Head{state: headStatus} }
+
+// Err returns the error of Add, nil for none.
+func (h *Head) Err() error { return h.err }
+
+// Add takes the bytes that have arrived next and ignores those after the head. It returns the
+// number of bytes before the first malformed one, and ErrMalformed from then on.
+func (h *Head) Add(b []byte) (int, error) {
+	if h.err != nil {
+		return 0, h.err
+	}
+	for i, c := range b {
+		if h.state == headDone {
+			break
+		}
+		if err := h.add(c); err != nil {
+			h.err = errors.Wrap(ErrMalformed, err.Error())
+			return i, h.err
+		}
+	}
+	return len(b), nil
+}
+
+func (h *Head) add(c byte) error {
+	if h.cr && c != '\n' {
+		return errors.New("CR within a line")
+	}
+	h.cr = c == '\r'
+	switch {
+	case c == '\n':
+		return h.endLine()
+	case c == '\r':
+		return nil
+	case h.state == headStatus:
+		return h.addStatus(c)
+	}
+	h.state = headField
+	return nil
+}
+
+// endLine ends a line, and with an empty one the head.
+func (h *Head) endLine() error {
+	switch {
+	case h.state == headStatus && h.size < statusSize:
+		return errors.Errorf("status line %q", h.status[:h.size])
+	case h.state != headLine:
+		h.state = headLine
+	case h.interim:
+		h.Begin()
+	default:
+		h.state = headDone
+	}
+	return nil
+}
+
+// addStatus adds a byte of the status line.
+func (h *Head) addStatus(c byte) error {
+	switch {
+	case h.size < statusSize:
+		h.status[h.size] = c
+		if h.size++; h.size == statusSize {
+			return h.checkStatus()
+		}
+	case h.size == statusSize:
+		h.size++
+		if c != ' ' {
+			return errors.Errorf("byte %q after status %s", c, h.code())
+		}
+	case c < ' ' && c != '\t', c == 0x7f:
+		return errors.Errorf("byte %q in the status line", c)
+	}
+	return nil
+}
+
+// code returns the status code as it was sent.
+func (h *Head) code() string { return string(h.status[statusSize-3:]) }
+
+func (h *Head) checkStatus() error {
+	line, code := string(h.status[:]), h.code()
+	switch {
+	case line[:7] != "HTTP/1." || !isDigit(line[7]) || line[8] != ' ':
+		return errors.Errorf("status line %q", line)
+	case !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]), code[0] == '0':
+		return errors.Errorf("status %q", code)
+	case code == statusSwitching:
+		return errors.Errorf("status %s, which was not asked for", code)
+	}
+	h.interim = code[0] == '1'
+	return nil
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
--- a/internal/peer/srupstream/conn.go
+++ b/internal/peer/srupstream/conn.go
@@ -26,8 +26,9 @@
 	net.Conn
 	peer   Peer
 	reader *bufio.Reader
-	// header reserves memory for the header that is being read.
+	// header reserves memory for the header that is being read, head checks it.
 	header srmemory.Header
+	head   srconn.Head
 	// lastID is the ID of the last request that was written, "" for a connection that has
 	// carried none.
 	lastID string
@@ -89,10 +90,15 @@
 	}
 }
 
-// readHeader reads the header of the next response and skips interim (1xx) responses
-// other than 101. It returns an error of srmemory for headers that cannot be held.
+// readHeader reads the header of the next response and skips interim (1xx) responses. It
+// returns an error of srmemory for headers that cannot be held, and srconn.ErrMalformed for
+// those that are malformed.
 func (c *conn) readHeader(method string, held *srmemory.Reservation) (*http.Response, error) {
 	c.header = srmemory.NewHeader(held, maxHeaderBytes)
+	c.head.Begin()
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	// Its error is returned below.
+	_, _ = c.head.Add(buffered)
 	for {
 		c.header.Next()
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
@@ -100,14 +106,17 @@
 			return nil, err
 		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		// The parser may have dropped the errors of the connection.
 		if err := c.header.Err(); err != nil {
-			// The parser may have dropped it.
+			return nil, err
+		}
+		if err := c.head.Err(); err != nil {
 			return nil, err
 		}
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
--- a/internal/peer/srupstream/silence.go
+++ b/internal/peer/srupstream/silence.go
@@ -67,11 +67,17 @@
 	if err := c.header.Err(); err != nil {
 		return 0, err
 	}
+	if err := c.head.Err(); err != nil {
+		return 0, err
+	}
 	n, err := c.readWatched(b)
 	c.keepTail(b[:n])
 	if tooMuch := c.header.Add(b[:n]); tooMuch != nil {
 		return 0, tooMuch
 	}
+	if _, malformed := c.head.Add(b[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
