Reject an answer with a malformed name of a field

What callers saw: an endpoint in trouble sent a field with a blank in its name, and the client got the answer. With a blank before the colon of Transfer-Encoding the instance did not know that the body was in chunks, and handed the chunks on as the body, within a Content-Length that stood beside it or up to the end of the connection.

Cause: the parser of net/http accepts blanks in names, and keeps such a field under another name.

Change: srconn.Head checks that a name consists of the bytes of a token (RFC 9110, section 5.6.2). A folded value is passed on in one line, as before (RFC 9112, section 5.2).

--- a/internal/peer/srconn/head.go
+++ b/internal/peer/srconn/head.go
@@ -1,6 +1,10 @@
 package srconn
 
-import "github.com/pkg/errors"
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+)
 
 // ErrMalformed means that the bytes of a peer are not an answer in HTTP/1.1.
 var ErrMalformed = errors.New("malformed answer")
@@ -14,7 +18,8 @@
 	headStatus
 	// headLine: the first byte of a line after the status line.
 	headLine
-	headField
+	headName
+	headValue
 )
 
 const (
@@ -33,8 +38,9 @@
 	// status is the start of the status line, size how many bytes it has so far.
 	status [statusSize]byte
 	size   int
-	// cr is set if the last byte was a CR.
+	// cr is set if the last byte was a CR, fields once the name of a field has begun.
 	cr      bool
+	fields  bool
 	interim bool
 	err     error
 }
@@ -68,15 +74,20 @@
 		return errors.New("CR within a line")
 	}
 	h.cr = c == '\r'
-	switch {
-	case c == '\n':
+	switch c {
+	case '\n':
 		return h.endLine()
-	case c == '\r':
+	case '\r':
 		return nil
-	case h.state == headStatus:
+	}
+	switch h.state {
+	case headStatus:
 		return h.addStatus(c)
+	case headLine:
+		return h.beginField(c)
+	case headName:
+		return h.addName(c)
 	}
-	h.state = headField
 	return nil
 }
 
@@ -85,6 +96,8 @@
 	switch {
 	case h.state == headStatus && h.size < statusSize:
 		return errors.Errorf("status line %q", h.status[:h.size])
+	case h.state == headName:
+		return errors.New("field without a colon")
 	case h.state != headLine:
 		h.state = headLine
 	case h.interim:
@@ -131,4 +144,36 @@
 	return nil
 }
 
+// beginField takes the first byte of a line that is not empty: a blank continues the value of
+// the field before.
+func (h *Head) beginField(c byte) error {
+	switch {
+	case (c == ' ' || c == '\t') && h.fields:
+		h.state = headValue
+		return nil
+	case c == ':':
+		return errors.New("field without a name")
+	}
+	h.state, h.fields = headName, true
+	return h.addName(c)
+}
+
+// addName adds a byte of the name of a field. The parser lets blanks pass, and does not know
+// such a name as that of a field which states the framing.
+func (h *Head) addName(c byte) error {
+	if c == ':' {
+		h.state = headValue
+		return nil
+	}
+	if !isTokenByte(c) {
+		return errors.Errorf("byte %q in the name of a field", c)
+	}
+	return nil
+}
+
+// isTokenByte reports whether a name may have a byte (RFC 9110, section 5.6.2).
+func isTokenByte(c byte) bool {
+	return isDigit(c) || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
+
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
