Reject an answer whose head states a body that it cannot have

What callers saw: an endpoint answered in HTTP/1.0 with Transfer-Encoding: chunked, and the chunks came to the client as the body, also within a Content-Length that stood beside it. After an interim answer that stated a length or chunks, the bytes of its body were read as the answer. After a 204 that did, they were left on the connection.

Cause: the parser of net/http deletes an encoding in HTTP/1.0 without using it, and does not look at the framing of interim answers and of 204.

Change: srconn.Head knows the names of both fields. RFC 9112, section 6.1, has the framing of HTTP/1.0 with an encoding as faulty, and RFC 9110, section 8.6, forbids a length with 1xx and 204. A length of 0 is let pass.

--- a/internal/peer/srconn/head.go
+++ b/internal/peer/srconn/head.go
@@ -25,8 +25,16 @@
 const (
 	// statusSize is the length of "HTTP/1.1 200".
 	statusSize = 12
+	// statusMinor is the position of the minor version in it.
+	statusMinor = 7
 	// statusSwitching is the interim status after which another protocol follows.
 	statusSwitching = "101"
+	statusNoContent = "204"
+
+	headerEncoding = "Transfer-Encoding"
+	headerLength   = "Content-Length"
+	// nameSize is the length of the longest of these names.
+	nameSize = len(headerEncoding)
 )
 
 // Head checks the head of an answer while its bytes arrive: the status line and the lines up
@@ -39,10 +47,14 @@
 	status [statusSize]byte
 	size   int
 	// cr is set if the last byte was a CR, fields once the name of a field has begun.
-	cr      bool
-	fields  bool
-	interim bool
-	err     error
+	cr     bool
+	fields bool
+	// name is the start of the name of the current field, nameLen how many bytes the name has.
+	name     [nameSize]byte
+	nameLen  int
+	interim  bool
+	bodiless bool
+	err      error
 }
 
 // Begin expects the head of the next answer.
@@ -88,7 +100,7 @@
 	case headName:
 		return h.addName(c)
 	}
-	return nil
+	return h.addValue(c)
 }
 
 // endLine ends a line, and with an empty one the head.
@@ -133,7 +145,7 @@
 func (h *Head) checkStatus() error {
 	line, code := string(h.status[:]), h.code()
 	switch {
-	case line[:7] != "HTTP/1." || !isDigit(line[7]) || line[8] != ' ':
+	case line[:statusMinor] != "HTTP/1." || !isDigit(line[statusMinor]) || line[statusMinor+1] != ' ':
 		return errors.Errorf("status line %q", line)
 	case !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]), code[0] == '0':
 		return errors.Errorf("status %q", code)
@@ -141,6 +153,7 @@
 		return errors.Errorf("status %s, which was not asked for", code)
 	}
 	h.interim = code[0] == '1'
+	h.bodiless = h.interim || code == statusNoContent
 	return nil
 }
 
@@ -154,7 +167,7 @@
 	case c == ':':
 		return errors.New("field without a name")
 	}
-	h.state, h.fields = headName, true
+	h.state, h.fields, h.nameLen = headName, true, 0
 	return h.addName(c)
 }
 
@@ -163,14 +176,45 @@
 func (h *Head) addName(c byte) error {
 	if c == ':' {
 		h.state = headValue
-		return nil
+		return h.checkField()
 	}
 	if !isTokenByte(c) {
 		return errors.Errorf("byte %q in the name of a field", c)
 	}
+	if h.nameLen < nameSize {
+		h.name[h.nameLen] = c
+	}
+	h.nameLen++
+	return nil
+}
+
+// checkField checks whether the answer may have a field with the current name. The parser ignores
+// an encoding where there must be none, and takes what it encodes for something else.
+func (h *Head) checkField() error {
+	switch {
+	case !h.isField(headerEncoding):
+		return nil
+	case h.bodiless:
+		return errors.Errorf("encoded body with status %s", h.code())
+	case h.status[statusMinor] == '0':
+		return errors.New("encoded body in HTTP/1.0")
+	}
+	return nil
+}
+
+// addValue adds a byte of the value of a field.
+func (h *Head) addValue(c byte) error {
+	if h.bodiless && c >= '1' && c <= '9' && h.isField(headerLength) {
+		return errors.Errorf("length of a body with status %s", h.code())
+	}
 	return nil
 }
 
+// isField reports whether the current field has a name.
+func (h *Head) isField(name string) bool {
+	return h.nameLen == len(name) && strings.EqualFold(string(h.name[:h.nameLen]), name)
+}
+
 // isTokenByte reports whether a name may have a byte (RFC 9110, section 5.6.2).
 func isTokenByte(c byte) bool {
 	return isDigit(c) || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
