Reject an answer with a malformed name in its trailer

What callers saw: nothing, since trailers are not passed on; but an answer whose trailer has a blank in the name of a field counted as complete, and its connection was used again.

Cause: as in heads, the parser of net/http accepts blanks in names.

Trailers with control bytes, without a colon and with a blank at their start were refused before; their tests are kept.

Change: the names of a trailer are checked at the end of the body, also of an answer to another request that is skipped.

--- a/internal/peer/srconn/head.go
+++ b/internal/peer/srconn/head.go
@@ -1,6 +1,7 @@
 package srconn
 
 import (
+	"net/http"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -215,6 +216,20 @@
 	return h.nameLen == len(name) && strings.EqualFold(string(h.name[:h.nameLen]), name)
 }
 
+// CheckTrailer returns ErrMalformed if the trailer of an answer has a field with a malformed name.
+// It is known at the end of the body.
+func CheckTrailer(resp *http.Response) error {
+	for name, values := range resp.Trailer {
+		for _, c := range []byte(name) {
+			// Without a value it was announced and did not come.
+			if !isTokenByte(c) && len(values) > 0 {
+				return errors.Wrapf(ErrMalformed, "byte %q in the name of a field of the trailer", c)
+			}
+		}
+	}
+	return nil
+}
+
 // isTokenByte reports whether a name may have a byte (RFC 9110, section 5.6.2).
 func isTokenByte(c byte) bool {
 	return isDigit(c) || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
--- a/internal/peer/srupstream/send.go
+++ b/internal/peer/srupstream/send.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srconn"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srmemory"
 )
 
@@ -159,7 +160,7 @@
 		x.mismatched = true
 		x.conn.header.Release()
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBytes))
-		if err != nil || n == maxMismatchedBytes || resp.Close {
+		if err != nil || n == maxMismatchedBytes || resp.Close || srconn.CheckTrailer(resp) != nil {
 			return nil, sr.Reply{}, errors.Errorf("received a response that names request %q instead", reply.Request)
 		}
 	}
@@ -184,10 +185,20 @@
 // Read implements io.Reader.
 func (x *exchange) Read(b []byte) (int, error) {
 	n, err := x.resp.Body.Read(b)
-	if err == io.EOF {
-		x.finish()
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if err := x.checkEnd(); err != nil {
+		x.abort()
+		return n, err
+	}
+	x.finish()
+	return n, io.EOF
+}
+
+// checkEnd returns an error if the answer has ended and is not sound all the same.
+func (x *exchange) checkEnd() error {
+	return srconn.CheckTrailer(x.resp)
 }
 
 // Close implements io.Closer.
