Report an early answer without a length as cut if its connection is reset

What callers saw: an endpoint answered a long upload at once, without a length, sent a part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer. The same happened without any reset by the endpoint, when the kernel gave up a body that the endpoint did not read.

Cause: the kernel reports a reset to one call only. The blocked write of the body met it, and the read ended like that of a connection which the peer had closed, which is the regular end of an answer without length and chunks. Nothing looked at the error of the write. A second read after a read that had met the reset ended in the same way.

Evidence, on the code before: TestEarlyAnswerThatIsResetDoesNotLookComplete: the 3 subtests of a body of 4 MB and an answer without a length fail, 16 of 18 requests with "1000 bytes", "42 bytes" or "80000 bytes".

Change: at the end of an answer that ends with its connection, the write of the request is ended, and its error is that of the answer. The error of a failed read is kept for the reads that follow.

A reset after an orderly close gives the write EPIPE, and one that is only blocked ends by its deadline: TestEarlyAnswerThatIsSoundArrivesWhole has answers of each framing whose endpoint closes its side without reading, resets afterwards or reads the body first; its 81 subtests pass before and after. The connection is closed after such an answer in any case, so ending the write changes nothing for the endpoint.

--- a/internal/peer/srupstream/send.go
+++ b/internal/peer/srupstream/send.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +26,10 @@
 	maxMismatchedBytes = 1 << 20
 )
 
+// ErrReset means that the connection of an answer that ends with it was reset. The answer is not
+// complete.
+var ErrReset = errors.New("connection was reset")
+
 // Request is an HTTP request to an endpoint.
 type Request struct {
 	// ID is the request ID that the response names.
@@ -198,7 +204,28 @@
 
 // checkEnd returns an error if the answer has ended and is not sound all the same.
 func (x *exchange) checkEnd() error {
-	return srconn.CheckTrailer(x.resp)
+	if framingOf(x.resp) != FramingClose {
+		return srconn.CheckTrailer(x.resp)
+	}
+	if err := x.writeBroke(); err != nil {
+		return fmt.Errorf("%w while the request was being written: %w", ErrReset, err)
+	}
+	return nil
+}
+
+// writeBroke ends the write of the request, and returns the error of the connection that it met,
+// nil for none. The kernel reports a reset once only: the read after a write that met it ends as
+// if the peer had closed its side. A reset after such a close gives the write EPIPE instead, and
+// the answer before it is whole.
+func (x *exchange) writeBroke() error {
+	// Ends a write that is blocked since the peer does not read. If it cannot be set, the
+	// connection has been closed.
+	_ = x.conn.SetWriteDeadline(time.Unix(1, 0))
+	<-x.writeDone
+	if errors.Is(x.writeErr, os.ErrDeadlineExceeded) || errors.Is(x.writeErr, syscall.EPIPE) {
+		return nil
+	}
+	return x.writeErr
 }
 
 // Close implements io.Closer.
--- a/internal/peer/srupstream/silence.go
+++ b/internal/peer/srupstream/silence.go
@@ -102,6 +102,7 @@
 			c.silence.Progress()
 		}
 		if !timedOut {
+			c.keepReset(err)
 			return n, err
 		}
 		if c.silence.unhandled < c.silence.After {
