Count broken answers by their cause

What operators saw: an answer that was malformed left a line with the error of the parser, and no counter; a malformed line of a header that the parser had cut off looked like a lost connection.

Change: `answer.malformed` counts attempts with a malformed head, chunk or trailer, `answer.reset` those whose connection was reset. The errors of `again`, `attempt-failed` and `broken-off` lines begin with "malformed answer" and say what was malformed. A parser that fails though no read has failed has met a malformed answer; otherwise the error of the socket is the cause.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -1,16 +1,19 @@
 package srforward
 
 import (
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
+	"github.com/sassafrasrail/sassafrasrail/internal/peer/srconn"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srupstream"
 )
 
@@ -186,11 +189,21 @@
 			return size, nil
 		}
 		if err != nil && err != io.EOF {
-			return size, errors.Wrap(errReadAnswer, err.Error())
+			return size, fmt.Errorf("%w: %w", errReadAnswer, err)
 		}
 	}
 }
 
+// countBreak counts a broken answer, which ended an attempt, by its cause.
+func (q *request) countBreak(err error) {
+	switch {
+	case errors.Is(err, srconn.ErrMalformed):
+		q.stats.count("answer.malformed")
+	case errors.Is(err, srupstream.ErrReset), errors.Is(err, syscall.ECONNRESET):
+		q.stats.count("answer.reset")
+	}
+}
+
 // copyHeader copies the header of an answer to the response.
 func (q *request) copyHeader(a *srupstream.Answer) {
 	h := q.w.Header()
--- a/internal/app/srforward/crash.go
+++ b/internal/app/srforward/crash.go
@@ -160,6 +160,7 @@
 // observeAttempt notes a sound answer, or a connection that broke before the answer had
 // gone on, since the request may have crashed its endpoint.
 func (q *request) observeAttempt(t attempt) {
+	q.countBreak(t.err)
 	if t.sound {
 		q.logSuspects(q.crashes.addSound(time.Now(), q.suspectable()), "")
 		return
--- a/internal/peer/srconn/head.go
+++ b/internal/peer/srconn/head.go
@@ -1,6 +1,7 @@
 package srconn
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 
@@ -75,7 +76,7 @@
 			break
 		}
 		if err := h.add(c); err != nil {
-			h.err = errors.Wrap(ErrMalformed, err.Error())
+			h.err = fmt.Errorf("%w: %w", ErrMalformed, err)
 			return i, h.err
 		}
 	}
@@ -223,7 +224,7 @@
 		for _, c := range []byte(name) {
 			// Without a value it was announced and did not come.
 			if !isTokenByte(c) && len(values) > 0 {
-				return errors.Wrapf(ErrMalformed, "byte %q in the name of a field of the trailer", c)
+				return fmt.Errorf("%w: byte %q in the name of a field of the trailer", ErrMalformed, c)
 			}
 		}
 	}
--- a/internal/peer/srupstream/conn.go
+++ b/internal/peer/srupstream/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -44,8 +46,10 @@
 	// connection.
 	tail       []byte
 	endsAnswer bool
-	// reset is the error with which the connection was reset, nil if that is not known.
-	reset error
+	// reset is the error with which the connection was reset, nil if that is not known. failed is
+	// set once a read has returned an error.
+	reset  error
+	failed bool
 }
 
 func newConn(nc net.Conn, peer Peer) *conn {
@@ -96,25 +100,21 @@
 func (c *conn) readHeader(method string, held *srmemory.Reservation) (*http.Response, error) {
 	c.header = srmemory.NewHeader(held, maxHeaderBytes)
 	c.head.Begin()
-	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	// Its error is returned below.
-	_, _ = c.head.Add(buffered)
+	if _, err := c.head.Add(c.buffered()); err != nil {
+		return nil, err
+	}
 	for {
 		c.header.Next()
-		buffered, _ := c.reader.Peek(c.reader.Buffered())
-		if err := c.header.Add(buffered); err != nil {
+		if err := c.header.Add(c.buffered()); err != nil {
 			return nil, err
 		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		// The parser may have dropped the errors of the connection.
-		if err := c.header.Err(); err != nil {
-			return nil, err
-		}
-		if err := c.head.Err(); err != nil {
+		if err := c.headerErr(); err != nil {
+			// The parser may have dropped it.
 			return nil, err
 		}
 		if err != nil {
-			return nil, err
+			return nil, c.cause(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
@@ -122,6 +122,39 @@
 	}
 }
 
+// buffered returns the bytes that have arrived and were not parsed yet.
+func (c *conn) buffered() []byte {
+	b, _ := c.reader.Peek(c.reader.Buffered())
+	return b
+}
+
+// addToHeader takes the bytes that were read next, and returns why they are no header that can be
+// passed on, nil if they are or do not belong to one.
+func (c *conn) addToHeader(b []byte) error {
+	if err := c.header.Add(b); err != nil {
+		return err
+	}
+	_, err := c.head.Add(b)
+	return err
+}
+
+// headerErr returns the error of the current header, nil for none.
+func (c *conn) headerErr() error { return cmp.Or(c.header.Err(), c.head.Err()) }
+
+// cause returns why a parser failed: the error of the socket, which it may have replaced, or
+// srconn.ErrMalformed if no read has failed.
+func (c *conn) cause(err error) error {
+	switch {
+	case err == nil, err == io.EOF:
+		return err
+	case c.reset != nil:
+		return c.reset
+	case c.failed:
+		return err
+	}
+	return fmt.Errorf("%w: %w", srconn.ErrMalformed, err)
+}
+
 // idleTime returns how long a connection may stay idle after a response.
 func idleTime(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/internal/peer/srupstream/send.go
+++ b/internal/peer/srupstream/send.go
@@ -192,7 +192,7 @@
 func (x *exchange) Read(b []byte) (int, error) {
 	n, err := x.resp.Body.Read(b)
 	if err != io.EOF {
-		return n, err
+		return n, x.conn.cause(err)
 	}
 	if err := x.checkEnd(); err != nil {
 		x.abort()
--- a/internal/peer/srupstream/silence.go
+++ b/internal/peer/srupstream/silence.go
@@ -64,19 +64,20 @@
 
 // Read implements io.Reader for the answers of the peer.
 func (c *conn) Read(b []byte) (int, error) {
-	if err := c.header.Err(); err != nil {
-		return 0, err
-	}
-	if err := c.head.Err(); err != nil {
+	n, err := c.readChecked(b)
+	c.failed = c.failed || err != nil
+	return n, err
+}
+
+// readChecked reads what may belong to a header, and checks it.
+func (c *conn) readChecked(b []byte) (int, error) {
+	if err := c.headerErr(); err != nil {
 		return 0, err
 	}
 	n, err := c.readWatched(b)
 	c.keepTail(b[:n])
-	if tooMuch := c.header.Add(b[:n]); tooMuch != nil {
-		return 0, tooMuch
-	}
-	if _, malformed := c.head.Add(b[:n]); malformed != nil {
-		return 0, malformed
+	if err := c.addToHeader(b[:n]); err != nil {
+		return 0, err
 	}
 	return n, err
 }
