--- a/internal/peer/srupstream/send.go
+++ b/internal/peer/srupstream/send.go
@@ -220,7 +220,7 @@
 func (x *exchange) writeBroke() error {
 	// Ends a write that is blocked since the peer does not read. If it cannot be set, the
 	// connection has been closed.
-	_ = x.conn.SetWriteDeadline(time.Unix(1, 0))
+	_ = x.conn.SetWriteDeadline(past)
 	<-x.writeDone
 	if errors.Is(x.writeErr, os.ErrDeadlineExceeded) || errors.Is(x.writeErr, syscall.EPIPE) {
 		return nil
--- a/internal/peer/srupstream/silence.go
+++ b/internal/peer/srupstream/silence.go
@@ -16,6 +16,9 @@
 // suspended. Timers of a loaded process are late by some tens of milliseconds.
 const suspensionSlack = 150 * time.Millisecond
 
+// past is a deadline that ends a read or a write at once.
+var past = time.Unix(1, 0)
+
 // Silence says what happens when a peer sends nothing for some time while its answer is
 // read. Only time in which this process could have read something counts.
 type Silence struct {
@@ -180,7 +183,7 @@
 		// A deadline in the past ends the wait. If it cannot be set, the connection is
 		// closed, which ends the wait as well.
 		c.deadlineSet = true
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		_ = c.SetReadDeadline(past)
 		<-done
 		cancel()
 	}
