Check the heads of the answers that net/http's transports read

What callers saw: `serve` took malformed answers of plain services and engines for sound ones. A call whose answer had status 000, a blank in the name of a field or an encoding in HTTP/1.0 ended as complete, and its caller got that answer, the chunks of a body that was read by a length among it. Load reports, the platform's values and instance list and the answers of the registry were accepted in the same way, so a malformed answer confirmed a view.

Cause: the transports use the same parser, and the readers look at the parsed answer only, which does not show what was malformed.

Change: srconn.Conn checks the heads of the answers that it reads, and srconn.Transport tells it, before a request is written, that the next bytes begin an answer. So the same check serves the connections of forwarding instances and those of net/http. ReadBody checks the trailer. Head checks values too, so that the error names them. The sentinel moves to the root package, and errors of a call keep it.

Ruled out: a check of the parsed answer. It does not have an encoding in HTTP/1.0 any more, nor the framing of an interim answer.

--- a/errors.go
+++ b/errors.go
@@ -10,6 +10,8 @@
 	ErrNotTaken = errors.New("endpoint did not take the request")
 	// ErrConnectionLost means that the connection ended before the answer was complete.
 	ErrConnectionLost = errors.New("connection ended before the answer")
+	// ErrMalformed means that the bytes of a peer are not an answer in HTTP/1.1.
+	ErrMalformed = errors.New("malformed answer")
 	// ErrNoStream means that the endpoint does not have the stream to resume.
 	ErrNoStream = errors.New("endpoint does not know the stream")
 	// ErrUnreachable means that a peer or the platform did not answer.
--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -13,7 +13,6 @@
 
 	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
-	"github.com/sassafrasrail/sassafrasrail/internal/peer/srconn"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srupstream"
 )
 
@@ -197,7 +196,7 @@
 // countBreak counts a broken answer, which ended an attempt, by its cause.
 func (q *request) countBreak(err error) {
 	switch {
-	case errors.Is(err, srconn.ErrMalformed):
+	case errors.Is(err, sr.ErrMalformed):
 		q.stats.count("answer.malformed")
 	case errors.Is(err, srupstream.ErrReset), errors.Is(err, syscall.ECONNRESET):
 		q.stats.count("answer.reset")
--- a/internal/bench/srload/client.go
+++ b/internal/bench/srload/client.go
@@ -19,7 +19,7 @@
 
 // client calls the caller interface with the key of one workspace.
 type client struct {
-	transport *http.Transport
+	transport srconn.Transport
 	instances []string
 	key       string
 	batch     int
--- a/internal/bench/srload/runner.go
+++ b/internal/bench/srload/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -16,7 +15,7 @@
 // Runner puts a load on instances.
 type Runner struct {
 	cfg       Config
-	transport *http.Transport
+	transport srconn.Transport
 	clients   map[string]*client
 }
 
--- a/internal/peer/srconn/body.go
+++ b/internal/peer/srconn/body.go
@@ -33,7 +33,7 @@
 }
 
 // ReadBody reads a whole body of at most limit bytes. It returns ErrBodyTooLong for a
-// longer one.
+// longer one, and ErrMalformed for one with a malformed trailer.
 func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
@@ -42,7 +42,7 @@
 	if int64(len(body)) > limit {
 		return nil, errors.Wrapf(ErrBodyTooLong, "srconn: more than %d bytes", limit)
 	}
-	return body, nil
+	return body, errors.Wrap(CheckTrailer(resp), "srconn: read body")
 }
 
 // EndsWithConnection reports whether a response has neither a length nor chunks, so that
--- a/internal/peer/srconn/client.go
+++ b/internal/peer/srconn/client.go
@@ -1,12 +1,10 @@
 package srconn
 
-import "net/http"
-
 // Client holds the two ways to send requests to endpoints: Once for requests that must
 // not be repeated, Repeat for requests that are safe to repeat.
 type Client struct {
 	Once   *Once
-	Repeat *http.Transport
+	Repeat Transport
 }
 
 // NewClient returns a Client with the options o for both.
--- a/internal/peer/srconn/conn.go
+++ b/internal/peer/srconn/conn.go
@@ -16,13 +16,15 @@
 //
 // NewTransport is for requests that are safe to repeat; it reuses connections.
 // Neither of the two uses a proxy from the environment, follows redirects, requests
-// compression or uses HTTP/2.
+// compression or uses HTTP/2. Both check the heads of answers more strictly than net/http does, see
+// Head.
 package srconn
 
 import (
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,11 +55,17 @@
 	return Timeouts{Dial: time.Second, Write: 5 * time.Second, Idle: time.Minute}
 }
 
-// Conn is a connection with timeouts that records whether a write has begun.
+// Conn is a connection with timeouts that records whether a write has begun, and whose reads fail
+// within a malformed head of an answer.
 type Conn struct {
 	net.Conn
 	timeouts Timeouts
 
+	// answer is set when the next bytes to read begin an answer, which head checks. Only reads
+	// use head.
+	answer atomic.Bool
+	head   Head
+
 	mu         sync.Mutex
 	writeBegun bool
 	sealed     bool
@@ -71,12 +79,26 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.head.Err(); err != nil {
+		// The parser drops an error in the middle of a line.
+		return 0, err
+	}
 	if err := c.SetReadDeadline(time.Now().Add(c.timeouts.Idle)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.answer.Swap(false) {
+		c.head.Begin()
+	}
+	if sound, malformed := c.head.Add(p[:n]); malformed != nil {
+		return sound, malformed
+	}
+	return n, err
 }
 
+// ExpectAnswer expects the answer to the request that is written next.
+func (c *Conn) ExpectAnswer() { c.answer.Store(true) }
+
 // Write implements net.Conn. It fails on a sealed connection.
 func (c *Conn) Write(p []byte) (int, error) {
 	if err := c.beginWrite(); err != nil {
--- a/internal/peer/srconn/head.go
+++ b/internal/peer/srconn/head.go
@@ -6,10 +6,9 @@
 	"strings"
 
 	"github.com/pkg/errors"
-)
 
-// ErrMalformed means that the bytes of a peer are not an answer in HTTP/1.1.
-var ErrMalformed = errors.New("malformed answer")
+	sr "github.com/sassafrasrail/sassafrasrail"
+)
 
 // headState is the position of the next byte in a head.
 type headState uint8
@@ -76,7 +75,7 @@
 			break
 		}
 		if err := h.add(c); err != nil {
-			h.err = fmt.Errorf("%w: %w", ErrMalformed, err)
+			h.err = fmt.Errorf("%w: %w", sr.ErrMalformed, err)
 			return i, h.err
 		}
 	}
@@ -135,7 +134,7 @@
 		if c != ' ' {
 			return errors.Errorf("byte %q after status %s", c, h.code())
 		}
-	case c < ' ' && c != '\t', c == 0x7f:
+	case isControl(c):
 		return errors.Errorf("byte %q in the status line", c)
 	}
 	return nil
@@ -206,6 +205,9 @@
 
 // addValue adds a byte of the value of a field.
 func (h *Head) addValue(c byte) error {
+	if isControl(c) {
+		return errors.Errorf("byte %q in the value of a field", c)
+	}
 	if h.bodiless && c >= '1' && c <= '9' && h.isField(headerLength) {
 		return errors.Errorf("length of a body with status %s", h.code())
 	}
@@ -224,7 +226,7 @@
 		for _, c := range []byte(name) {
 			// Without a value it was announced and did not come.
 			if !isTokenByte(c) && len(values) > 0 {
-				return fmt.Errorf("%w: byte %q in the name of a field of the trailer", ErrMalformed, c)
+				return fmt.Errorf("%w: byte %q in the name of a field of the trailer", sr.ErrMalformed, c)
 			}
 		}
 	}
@@ -236,4 +238,7 @@
 	return isDigit(c) || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
 }
 
+// isControl reports whether a byte may not be in a value or a reason.
+func isControl(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f }
+
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
--- a/internal/peer/srconn/once.go
+++ b/internal/peer/srconn/once.go
@@ -1,19 +1,18 @@
 package srconn
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	sr "github.com/sassafrasrail/sassafrasrail"
 )
 
 // Once sends requests that must not be repeated, each on a new connection.
 type Once struct {
-	transport *http.Transport
+	transport Transport
 }
 
 // NewOnce returns a Once, which opens a new connection for each request.
@@ -35,9 +34,9 @@
 		return resp, nil
 	}
 	if used.seal() {
-		return nil, errors.Wrapf(sr.ErrConnectionLost, "srconn: %v", err)
+		return nil, fmt.Errorf("srconn: %w: %w", sr.ErrConnectionLost, err)
 	}
-	return nil, errors.Wrapf(sr.ErrNotSent, "srconn: %v", err)
+	return nil, fmt.Errorf("srconn: %w: %w", sr.ErrNotSent, err)
 }
 
 // conns records the connections that net/http used for one request.
--- a/internal/peer/srconn/transport.go
+++ b/internal/peer/srconn/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,10 +44,15 @@
 	return o
 }
 
-// NewTransport returns a transport for requests that are safe to repeat.
-func NewTransport(o Options) *http.Transport {
+// Transport sends requests and checks the heads of their answers.
+type Transport struct {
+	*http.Transport
+}
+
+// NewTransport returns a Transport for requests that are safe to repeat.
+func NewTransport(o Options) Transport {
 	o = o.withDefaults()
-	return &http.Transport{
+	return Transport{&http.Transport{
 		Proxy:                  nil,
 		DialContext:            o.dial,
 		DisableCompression:     true,
@@ -55,6 +61,19 @@
 		MaxIdleConnsPerHost:    maxIdleConnsPerPeer,
 		IdleConnTimeout:        idleConnTimeout,
 		ResponseHeaderTimeout:  o.Timeouts.Idle,
+	}}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: expectAnswer})
+	return t.Transport.RoundTrip(req.WithContext(ctx))
+}
+
+// expectAnswer is the GotConn hook of each request, which precedes its first byte.
+func expectAnswer(info httptrace.GotConnInfo) {
+	if conn, ok := info.Conn.(*Conn); ok {
+		conn.ExpectAnswer()
 	}
 }
 
--- a/internal/peer/srplatform/client.go
+++ b/internal/peer/srplatform/client.go
@@ -57,7 +57,7 @@
 type Client struct {
 	address   string
 	wait      time.Duration
-	transport *http.Transport
+	transport srconn.Transport
 }
 
 // New returns a Client. It returns ErrInvalid when the address is not IP:PORT or the
--- a/internal/peer/srupstream/conn.go
+++ b/internal/peer/srupstream/conn.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	sr "github.com/sassafrasrail/sassafrasrail"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srconn"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srmemory"
 )
@@ -95,7 +96,7 @@
 }
 
 // readHeader reads the header of the next response and skips interim (1xx) responses. It
-// returns an error of srmemory for headers that cannot be held, and srconn.ErrMalformed for
+// returns an error of srmemory for headers that cannot be held, and ErrMalformed for
 // those that are malformed.
 func (c *conn) readHeader(method string, held *srmemory.Reservation) (*http.Response, error) {
 	c.header = srmemory.NewHeader(held, maxHeaderBytes)
@@ -142,7 +143,7 @@
 func (c *conn) headerErr() error { return cmp.Or(c.header.Err(), c.head.Err()) }
 
 // cause returns why a parser failed: the error of the socket, which it may have replaced, or
-// srconn.ErrMalformed if no read has failed.
+// ErrMalformed if no read has failed.
 func (c *conn) cause(err error) error {
 	switch {
 	case err == nil, err == io.EOF:
@@ -152,7 +153,7 @@
 	case c.failed:
 		return err
 	}
-	return fmt.Errorf("%w: %w", srconn.ErrMalformed, err)
+	return fmt.Errorf("%w: %w", sr.ErrMalformed, err)
 }
 
 // idleTime returns how long a connection may stay idle after a response.
