Count malformed answers of services, engines and the registry

What operators saw: a malformed answer to a call, a dispatch, a load report or a query of the registry counted like a connection that had broken, and its error was that of the parser for the half of a line before the malformed byte.

Change: `answers.malformed` (with `calls.broken` for calls), `pool.reports.malformed` and `registry.malformed` count them. Transport.RoundTrip returns the error of the head instead of that of the parser, and the clients keep it, so `explain` and `registry-lost` lines say what was malformed.

Evidence: TestMalformedAnswerIsAnError and TestMalformedAnswerOfTheStoreIsAnError ask for the sentinel instead of the word "malformed", which the errors of the parser have as well; without the change of RoundTrip all subtests with a head that only srconn.Head rejects fail. TestMalformedAnswersOfTheRegistryAreCounted and TestMalformedAnswerIsCutShortAndCounted look for the counters.

--- a/internal/app/srentry/call.go
+++ b/internal/app/srentry/call.go
@@ -45,10 +45,18 @@
 	return attemptResult{ended: true}
 }
 
+// countMalformed counts an answer of an endpoint that was malformed.
+func (e *Entry) countMalformed(err error) {
+	if errors.Is(err, sr.ErrMalformed) {
+		e.count("answers.malformed")
+	}
+}
+
 // handleBrokenCall handles a call that may have run. It is retried only if its
 // operation is repeatable.
 func (e *Entry) handleBrokenCall(r *srrequest.Request, g grantedLease, err error) attemptResult {
 	e.count("calls.broken")
+	e.countMalformed(err)
 	e.recordStep(r.Ticket, "broken", "%s: %v", g.lease.Endpoint, err)
 	if r.Request.Repeatable {
 		r.MarkRetry()
--- a/internal/app/srentry/model.go
+++ b/internal/app/srentry/model.go
@@ -104,6 +104,7 @@
 	for {
 		before := a.tokens
 		ended := false
+		e.countMalformed(err)
 		if err == nil {
 			ended, err = e.readStream(ctx, a, stream)
 		}
--- a/internal/app/srentry/retry_test.go
+++ b/internal/app/srentry/retry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,10 @@
 	// callRefusals is the number of first calls that fail with ErrNotSent.
 	callRefusals int
 	calls        int
+	// callErr is the error of each call, nil for an answer.
+	callErr error
+	// metrics are those of the entry.
+	metrics metrics.Registry
 }
 
 func (f *fakeFleet) Owner(sr.PoolID) (sr.InstanceID, bool) { return testSelf, true }
@@ -72,6 +77,9 @@
 	if f.calls <= f.callRefusals {
 		return sr.Answer{}, errors.Wrap(sr.ErrNotSent, "connection refused")
 	}
+	if f.callErr != nil {
+		return sr.Answer{}, f.callErr
+	}
 	return sr.Answer{Code: 200, Body: "booked"}, nil
 }
 
@@ -86,12 +94,13 @@
 		Domains:   map[string]sr.Domain{"a": {Name: "a"}},
 		Endpoints: map[string]sr.Endpoint{"s1": {Name: "s1", Address: "10.0.1.1:80", Domain: "a", Target: "intake", Kind: sr.KindCall}},
 	}
+	f.metrics = metrics.NewRegistry()
 	e := New(Deps{
 		Self: testSelf, Issuer: issuer, Manifest: func() (sr.Manifest, bool) { return m, true },
 		Fleet: f, Admitter: f, Picker: f, Service: f, Peers: f,
 		Record:  srtrace.New(100),
 		Limits:  Limits{Requests: 10, Events: 10, Batch: 1, Retain: time.Minute},
-		Metrics: metrics.NewRegistry(),
+		Metrics: f.metrics,
 	})
 	tickets, err := e.Tickets("plant", 1)
 	assert.NilError(t, err)
@@ -133,3 +142,16 @@
 		assert.Equal(t, f.calls, 0)
 	})
 }
+
+// A call that gets a malformed answer may have run, so it is not repeated.
+func TestMalformedAnswerIsCutShortAndCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeFleet{callErr: fmt.Errorf("%w: %w", sr.ErrMalformed, sr.ErrConnectionLost)}
+		status := f.submitBooking(t)
+		assert.Equal(t, status.Outcome, sr.OutcomeCutShort)
+		assert.Equal(t, f.calls, 1)
+		for _, name := range []string{"answers.malformed", "calls.broken"} {
+			assert.Equal(t, metrics.GetOrRegisterCounter(name, f.metrics).Count(), int64(1), name)
+		}
+	})
+}
--- a/internal/app/srforward/sync.go
+++ b/internal/app/srforward/sync.go
@@ -36,6 +36,9 @@
 			lostAt = time.Time{}
 		case err != nil:
 			n.stats.count("registry.failed")
+			if errors.Is(err, sr.ErrMalformed) {
+				n.stats.count("registry.malformed")
+			}
 			n.view.RecordFailure()
 			if lostAt.IsZero() {
 				lostAt = time.Now()
--- a/internal/app/srowner/poll.go
+++ b/internal/app/srowner/poll.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	sr "github.com/sassafrasrail/sassafrasrail"
 )
 
@@ -55,6 +57,9 @@
 	} else {
 		l, err = p.deps.Service.Probe(ctx, e.Address)
 	}
+	if errors.Is(err, sr.ErrMalformed) {
+		count(p.deps.Metrics, "pool.reports.malformed", 1)
+	}
 	if err != nil {
 		return nil
 	}
--- a/internal/peer/srconn/conn.go
+++ b/internal/peer/srconn/conn.go
@@ -65,6 +65,8 @@
 	// use head.
 	answer atomic.Bool
 	head   Head
+	// malformed is the error of head, for other goroutines than the one that reads.
+	malformed atomic.Pointer[error]
 
 	mu         sync.Mutex
 	writeBegun bool
@@ -91,13 +93,22 @@
 		c.head.Begin()
 	}
 	if sound, malformed := c.head.Add(p[:n]); malformed != nil {
+		c.malformed.Store(&malformed)
 		return sound, malformed
 	}
 	return n, err
 }
 
-// ExpectAnswer expects the answer to the request that is written next.
-func (c *Conn) ExpectAnswer() { c.answer.Store(true) }
+// expectAnswer expects the answer to the request that is written next.
+func (c *Conn) expectAnswer() { c.answer.Store(true) }
+
+// malformedErr returns ErrMalformed if the last answer was malformed, nil otherwise.
+func (c *Conn) malformedErr() error {
+	if err := c.malformed.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
 
 // Write implements net.Conn. It fails on a sealed connection.
 func (c *Conn) Write(p []byte) (int, error) {
--- a/internal/peer/srconn/load.go
+++ b/internal/peer/srconn/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -24,7 +25,7 @@
 func Load(t http.RoundTripper, req *http.Request, limit int64) (sr.Load, error) {
 	resp, err := t.RoundTrip(req)
 	if err != nil {
-		return sr.Load{}, errors.Wrapf(sr.ErrUnreachable, "%s: %v", req.URL.Host, err)
+		return sr.Load{}, fmt.Errorf("%s: %w: %w", req.URL.Host, err, sr.ErrUnreachable)
 	}
 	defer CloseBody(resp)
 	if resp.StatusCode != http.StatusOK {
@@ -32,7 +33,7 @@
 	}
 	body, err := ReadBody(resp, limit)
 	if err != nil {
-		return sr.Load{}, errors.Wrapf(sr.ErrUnreachable, "%s: %v", req.URL.Host, err)
+		return sr.Load{}, fmt.Errorf("%s: %w: %w", req.URL.Host, err, sr.ErrUnreachable)
 	}
 	var l srwire.Load
 	if err := json.Unmarshal(body, &l); err != nil {
--- a/internal/peer/srconn/malformed_test.go
+++ b/internal/peer/srconn/malformed_test.go
@@ -107,7 +107,7 @@
 			t.Run(client+", "+name, func(t *testing.T) {
 				err := c.run(t.Context(), serveAnswer(t, head+lines))
 				assert.ErrorIs(t, err, c.err)
-				assert.ErrorContains(t, err, "malformed")
+				assert.ErrorIs(t, err, sr.ErrMalformed)
 			})
 		}
 	}
--- a/internal/peer/srconn/once.go
+++ b/internal/peer/srconn/once.go
@@ -34,9 +34,9 @@
 		return resp, nil
 	}
 	if used.seal() {
-		return nil, fmt.Errorf("srconn: %w: %w", sr.ErrConnectionLost, err)
+		return nil, fmt.Errorf("srconn: %w: %w", err, sr.ErrConnectionLost)
 	}
-	return nil, fmt.Errorf("srconn: %w: %w", sr.ErrNotSent, err)
+	return nil, fmt.Errorf("srconn: %w: %w", err, sr.ErrNotSent)
 }
 
 // conns records the connections that net/http used for one request.
--- a/internal/peer/srconn/transport.go
+++ b/internal/peer/srconn/transport.go
@@ -1,10 +1,12 @@
 package srconn
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,17 +66,22 @@
 	}}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. It returns ErrMalformed for a malformed head.
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: expectAnswer})
-	return t.Transport.RoundTrip(req.WithContext(ctx))
-}
-
-// expectAnswer is the GotConn hook of each request, which precedes its first byte.
-func expectAnswer(info httptrace.GotConnInfo) {
-	if conn, ok := info.Conn.(*Conn); ok {
-		conn.ExpectAnswer()
+	var used atomic.Pointer[Conn]
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		// Precedes the first byte of the request.
+		if c, ok := info.Conn.(*Conn); ok {
+			c.expectAnswer()
+			used.Store(c)
+		}
+	}})
+	resp, err := t.Transport.RoundTrip(req.WithContext(ctx))
+	if c := used.Load(); err != nil && c != nil {
+		// The parser replaces an error in the middle of a line.
+		err = cmp.Or(c.malformedErr(), err)
 	}
+	return resp, err
 }
 
 // dial opens a connection within the dial timeout.
--- a/internal/peer/srendpoint/client.go
+++ b/internal/peer/srendpoint/client.go
@@ -97,7 +97,7 @@
 	}
 	resp, cancel, err := send(ctx, req, c.Repeat.RoundTrip)
 	if err != nil {
-		return nil, errors.Wrapf(sr.ErrUnreachable, "srendpoint: resume at %s: %v", address, err)
+		return nil, fmt.Errorf("srendpoint: resume at %s: %w: %w", address, err, sr.ErrUnreachable)
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer cancel()
@@ -114,7 +114,7 @@
 	}
 	resp, err := c.Repeat.RoundTrip(req.WithContext(ctx))
 	if err != nil {
-		return errors.Wrapf(sr.ErrUnreachable, "srendpoint: cancel at %s: %v", address, err)
+		return fmt.Errorf("srendpoint: cancel at %s: %w: %w", address, err, sr.ErrUnreachable)
 	}
 	defer srconn.CloseBody(resp)
 	switch resp.StatusCode {
--- a/internal/peer/srplatform/client.go
+++ b/internal/peer/srplatform/client.go
@@ -123,7 +123,7 @@
 	}
 	body, err := srconn.ReadBody(resp, maxListBytes)
 	if err != nil {
-		return nil, errors.Wrapf(sr.ErrUnreachable, "srplatform: instances: %v", err)
+		return nil, fmt.Errorf("srplatform: instances: %w: %w", err, sr.ErrUnreachable)
 	}
 	var list []srwire.Instance
 	if err := json.Unmarshal(body, &list); err != nil {
@@ -152,7 +152,7 @@
 	}
 	data, err := srconn.ReadBody(resp, MaxValueBytes)
 	if err != nil {
-		return sr.Value{}, false, errors.Wrapf(sr.ErrUnreachable, "srplatform: %s: %v", key, err)
+		return sr.Value{}, false, fmt.Errorf("srplatform: %s: %w: %w", key, err, sr.ErrUnreachable)
 	}
 	return sr.Value{Revision: revision, Data: data}, true, nil
 }
@@ -164,7 +164,7 @@
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		return nil, errors.Wrapf(sr.ErrUnreachable, "srplatform: %s: %v", path, err)
+		return nil, fmt.Errorf("srplatform: %s: %w: %w", path, err, sr.ErrUnreachable)
 	}
 	return resp, nil
 }
--- a/internal/peer/srservice/client.go
+++ b/internal/peer/srservice/client.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/url"
 	"strings"
@@ -71,7 +72,7 @@
 	defer resp.Body.Close()
 	body, err := srconn.ReadBody(resp, c.limits.Answer)
 	if err != nil {
-		return sr.Answer{}, errors.Wrapf(sr.ErrConnectionLost, "srservice: answer of %s: %v", address, err)
+		return sr.Answer{}, fmt.Errorf("srservice: answer of %s: %w: %w", address, err, sr.ErrConnectionLost)
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && srconn.NotTaken(body) {
 		return sr.Answer{}, errors.Wrapf(sr.ErrNotTaken, "srservice: %s", address)
