Reject an answer that came before its request

What callers saw: an endpoint that sent an answer twice on a connection of `serve`'s transports. Under concurrent requests the copy became the answer to the next request on that connection.

Cause: net/http gives a connection to the next request as soon as the body of an answer has been read, and notices only afterwards that further bytes are in its buffer. It then takes them for the answer to that request, which may not even be written yet.

Change: on a reused connection, Conn knows whether the request was written when bytes arrive, and whether any byte arrived when the parser begins with an answer. If not, the answer is that of an earlier request, and RoundTrip returns ErrMalformed. Connections to endpoints of forwarding instances were not concerned: they are looked at before they are used again, and answers name their request.

--- a/internal/peer/srconn/conn.go
+++ b/internal/peer/srconn/conn.go
@@ -22,12 +22,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	sr "github.com/sassafrasrail/sassafrasrail"
 )
 
 // DialFunc opens a connection; net.Dialer.DialContext is one.
@@ -38,6 +41,18 @@
 	errSealed = errors.New("srconn: connection is sealed")
 	// errStartByPassed is returned by a first write after the time set by SetStartBy.
 	errStartByPassed = errors.New("the time to start has passed")
+	// errUnasked means that bytes came before the request whose answer they would be.
+	errUnasked = fmt.Errorf("%w: it came before the request", sr.ErrMalformed)
+)
+
+// Values of Conn.answer.
+const (
+	// answerBegun: bytes belong to an answer that has begun, or to none.
+	answerBegun = iota
+	// answerExpected: the request of the next answer was not written yet.
+	answerExpected
+	// answerDue: the next bytes begin the answer.
+	answerDue
 )
 
 // Timeouts are the timeouts of each connection.
@@ -61,9 +76,9 @@
 	net.Conn
 	timeouts Timeouts
 
-	// answer is set when the next bytes to read begin an answer, which head checks. Only reads
+	// answer tells whether the next bytes to read begin an answer, which head checks. Only reads
 	// use head.
-	answer atomic.Bool
+	answer atomic.Int32
 	head   Head
 	// malformed is the error of head, for other goroutines than the one that reads.
 	malformed atomic.Pointer[error]
@@ -89,8 +104,14 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.answer.Swap(false) {
-		c.head.Begin()
+	if n > 0 {
+		switch c.answer.Swap(answerBegun) {
+		case answerExpected:
+			c.malformed.Store(&errUnasked)
+			return 0, errUnasked
+		case answerDue:
+			c.head.Begin()
+		}
 	}
 	if sound, malformed := c.head.Add(p[:n]); malformed != nil {
 		c.malformed.Store(&malformed)
@@ -99,8 +120,23 @@
 	return n, err
 }
 
-// expectAnswer expects the answer to the request that is written next.
-func (c *Conn) expectAnswer() { c.answer.Store(true) }
+// expectAnswer expects the answer to the request that is written next. A peer may end a new
+// connection with an answer before it has read a request, but not a reused one.
+func (c *Conn) expectAnswer(reused bool) {
+	if reused {
+		c.answer.Store(answerExpected)
+	} else {
+		c.answer.Store(answerDue)
+	}
+}
+
+// beginAnswer is called when the first byte of the expected answer is parsed, by the goroutine
+// that reads. If no byte was read for it, it came with the answer before.
+func (c *Conn) beginAnswer() {
+	if c.answer.Load() != answerBegun {
+		c.malformed.Store(&errUnasked)
+	}
+}
 
 // malformedErr returns ErrMalformed if the last answer was malformed, nil otherwise.
 func (c *Conn) malformedErr() error {
@@ -115,6 +151,7 @@
 	if err := c.beginWrite(); err != nil {
 		return 0, err
 	}
+	c.answer.CompareAndSwap(answerExpected, answerDue)
 	if err := c.SetWriteDeadline(time.Now().Add(c.timeouts.Write)); err != nil {
 		return 0, err
 	}
--- a/internal/peer/srconn/malformed_test.go
+++ b/internal/peer/srconn/malformed_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -173,3 +175,56 @@
 		})
 	}
 }
+
+// An endpoint sends an answer more than once. A copy that has arrived before the next request is
+// written must not become the answer to it, whoever waits for the connection.
+func TestExtraAnswerIsNotThatOfTheNextRequest(t *testing.T) {
+	const callers, requests = 16, 500
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				b := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					answer := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(r.URL.Path)) + "\r\n\r\n" + r.URL.Path
+					if _, err := io.WriteString(conn, answer+answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	tr := srconn.NewTransport(srconn.Options{})
+	defer tr.CloseIdleConnections()
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			for n := range requests {
+				path := fmt.Sprintf("/%d/%d", i, n)
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+ln.Addr().String()+path, nil)
+				assert.Check(t, err)
+				resp, err := tr.RoundTrip(req)
+				if err != nil {
+					assert.Check(t, errors.Is(err, sr.ErrMalformed), "%v", err)
+					continue
+				}
+				body, err := srconn.ReadBody(resp, 100)
+				assert.Check(t, err)
+				assert.Check(t, string(body) == path, "%s instead of %s", body, path)
+				resp.Body.Close()
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/peer/srconn/transport.go
+++ b/internal/peer/srconn/transport.go
@@ -1,7 +1,6 @@
 package srconn
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -66,20 +65,31 @@
 	}}
 }
 
-// RoundTrip implements http.RoundTripper. It returns ErrMalformed for a malformed head.
+// RoundTrip implements http.RoundTripper. It returns ErrMalformed for a malformed head, and
+// for one that came before the request.
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[Conn]
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		// Precedes the first byte of the request.
-		if c, ok := info.Conn.(*Conn); ok {
-			c.expectAnswer()
-			used.Store(c)
-		}
-	}})
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			// Precedes the first byte of the request.
+			if c, ok := info.Conn.(*Conn); ok {
+				c.expectAnswer(info.Reused)
+				used.Store(c)
+			}
+		},
+		GotFirstResponseByte: func() {
+			if c := used.Load(); c != nil {
+				c.beginAnswer()
+			}
+		},
+	})
 	resp, err := t.Transport.RoundTrip(req.WithContext(ctx))
-	if c := used.Load(); err != nil && c != nil {
+	if c := used.Load(); c != nil && c.malformedErr() != nil {
 		// The parser replaces an error in the middle of a line.
-		err = cmp.Or(c.malformedErr(), err)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return nil, c.malformedErr()
 	}
 	return resp, err
 }
