Resume each stream on a connection of its own

What callers saw: an engine that sent the answer to a resumption once more on its connection, when the next one was expected there, had it passed on as the stream of another caller.

Cause: resumptions used connections again, and the answers of engines do not name their stream.

Evidence: TestCopyOfAnAnswerIsNotThatOfAnotherStream, on the commit before: the second stream has the tokens of the first.

Change: a resumption has a connection of its own, as dispatches and calls have.

Resumptions follow broken connections, so they are rare; what the further connections cost was not measured.

--- a/internal/peer/srendpoint/client.go
+++ b/internal/peer/srendpoint/client.go
@@ -10,7 +10,7 @@
 //		t, err := s.Next(ctx)
 //	}
 //
-// A dispatch is sent on a new connection and never retried. Once Dispatch or Resume
+// A dispatch is sent on a new connection and never retried, and so is a resumption. Once Dispatch or Resume
 // has returned a stream, the end of its context has no effect on the stream; Close
 // ends it.
 package srendpoint
@@ -22,6 +22,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -95,7 +96,10 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, cancel, err := send(ctx, req, c.Repeat.RoundTrip)
+	// A late copy of another stream's answer on a reused connection would not be noticed.
+	resp, cancel, err := send(ctx, req, func(req *http.Request) (*http.Response, error) {
+		return c.Once.Send(req, time.Time{})
+	})
 	if err != nil {
 		return nil, fmt.Errorf("srendpoint: resume at %s: %w: %w", address, err, sr.ErrUnreachable)
 	}
--- a/internal/peer/srendpoint/client_test.go
+++ b/internal/peer/srendpoint/client_test.go
@@ -1,10 +1,12 @@
 package srendpoint_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -373,3 +375,43 @@
 		assert.Assert(t, errors.Is(c.Cancel(t.Context(), unusedAddress, "s"), sr.ErrUnreachable))
 	})
 }
+
+// An engine in trouble sends the answer of an earlier resumption once more, when the next one on
+// the connection is expected. Answers do not name their stream, so nothing else tells them apart.
+func TestCopyOfAnAnswerIsNotThatOfAnotherStream(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				earlier := ""
+				for b := bufio.NewReader(conn); ; {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					body := fmt.Sprintf(`{"seq":1,"text":%q}`+"\n"+`{"seq":2,"end":true}`+"\n", r.URL.Path)
+					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+					_, _ = io.WriteString(conn, earlier+answer)
+					earlier = answer
+				}
+			}()
+		}
+	}()
+	c := srendpoint.New(srendpoint.Options{})
+	defer c.Close()
+	for _, stream := range []string{"a", "b", "c", "d"} {
+		s, err := c.Resume(t.Context(), ln.Addr().String(), stream, 0)
+		assert.NilError(t, err)
+		tokens, err := collect(s)
+		assert.ErrorIs(t, err, io.EOF)
+		assert.DeepEqual(t, texts(tokens), []string{"/v1/streams/" + stream})
+		assert.NilError(t, s.Close())
+	}
+}
