Name the reset that the write of a request has met

What operators saw: of answers with a length or chunks that were reset during an upload, those whose reset the write had met ended with "unexpected EOF" in the logs, and were not counted as reset.

Change: an answer that ends before its end has the error of the write as its cause, if the write has met one, as an answer without a length has. The bytes in errors of malformed heads are in hexadecimal digits, since control bytes and parts of characters cannot be read.

--- a/internal/peer/srconn/head.go
+++ b/internal/peer/srconn/head.go
@@ -132,10 +132,10 @@
 	case h.size == statusSize:
 		h.size++
 		if c != ' ' {
-			return errors.Errorf("byte %q after status %s", c, h.code())
+			return errors.Errorf("byte %#02x after status %s", c, h.code())
 		}
 	case isControl(c):
-		return errors.Errorf("byte %q in the status line", c)
+		return errors.Errorf("byte %#02x in the status line", c)
 	}
 	return nil
 }
@@ -180,7 +180,7 @@
 		return h.checkField()
 	}
 	if !isTokenByte(c) {
-		return errors.Errorf("byte %q in the name of a field", c)
+		return errors.Errorf("byte %#02x in the name of a field", c)
 	}
 	if h.nameLen < nameSize {
 		h.name[h.nameLen] = c
@@ -206,7 +206,7 @@
 // addValue adds a byte of the value of a field.
 func (h *Head) addValue(c byte) error {
 	if isControl(c) {
-		return errors.Errorf("byte %q in the value of a field", c)
+		return errors.Errorf("byte %#02x in the value of a field", c)
 	}
 	if h.bodiless && c >= '1' && c <= '9' && h.isField(headerLength) {
 		return errors.Errorf("length of a body with status %s", h.code())
@@ -226,7 +226,7 @@
 		for _, c := range []byte(name) {
 			// Without a value it was announced and did not come.
 			if !isTokenByte(c) && len(values) > 0 {
-				return fmt.Errorf("%w: byte %q in the name of a field of the trailer", sr.ErrMalformed, c)
+				return fmt.Errorf("%w: byte %#02x in the name of a field of the trailer", sr.ErrMalformed, c)
 			}
 		}
 	}
--- a/internal/peer/srupstream/send.go
+++ b/internal/peer/srupstream/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -26,8 +27,8 @@
 	maxMismatchedBytes = 1 << 20
 )
 
-// ErrReset means that the connection of an answer that ends with it was reset. The answer is not
-// complete.
+// ErrReset means that the connection of an answer was reset before the end of the answer, or given
+// up by the kernel.
 var ErrReset = errors.New("connection was reset")
 
 // Request is an HTTP request to an endpoint.
@@ -86,6 +87,7 @@
 	x.startWrite(r)
 	resp, reply, err := x.receive(r, p.opts.Reply)
 	if err != nil {
+		err = x.resetCause(err)
 		x.abort()
 		if x.nothingSent() {
 			return nil, errors.Wrapf(sr.ErrNotSent, "srupstream: %s: %v", peer.Address, err)
@@ -192,7 +194,7 @@
 func (x *exchange) Read(b []byte) (int, error) {
 	n, err := x.resp.Body.Read(b)
 	if err != io.EOF {
-		return n, x.conn.cause(err)
+		return n, x.resetCause(x.conn.cause(err))
 	}
 	if err := x.checkEnd(); err != nil {
 		x.abort()
@@ -207,14 +209,19 @@
 	if framingOf(x.resp) != FramingClose {
 		return srconn.CheckTrailer(x.resp)
 	}
-	if err := x.writeBroke(); err != nil {
-		return fmt.Errorf("%w while the request was being written: %w", ErrReset, err)
+	return x.writeBroke()
+}
+
+// resetCause returns why an answer broke off: err, or that the write has met a reset.
+func (x *exchange) resetCause(err error) error {
+	if !errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
 	}
-	return nil
+	return cmp.Or(x.writeBroke(), err)
 }
 
-// writeBroke ends the write of the request, and returns the error of the connection that it met,
-// nil for none. The kernel reports a reset once only: the read after a write that met it ends as
+// writeBroke ends the write of the request. It returns ErrReset with the error of the connection
+// that the write met, nil for none. The kernel reports a reset once only: the read after a write that met it ends as
 // if the peer had closed its side. A reset after such a close gives the write EPIPE instead, and
 // the answer before it is whole.
 func (x *exchange) writeBroke() error {
@@ -222,10 +229,10 @@
 	// connection has been closed.
 	_ = x.conn.SetWriteDeadline(past)
 	<-x.writeDone
-	if errors.Is(x.writeErr, os.ErrDeadlineExceeded) || errors.Is(x.writeErr, syscall.EPIPE) {
+	if x.writeErr == nil || errors.Is(x.writeErr, os.ErrDeadlineExceeded) || errors.Is(x.writeErr, syscall.EPIPE) {
 		return nil
 	}
-	return x.writeErr
+	return fmt.Errorf("%w while the request was being written: %w", ErrReset, x.writeErr)
 }
 
 // Close implements io.Closer.
