Count resets of endpoints only

`answer.reset` asked whether an attempt ended with ECONNRESET, which the write to a client can return as well. The connections to endpoints now say themselves that they were reset. Not seen to go wrong: TestClientThatResetsIsNoResetAnswer passes before and after, since the end of the client is noticed first.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -6,7 +6,6 @@
 	"maps"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -198,7 +197,7 @@
 	switch {
 	case errors.Is(err, sr.ErrMalformed):
 		q.stats.count("answer.malformed")
-	case errors.Is(err, srupstream.ErrReset), errors.Is(err, syscall.ECONNRESET):
+	case errors.Is(err, srupstream.ErrReset):
 		q.stats.count("answer.reset")
 	}
 }
--- a/internal/peer/srendpoint/client.go
+++ b/internal/peer/srendpoint/client.go
@@ -10,9 +10,9 @@
 //		t, err := s.Next(ctx)
 //	}
 //
-// A dispatch is sent on a new connection and never retried, and so is a resumption. Once Dispatch or Resume
-// has returned a stream, the end of its context has no effect on the stream; Close
-// ends it.
+// A dispatch is sent on a new connection and never retried, and so is a resumption. Once
+// Dispatch or Resume has returned a stream, the end of its context has no effect on the
+// stream; Close ends it.
 package srendpoint
 
 import (
--- a/internal/peer/srupstream/conn.go
+++ b/internal/peer/srupstream/conn.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
@@ -148,6 +149,8 @@
 	switch {
 	case err == nil, err == io.EOF:
 		return err
+	case errors.Is(c.reset, syscall.ECONNRESET), errors.Is(c.reset, syscall.ETIMEDOUT):
+		return fmt.Errorf("%w: %w", ErrReset, c.reset)
 	case c.reset != nil:
 		return c.reset
 	case c.failed:
--- a/internal/peer/srupstream/send.go
+++ b/internal/peer/srupstream/send.go
@@ -221,9 +221,9 @@
 }
 
 // writeBroke ends the write of the request. It returns ErrReset with the error of the connection
-// that the write met, nil for none. The kernel reports a reset once only: the read after a write that met it ends as
-// if the peer had closed its side. A reset after such a close gives the write EPIPE instead, and
-// the answer before it is whole.
+// that the write met, nil for none. The kernel reports a reset once only: the read after a write
+// that met it ends as if the peer had closed its side. A reset after such a close gives the write
+// EPIPE instead, and the answer before it is whole.
 func (x *exchange) writeBroke() error {
 	// Ends a write that is blocked since the peer does not read. If it cannot be set, the
 	// connection has been closed.
