--- a/internal/peer/srconn/malformed_test.go
+++ b/internal/peer/srconn/malformed_test.go
@@ -20,8 +20,8 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srplatform"
 )
 
-// serveAnswer answers each request with the same bytes and keeps the connection.
-func serveAnswer(t *testing.T, answer string) (address string) {
+// serveAnswers answers each request with what answer returns, and keeps the connection.
+func serveAnswers(t *testing.T, answer func(r *http.Request) string) (address string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { ln.Close() })
@@ -40,7 +40,7 @@
 						return
 					}
 					_, _ = io.Copy(io.Discard, r.Body)
-					if _, err := io.WriteString(conn, answer); err != nil {
+					if _, err := io.WriteString(conn, answer(r)); err != nil {
 						return
 					}
 				}
@@ -50,6 +50,11 @@
 	return ln.Addr().String()
 }
 
+// serveAnswer answers each request with the same bytes.
+func serveAnswer(t *testing.T, answer string) (address string) {
+	return serveAnswers(t, func(*http.Request) string { return answer })
+}
+
 // malformedHeads are heads without their last lines, by what is wrong with them.
 var malformedHeads = map[string]string{
 	"status 000":                   "HTTP/1.1 000 X\r\n",
@@ -180,31 +185,10 @@
 // written must not become the answer to it, whoever waits for the connection.
 func TestExtraAnswerIsNotThatOfTheNextRequest(t *testing.T) {
 	const callers, requests = 16, 500
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer ln.Close()
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				b := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(b)
-					if err != nil {
-						return
-					}
-					answer := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(r.URL.Path)) + "\r\n\r\n" + r.URL.Path
-					if _, err := io.WriteString(conn, answer+answer); err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
+	address := serveAnswers(t, func(r *http.Request) string {
+		answer := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(r.URL.Path)) + "\r\n\r\n" + r.URL.Path
+		return answer + answer
+	})
 	tr := srconn.NewTransport(srconn.Options{})
 	defer tr.CloseIdleConnections()
 	var wg sync.WaitGroup
@@ -212,7 +196,7 @@
 		wg.Go(func() {
 			for n := range requests {
 				path := fmt.Sprintf("/%d/%d", i, n)
-				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+ln.Addr().String()+path, nil)
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+path, nil)
 				assert.Check(t, err)
 				resp, err := tr.RoundTrip(req)
 				if err != nil {
