Count malformed answers to resumptions by receipt

METRICS says that answers.malformed counts resumptions; those of a caller by its receipt were left out. Found in a second reading; there is no test of its own.

--- a/internal/app/srentry/follow.go
+++ b/internal/app/srentry/follow.go
@@ -126,6 +126,7 @@
 	}
 	f.entry.count("resumes.receipt")
 	stream, err := f.entry.deps.Engine.Resume(ctx, endpoint.Address, receipt.Stream, max(f.lastSeq-1, 0))
+	f.entry.countMalformed(err)
 	if errors.Is(err, sr.ErrNoStream) {
 		return nil, unknownStatus(f.ticket), nil
 	}
