Limit the size of errors in the log lines of requests

What operators saw: an endpoint that sent a Content-Length of 60 kB had it quoted whole in a line of the log, of which 2,048 of a class may wait to be written.

Cause: errors quote what endpoints send, and had no limit but that of a header or an event.

Change: an error in such a line has at most 512 bytes.

--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -522,9 +523,14 @@
 	return names[o]
 }
 
+// maxErrorText is the maximum size in bytes of an error in a log line. Errors quote what
+// endpoints send, and many lines may wait to be written.
+const maxErrorText = 512
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
 	}
-	return err.Error()
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxErrorText)], "")
 }
