Suspect parts of prompts wherever they stand and however long their ID is

Cause: bounds by position and length. The first 63 parts of a prompt were reported and checked, IDs of more than 64 bytes were dropped. On the way to others, a record of a large fleet left out a crash whose requests had more than 1,024 parts, and all crashes before it. The older half of the sound answers was forgotten, whether or not they cleared a part.

Change: a request is checked against all its parts. Of a crash, an instance keeps and reports 1,000 parts, by how likely each is the cause when there are more, so that the bound is no longer on where the cause stands; a record has room for one such report. A long ID is known by its beginning and its hash. Parts of headers are copied, since each kept the whole header in memory.

Ruled out: a higher bound by position. max_header_bytes allows some thousand parts, and 64 requests of a crash in each message are too much.

--- a/internal/app/srforward/crash.go
+++ b/internal/app/srforward/crash.go
@@ -139,12 +139,16 @@
 	w.suspects.Sweep(now)
 }
 
-// sharedParts returns the IDs of the parts of the prompt that other requests may share,
-// which are all but the last one.
+// sharedParts returns the IDs, as srsuspect knows them, of the parts of the prompt that other
+// requests may share, which are all but the last one.
 func (q *request) sharedParts() []string {
-	var out []string
-	for i := range min(len(q.inbound.Parts), srsuspect.MaxParts) - 1 {
-		out = append(out, q.inbound.Parts[i].ID)
+	if len(q.inbound.Parts) == 0 {
+		return nil
+	}
+	shared := q.inbound.Parts[:len(q.inbound.Parts)-1]
+	out := make([]string, 0, len(shared)+1)
+	for _, p := range shared {
+		out = append(out, srsuspect.Part(p.ID))
 	}
 	return out
 }
--- a/internal/app/srforward/relay_test.go
+++ b/internal/app/srforward/relay_test.go
@@ -1,6 +1,7 @@
 package srforward
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srsuspect"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srgossip"
 )
 
@@ -152,3 +154,29 @@
 		})
 	}
 }
+
+// The records of a fleet left out a crash whose requests had more parts than a record holds, so
+// that other instances did not learn of it.
+func TestCrashWithLongPromptsIsRelayed(t *testing.T) {
+	now := time.Now()
+	c := sr.Crash{Endpoint: "e"}
+	for i := range 17 {
+		var parts []string
+		for j := range 70 {
+			parts = append(parts, fmt.Sprintf("%d-%d", i, j))
+		}
+		c.Requests = append(c.Requests, append(parts, "deadly", srsuspect.Identity(uint64(i))))
+	}
+	from, to := newLoneInstance(), newLoneInstance()
+	// A part that was at a crash before is a likelier cause than others.
+	from.crashes.addCrash(now, sr.Crash{Endpoint: "d", Age: 10 * time.Second, Requests: [][]string{{"deadly"}}})
+	from.crashes.addCrash(now, c)
+	sender := srgossip.New(srgossip.Options{Self: id("peer"), Domain: "d"})
+	sender.Publish(now, srgossip.Own{State: sr.MemberState{ID: id("peer"), Domain: "d"}, Crashes: from.crashes.report(now)})
+	m := sender.Message(now, "self")
+	_, err := to.Exchange(t.Context(), sr.Gossip{From: id("peer"), Domain: "d", Relays: true, Relay: &m})
+	assert.NilError(t, err)
+	for _, known := range []string{"deadly", srsuspect.Identity(0), srsuspect.Identity(16)} {
+		assert.Assert(t, to.crashes.isInvolved(known), known)
+	}
+}
--- a/internal/policy/srsuspect/replay_test.go
+++ b/internal/policy/srsuspect/replay_test.go
@@ -47,6 +47,8 @@
 	// 0 for none.
 	first  int
 	middle int
+	// shared is the number of further parts that all requests have.
+	shared int
 	// crashing builds the parts of a request that crashes its endpoint from those of a
 	// sound one.
 	crashing func(parts []string) []string
@@ -135,7 +137,7 @@
 			if n < 1 && r.Float64() >= n {
 				break
 			}
-			q := running{instance: r.IntN(l.instances), parts: []string{fmt.Sprint("first", r.IntN(l.first))}}
+			q := running{instance: r.IntN(l.instances), parts: append(ownParts(l.shared, "shared"), fmt.Sprint("first", r.IntN(l.first)))}
 			if l.middle > 0 {
 				q.parts = append(q.parts, fmt.Sprint("middle", r.IntN(l.middle)))
 			}
@@ -182,6 +184,14 @@
 	}
 }
 
+// ownParts returns parts that only prompts with a name have.
+func ownParts(n int, name string) (out []string) {
+	for i := range n {
+		out = append(out, fmt.Sprint(name, "-", i))
+	}
+	return out
+}
+
 func inserted(parts []string) []string { return append(slices.Clone(parts), "bad") }
 
 var small = load{instances: 7, endpoints: 16, gossip: 200 * time.Millisecond, perSecond: 38, crashingShare: 0.05, first: 3, crashing: inserted, duration: 30 * time.Second}
@@ -211,6 +221,17 @@
 				return append(slices.Clone(parts), fmt.Sprint("bad", n%2))
 			}
 		}),
+		"behind more parts than a crash had": small.with(func(l *load) {
+			l.shared = 70
+		}),
+		"among more parts than a crash keeps": small.with(func(l *load) {
+			n := 0
+			l.crashing = func(parts []string) []string {
+				n++
+				own := ownParts(1500, fmt.Sprint(n))
+				return slices.Concat(parts, own[:900], []string{"bad"}, own[900:])
+			}
+		}),
 		"large share":          small.with(func(l *load) { l.crashingShare = 0.3 }),
 		"few requests":         small.with(func(l *load) { l.perSecond, l.crashingShare = 8, 0.1 }),
 		"beside other crashes": small.with(func(l *load) { l.random = 1 }),
--- a/internal/policy/srsuspect/suspects.go
+++ b/internal/policy/srsuspect/suspects.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	s := srsuspect.New(srsuspect.Options{Rank: rank})
-//	parts = append(parts, srsuspect.Identity(hash))
+//	parts = append(parts, srsuspect.Part(id), srsuspect.Identity(hash))
 //	s.AddCrash(now, sr.Crash{Endpoint: id, Born: born, Requests: [][]string{parts}, Ran: ran})
 //	s.AddSound(now, parts)
 //	s.Receive(now, report)
@@ -27,6 +27,8 @@
 //     here; of two that were at the same crashes, the one is likelier that had run shorter.
 //   - Many endpoints crash at once, such as a failure domain without power. Popular parts
 //     are at many of them. Crashes within crashSpacing count as one.
+//   - Prompts with many parts, of which any may be the cause. What a crash keeps and reports is
+//     bounded, so that parts of earlier crashes, and parts without a recent sound answer, go first.
 //   - A part that is suspected wrongly, or sound again. After a time that doubles with each
 //     round, one instance after the other lets a single request through. Its sound answer
 //     clears the part everywhere.
@@ -36,6 +38,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	sr "github.com/sassafrasrail/sassafrasrail"
@@ -52,18 +55,18 @@
 	sameCrash = time.Second
 	// crashRetention is how long a crash counts.
 	crashRetention = time.Minute
-	// maxCrashes limits the crashes that are kept, maxRequests the requests of each.
-	maxCrashes  = 256
-	maxRequests = 64
-	// MaxParts limits the parts of each request, with its identity.
-	MaxParts = 64
-	// maxPartID is the longest ID of a part that is kept, in bytes.
-	maxPartID = 64
+	// maxCrashes limits the crashes that are kept, maxRequests the requests of each, and
+	// maxCrashParts the parts of these together.
+	maxCrashes    = 256
+	maxRequests   = 64
+	maxCrashParts = 4096
 	// reportPeriod is for how long crashes and sound parts are reported to the other
 	// instances, so that some lost messages do no harm.
 	reportPeriod = 6 * time.Second
-	// maxReported limits the crashes and the sound parts of one report.
-	maxReported = 32
+	// maxReported limits the crashes and the sound parts of one report, maxReportedParts the
+	// parts of the requests of one crash, so that a record of srgossip has room for one.
+	maxReported      = 32
+	maxReportedParts = 1000
 	// maxSound limits the parts whose last sound answer is remembered.
 	maxSound = 4096
 	// soundRetention is how long a sound answer is remembered.
@@ -113,21 +116,13 @@
 	endpoint string
 	born     int64
 	at       time.Time
-	requests []crashed
+	requests requestList
 	// own holds the requests of this instance, which are reported.
-	own []crashed
+	own requestList
 	// parts holds the parts of all requests.
 	parts map[string]bool
 }
 
-// crashed is a request that a crash ended.
-type crashed struct {
-	parts []string
-	// ran is the time from sending the request to the crash, of several with the same
-	// parts the shortest.
-	ran time.Duration
-}
-
 // suspect is a suspected part.
 type suspect struct {
 	// last is the time of the last crash attributed to the part.
@@ -173,8 +168,8 @@
 
 func (s *Suspects) addCrash(now time.Time, c sr.Crash, own bool) (changed bool) {
 	k := s.crashOf(c.Endpoint, c.Born, now.Add(-c.Age))
-	for i, parts := range c.Requests {
-		r := crashed{parts: limitParts(parts)}
+	for i, parts := range s.limitParts(c) {
+		r := crashed{parts: parts}
 		if len(r.parts) == 0 {
 			continue
 		}
@@ -182,15 +177,11 @@
 			r.ran = c.Ran[i]
 		}
 		if own {
-			k.own, _ = addRequest(k.own, r)
-		}
-		var added bool
-		k.requests, added = addRequest(k.requests, r)
-		if !added {
-			continue
+			k.own.add(r, maxReportedParts)
 		}
-		changed = true
-		for _, p := range r.parts {
+		added := k.requests.add(r, maxCrashParts)
+		changed = changed || len(added) > 0
+		for _, p := range added {
 			if !k.parts[p] {
 				k.parts[p] = true
 				s.involved[p]++
@@ -200,20 +191,6 @@
 	return changed
 }
 
-// addRequest adds a request to those of a crash. One with the same parts adds nothing but
-// its time, since parts are counted once for each crash.
-func addRequest(list []crashed, r crashed) (_ []crashed, added bool) {
-	i := slices.IndexFunc(list, func(o crashed) bool { return slices.Equal(o.parts, r.parts) })
-	switch {
-	case i >= 0:
-		list[i].ran = min(list[i].ran, r.ran)
-		return list, false
-	case len(list) >= maxRequests:
-		return list, false
-	}
-	return append(list, r), true
-}
-
 // crashOf returns the crash of an endpoint at a time, which it adds if necessary.
 func (s *Suspects) crashOf(endpoint string, born int64, at time.Time) *crash {
 	for _, k := range s.crashes {
@@ -250,21 +227,10 @@
 	})
 }
 
-// limitParts returns the parts that are kept.
-func limitParts(parts []string) []string {
-	var out []string
-	for _, p := range parts {
-		if len(p) <= maxPartID && len(out) < MaxParts {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
 // AddSound records that the answer to a request with these parts went on soundly.
 func (s *Suspects) AddSound(now time.Time, parts []string) []Change {
 	var out []Change
-	for _, p := range limitParts(parts) {
+	for _, p := range parts {
 		_, suspect := s.suspects[p]
 		known := suspect || s.involved[p] > 0
 		// Few requests come again, so the others need not be remembered.
@@ -288,7 +254,8 @@
 		}
 	}
 	if at.After(s.sound[part]) {
-		s.sound[part] = at
+		// A part of a header would keep all of it.
+		s.sound[strings.Clone(part)] = at
 	}
 	k, ok := s.suspects[part]
 	if !ok || !at.After(k.last) || k.crashes == 0 {
@@ -298,11 +265,15 @@
 	return Change{Part: part, Reported: reported}, true
 }
 
-// forgetSound drops the older half of the remembered sound parts.
+// forgetSound drops half of the remembered sound parts: those that are at no kept crash first,
+// and of these the ones whose answer is longest ago.
 func (s *Suspects) forgetSound() {
-	times := slices.SortedFunc(maps.Values(s.sound), time.Time.Compare)
-	middle := times[len(times)/2]
-	maps.DeleteFunc(s.sound, func(_ string, at time.Time) bool { return !at.After(middle) })
+	parts := slices.SortedFunc(maps.Keys(s.sound), func(a, b string) int {
+		return cmp.Or(cmp.Compare(min(s.involved[a], 1), min(s.involved[b], 1)), s.sound[a].Compare(s.sound[b]))
+	})
+	for _, p := range parts[:(len(parts)+1)/2] {
+		delete(s.sound, p)
+	}
 }
 
 // suspected reports whether a part is suspected now, whether or not a trial is due.
@@ -460,7 +431,7 @@
 
 // collect adds a crash to the candidates that were at it.
 func (s *Suspects) collect(c *crash, candidates map[string]*candidate) {
-	for _, r := range c.requests {
+	for _, r := range c.requests.list {
 		for depth, p := range r.parts {
 			if s.involved[p] < minCrashes || !c.at.After(s.sound[p]) {
 				continue
@@ -592,9 +563,9 @@
 func (s *Suspects) Report(now time.Time) sr.CrashReport {
 	var out sr.CrashReport
 	for _, c := range s.crashes {
-		if len(c.own) > 0 && now.Sub(c.at) <= reportPeriod {
+		if len(c.own.list) > 0 && now.Sub(c.at) <= reportPeriod {
 			k := sr.Crash{Endpoint: c.endpoint, Born: c.born, Age: now.Sub(c.at)}
-			for _, r := range c.own {
+			for _, r := range c.own.list {
 				k.Requests, k.Ran = append(k.Requests, r.parts), append(k.Ran, r.ran)
 			}
 			out.Crashes = append(out.Crashes, k)
@@ -627,7 +598,7 @@
 		}
 	}
 	for _, p := range r.Sound {
-		if len(p.ID) > maxPartID {
+		if len(p.ID) > maxKey {
 			continue
 		}
 		if change, ok := s.addSound(now.Add(-p.Age), p.ID, true); ok {
@@ -648,7 +619,7 @@
 // in which its crashes count. This instance then relies on its own view of the crashes.
 func (s *Suspects) receiveSuspect(now time.Time, p sr.SuspectPart) (Change, bool) {
 	last := now.Add(-p.Age)
-	if len(p.ID) > maxPartID || p.Crashes <= 0 || last.Sub(s.sound[p.ID]) < crashRetention {
+	if len(p.ID) > maxKey || p.Crashes <= 0 || last.Sub(s.sound[p.ID]) < crashRetention {
 		return Change{}, false
 	}
 	k, ok := s.suspects[p.ID]
