--- a/internal/app/srforward/quota_test.go
+++ b/internal/app/srforward/quota_test.go
@@ -43,44 +43,46 @@
 	for name, c := range disruptions {
 		// An instance of a large fleet learns from a few others what all spend.
 		for _, size := range []int{7, 40} {
-			t.Run(fmt.Sprint(name, " of ", size), func(t *testing.T) {
-				callsATick := max(56/size, 2)
-				synctest.Test(t, func(t *testing.T) {
-					settings := restoreSettings
-					settings.QuotaWindow = window
-					f := newTestFleet(t, size, settings)
-					e := testRouting(1, 3)
-					e.Routing.Workspaces = map[string]sr.RoutedWorkspace{"w": {Name: "w", Allowance: sr.Quota{Rate: rate, Burst: rate}}}
-					f.put(e)
-					f.run(t)
-					time.Sleep(3 * time.Second)
-					for i, address := range f.addresses()[:min(size, disrupted)] {
-						time.AfterFunc(time.Duration(i+1)*c.gap, func() { c.disrupt(t.Context(), f, address) })
-					}
-					var granted [window / tick]float64
-					sum, peak := 0.0, 0.0
-					for i := range 20 * time.Second / tick {
-						now := 0.0
-						for _, address := range f.addresses() {
-							n := f.instance(address)
-							if !n.hasJoined() || n.refusing.Load() {
-								continue
-							}
-							for range callsATick {
-								if ok, _, _ := n.limits.acquire(time.Now(), "w", cost, 0); ok {
-									now += cost
+			for _, demand := range []int{1, 4} {
+				t.Run(fmt.Sprint(name, " of ", size, choose(demand > 1, " with more demand", "")), func(t *testing.T) {
+					callsATick := demand * max(56/size, 2)
+					synctest.Test(t, func(t *testing.T) {
+						settings := restoreSettings
+						settings.QuotaWindow = window
+						f := newTestFleet(t, size, settings)
+						e := testRouting(1, 3)
+						e.Routing.Workspaces = map[string]sr.RoutedWorkspace{"w": {Name: "w", Allowance: sr.Quota{Rate: rate, Burst: rate}}}
+						f.put(e)
+						f.run(t)
+						time.Sleep(3 * time.Second)
+						for i, address := range f.addresses()[:min(size, disrupted)] {
+							time.AfterFunc(time.Duration(i+1)*c.gap, func() { c.disrupt(t.Context(), f, address) })
+						}
+						var granted [window / tick]float64
+						sum, peak := 0.0, 0.0
+						for i := range 20 * time.Second / tick {
+							now := 0.0
+							for _, address := range f.addresses() {
+								n := f.instance(address)
+								if !n.hasJoined() || n.refusing.Load() {
+									continue
+								}
+								for range callsATick {
+									if ok, _, _ := n.limits.acquire(time.Now(), "w", cost, 0); ok {
+										now += cost
+									}
 								}
 							}
+							sum += now - granted[i%(window/tick)]
+							granted[i%(window/tick)] = now
+							peak = max(peak, sum)
+							time.Sleep(tick)
 						}
-						sum += now - granted[i%(window/tick)]
-						granted[i%(window/tick)] = now
-						peak = max(peak, sum)
-						time.Sleep(tick)
-					}
-					assert.Assert(t, peak <= allowed, "%.0f in a window, allowed %.0f", peak, allowed)
-					assert.Assert(t, sum >= rate*8)
+						assert.Assert(t, peak <= allowed, "%.0f in a window, allowed %.0f", peak, allowed)
+						assert.Assert(t, sum >= rate*8)
+					})
 				})
-			})
+			}
 		}
 	}
 }
--- a/internal/policy/srshare/bucket_test.go
+++ b/internal/policy/srshare/bucket_test.go
@@ -238,6 +238,36 @@
 	assert.Assert(t, f.peak() <= limit()+largeSlack, "%v in a window, allowed %v", f.peak(), limit()+largeSlack)
 }
 
+// TestSurgeAfterIdleTimeStaysWithinTheLimit: callers of a workspace that has spent nothing ask all
+// instances for 30 times the limit, and the totals arrive together. Each instance took itself for
+// the only one that is asked.
+func TestSurgeAfterIdleTimeStaysWithinTheLimit(t *testing.T) {
+	f := newLargeFleet()
+	const cost = 4.0
+	calls := int(30 * rate * tick.Seconds() / large / cost)
+	// Nobody asks for as many intervals as it takes to fill the buckets.
+	const idle, busy = 10 * largeInterval / tick, 15 * largeInterval / tick
+	for i := range idle + busy {
+		f.now = f.now.Add(tick)
+		for _, b := range f.buckets {
+			b.Level(f.now)
+			for range calls {
+				if i < idle {
+					break
+				}
+				if ok, _ := b.Spend(f.now, cost, 0); ok {
+					f.granted = append(f.granted, grant{f.now, cost})
+				}
+			}
+		}
+		if (i+1)%(largeInterval/tick) == 0 {
+			f.exchange(all)
+		}
+	}
+	assert.Assert(t, f.peak() <= limit()+largeSlack, "%v in a window, allowed %v", f.peak(), limit()+largeSlack)
+	assert.Assert(t, f.total() >= 0.95*rate*10, "%v granted", f.total())
+}
+
 // TestWorkspaceWithinItsLimitIsServedByALargeFleet: a workspace asks 69 instances for 0.75 of
 // its limit in the mean, at random times and in costs of which the largest is a fifth of the
 // burst. Clients keep their connections, so half of the requests reach a tenth of the instances.
