Write log lines of different classes in the order in which they were logged

Operators saw the lines of a request in an order in which they did not happen: "broken-off" before "sent".

Cause: each class had a queue, and the writer took from any of them, then from one after the other.

Evidence: TestLinesAreWrittenInTheOrderOfLogging failed before.

Change: one queue, with a bound on the lines of each class in it, so that lines of one class still never displace those of another. When the output is blocked at the end, lines about state no longer come first.

--- a/internal/app/srlog/log.go
+++ b/internal/app/srlog/log.go
@@ -9,7 +9,8 @@
 //	l.Failed("refused", srlog.Request, id, srlog.Reason, "full")
 //	l.Served("ended", srlog.Request, id, srlog.Status, 200)
 //
-// Each class of lines has a queue of fixed size and a limit per second. Lines
+// Lines are written in the order in which they were logged. Each class has a fixed
+// number of lines that may wait for the output, and a limit per second. Lines
 // beyond either are dropped and counted, and the count is logged once a second.
 // Lines about state and about failed requests are classes of their own, so served
 // requests never displace them.
@@ -64,8 +65,11 @@
 
 // Log writes log lines. It is safe for concurrent use.
 type Log struct {
-	opts     Options
-	queues   [classCount]chan []byte
+	opts Options
+	// queue holds the lines of all classes in the order in which they were logged, waiting the
+	// number of those of each class.
+	queue    chan line
+	waiting  [classCount]atomic.Int64
 	loggers  [classCount]logr.Logger
 	limiters [classCount]limiter
 	dropped  [classCount]atomic.Int64
@@ -76,10 +80,9 @@
 
 // New returns a Log that writes to out in a separate goroutine.
 func New(out io.Writer, o Options) *Log {
-	l := &Log{opts: o, stop: make(chan struct{}), done: make(chan struct{})}
+	l := &Log{opts: o, queue: make(chan line, classCount*queueCapacity), stop: make(chan struct{}), done: make(chan struct{})}
 	l.limiters = [classCount]limiter{{limit: maxStateLines}, {limit: maxFailedLines}, {limit: maxServedLines}}
 	for c := range classCount {
-		l.queues[c] = make(chan []byte, queueCapacity)
 		core := zapcore.NewCore(encoder(), queueWriter{log: l, class: c}, zap.InfoLevel)
 		l.loggers[c] = zapr.NewLogger(zap.New(core)).WithValues(Instance, o.Name)
 	}
--- a/internal/app/srlog/log_test.go
+++ b/internal/app/srlog/log_test.go
@@ -70,3 +70,27 @@
 	l.Close()
 	assert.Equal(t, strings.Count(out.String(), "\n"), 1)
 }
+
+// Lines of different classes about one request were written in an order that did not show what
+// happened first.
+func TestLinesAreWrittenInTheOrderOfLogging(t *testing.T) {
+	out := &blockedWriter{open: make(chan struct{})}
+	l := srlog.New(out, srlog.Options{Name: "entry-1"})
+	var want []string
+	for i := range 50 {
+		id := fmt.Sprint(i)
+		l.Served("sent", srlog.Request, id)
+		l.Failed("broken-off", srlog.Request, id)
+		l.State("endpoint", srlog.Endpoint, id)
+		want = append(want, "sent", "broken-off", "endpoint")
+	}
+	close(out.open)
+	l.Close()
+	var got []string
+	for text := range strings.Lines(out.text()) {
+		var m map[string]any
+		assert.NilError(t, json.Unmarshal([]byte(text), &m))
+		got = append(got, m["event"].(string))
+	}
+	assert.DeepEqual(t, got, want)
+}
--- a/internal/app/srlog/queue.go
+++ b/internal/app/srlog/queue.go
@@ -7,7 +7,13 @@
 	"time"
 )
 
-// queueWriter appends lines to the queue of their class, or drops them if it is full.
+// line is a log line that waits for the output.
+type line struct {
+	class class
+	text  []byte
+}
+
+// queueWriter appends lines of a class to the queue, or drops them if too many of it wait.
 type queueWriter struct {
 	log   *Log
 	class class
@@ -15,11 +21,13 @@
 
 // Write implements zapcore.WriteSyncer.
 func (w queueWriter) Write(p []byte) (int, error) {
-	select {
-	case w.log.queues[w.class] <- slices.Clone(p):
-	default:
+	if w.log.waiting[w.class].Add(1) > queueCapacity {
+		w.log.waiting[w.class].Add(-1)
 		w.log.dropped[w.class].Add(1)
+		return len(p), nil
 	}
+	// There is room for the lines of all classes.
+	w.log.queue <- line{class: w.class, text: slices.Clone(p)}
 	return len(p), nil
 }
 
@@ -36,12 +44,8 @@
 	var reported [classCount]int64
 	for {
 		select {
-		case line := <-l.queues[classState]:
-			_, _ = b.Write(line)
-		case line := <-l.queues[classFailed]:
-			_, _ = b.Write(line)
-		case line := <-l.queues[classServed]:
-			_, _ = b.Write(line)
+		case n := <-l.queue:
+			l.copyLine(b, n)
 		case <-ticker.C:
 			l.report(&reported)
 		case <-l.stop:
@@ -54,13 +58,16 @@
 	}
 }
 
-// drain copies the lines that are queued now, those about state first and those
-// about served requests last.
+// copyLine copies a line that was taken from the queue.
+func (l *Log) copyLine(b *bufio.Writer, n line) {
+	l.waiting[n.class].Add(-1)
+	_, _ = b.Write(n.text)
+}
+
+// drain copies the lines that are queued now.
 func (l *Log) drain(b *bufio.Writer) {
-	for c := range classCount {
-		for n := len(l.queues[c]); n > 0; n-- {
-			_, _ = b.Write(<-l.queues[c])
-		}
+	for n := len(l.queue); n > 0; n-- {
+		l.copyLine(b, <-l.queue)
 	}
 }
 
