Leave reports of crashes as they are when they are within the bound

Each report of a crash was copied on arrival, several times a second from each instance, though only long ones are cut.

--- a/internal/policy/srsuspect/requests.go
+++ b/internal/policy/srsuspect/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -50,21 +49,29 @@
 // limitParts returns the parts of the requests of a crash, maxReportedParts at most. If there are
 // more, it keeps those that are the likeliest causes.
 func (s *Suspects) limitParts(c sr.Crash) [][]string {
-	total, count := 0, make(map[string]int)
+	total, short := 0, true
+	for _, r := range c.Requests {
+		total += len(r)
+		short = short && !slices.ContainsFunc(r, isLong)
+	}
+	if total <= maxReportedParts && short {
+		return c.Requests
+	}
+	count := make(map[string]int)
 	for _, r := range c.Requests {
 		for _, p := range r {
-			total, count[p] = total+1, count[p]+1
+			if !isLong(p) {
+				count[p]++
+			}
 		}
 	}
-	maps.DeleteFunc(count, func(p string, _ int) bool { return len(p) > maxKey })
-	if total > maxReportedParts {
-		left := maxReportedParts
-		for _, p := range s.byLikelihood(count, c) {
-			if left -= count[p]; left < 0 {
-				left += count[p]
-				delete(count, p)
-			}
+	left := maxReportedParts
+	for _, p := range s.byLikelihood(count, c) {
+		if left < count[p] {
+			delete(count, p)
+			continue
 		}
+		left -= count[p]
 	}
 	out := make([][]string, len(c.Requests))
 	for i, r := range c.Requests {
@@ -73,6 +80,9 @@
 	return out
 }
 
+// isLong reports whether another instance sent an ID that is longer than those of Part.
+func isLong(p string) bool { return len(p) > maxKey }
+
 // byLikelihood sorts parts by how likely they cause a crash: identities and suspected parts first,
 // then those at more crashes since their last sound answer, then those whose sound answer is
 // longer ago. The order of the rest differs between crashes, so that none is left out of all.
