--- a/internal/policy/srshare/bucket.go
+++ b/internal/policy/srshare/bucket.go
@@ -31,12 +31,8 @@
 //
 // A bucket starts half full, and each instance may spend an equal part of that, so a fleet
 // that is killed and restarted stays within the limit together with what it spent before.
-// An instance whose next total is late is assumed to spend its equal share until it arrives, which
-// keeps the sum within the limit on both sides of a network partition.
-//
-// Load pattern: callers of a workspace that nobody has used for a time come to all instances at
-// once. Each one knows of its own requests first, and would take itself for the only one that is
-// asked. Here what it has spent counts towards its share as late as the totals of the others.
+// An instance whose totals stop arriving is assumed to spend its equal share until they
+// arrive again, which keeps the sum within the limit on both sides of a network partition.
 package srshare
 
 import (
@@ -62,11 +58,8 @@
 	// follows what it has spent lately.
 	equalWeight = 0.5
 	// maxSavedParts is the number of intervals for which an instance keeps what it has not
-	// spent of its share of the level. Requests come in clumps, and one may cost more than a part.
-	maxSavedParts = 6
-	// settleParts is the number of parts of an interval in which an instance adds up what it
-	// spends. Each sum counts towards its share when an interval has passed since its beginning.
-	settleParts = 4
+	// spent of its part. Requests come in clumps, and one may cost more than a part.
+	maxSavedParts = 4
 	// intervalsOfSilence is the number of intervals without a total after which an instance
 	// counts as silent.
 	intervalsOfSilence = 3
@@ -87,14 +80,9 @@
 	// part is what this instance may spend before the totals of the others arrive. It can be
 	// negative, since a request may cost more.
 	part float64
-	// ownRecent and fleetRecent are what this instance and all instances have spent lately, both
-	// as of the totals of the others.
+	// ownRecent and fleetRecent are what this instance and all instances have spent lately.
 	ownRecent, fleetRecent float64
 	recentDecay            srdecay.Decay
-	// unsettled is what this instance has spent since settledAt, and in the parts of an interval
-	// before: the others may have spent as much meanwhile, which their totals do not show yet.
-	unsettled [settleParts]float64
-	settledAt time.Time
 	// meanCost is the moving average of the cost of the requests.
 	meanCost float64
 	// peers holds the other instances by address. counted is the number of those with
@@ -103,7 +91,8 @@
 	counted int
 	// fleetSize is the number of instances, including this one.
 	fleetSize int
-	// silence is the time without an update after which an instance counts as silent.
+	// silence is the time without an update after which an instance is assumed to spend
+	// its share.
 	silence time.Duration
 }
 
@@ -124,7 +113,7 @@
 // New returns a half full Bucket for a fleet of that many instances, including this one.
 // silence is the time without an update after which an instance counts as silent.
 func New(l Limit, fleetSize int, silence time.Duration, now time.Time) *Bucket {
-	b := &Bucket{limit: l, level: l.Burst * initialFill, refilledAt: now, settledAt: now, peers: make(map[string]*peer), fleetSize: max(fleetSize, 1), silence: silence}
+	b := &Bucket{limit: l, level: l.Burst * initialFill, refilledAt: now, peers: make(map[string]*peer), fleetSize: max(fleetSize, 1), silence: silence}
 	b.part = b.level * b.share()
 	return b
 }
@@ -188,31 +177,16 @@
 	b.level -= cost
 	b.part -= cost
 	b.spent += cost
-	b.unsettled[0] += cost
+	b.addRecent(now, cost)
+	b.ownRecent += cost
 	return true, wait
 }
 
-// addRecent adds to what this instance and all others have spent lately.
-func (b *Bucket) addRecent(now time.Time, own, others float64) {
+// addRecent adds to what all instances have spent lately.
+func (b *Bucket) addRecent(now time.Time, cost float64) {
 	factor := b.recentDecay.Factor(now, recentTimeConstant)
-	b.ownRecent = b.ownRecent*factor + own
-	b.fleetRecent = b.fleetRecent*factor + own + others
-}
-
-// settle adds what this instance has spent to what it has spent lately once the totals of the
-// others show what they have spent in the same time.
-func (b *Bucket) settle(now time.Time) {
-	part := b.interval() / settleParts
-	for range b.unsettled {
-		if now.Sub(b.settledAt) < part {
-			return
-		}
-		b.settledAt = b.settledAt.Add(part)
-		b.addRecent(now, b.unsettled[settleParts-1], 0)
-		copy(b.unsettled[1:], b.unsettled[:settleParts-1])
-		b.unsettled[0] = 0
-	}
-	b.settledAt = now
+	b.ownRecent *= factor
+	b.fleetRecent = b.fleetRecent*factor + cost
 }
 
 // share returns the fraction of the limit that this instance spends before the totals of the
@@ -237,12 +211,6 @@
 	return b.share() * (max(b.level, 0) + b.overdraft())
 }
 
-// maxPart returns the most that this instance may spend at once. Nothing of the overdraft is kept:
-// all instances would spend it together once the level is positive again.
-func (b *Bucket) maxPart() float64 {
-	return b.share() * (maxSavedParts*max(b.level, 0) + b.overdraft())
-}
-
 // overdraft returns what all instances together may spend beyond the level in one interval.
 // With it the parts of an interval are as much as the limit allows in it while the level is
 // positive, and at most half of the burst.
@@ -303,9 +271,10 @@
 func (b *Bucket) Refund(now time.Time, cost float64) {
 	b.refill(now)
 	b.level = min(b.level+cost, b.limit.Burst)
-	b.part = min(b.part+cost, b.maxPart())
+	b.part = min(b.part+cost, maxSavedParts*b.intervalPart())
 	b.spent -= cost
-	b.unsettled[0] -= cost
+	b.addRecent(now, -cost)
+	b.ownRecent -= cost
 }
 
 // ReceiveTotal receives the total that another instance has spent since its start. A
@@ -320,18 +289,20 @@
 		b.peers[from.Address] = p
 		if total <= b.startingTotal() {
 			b.level -= total
-			b.addRecent(now, 0, total)
+			b.addRecent(now, total)
 			b.count(p)
 		}
 		return
 	case p.incarnation != from.Incarnation:
-		p.incarnation, p.total, p.assumedSpent, p.final = from.Incarnation, 0, 0, false
+		p.incarnation, p.total, p.final = from.Incarnation, 0, false
 	case p.final:
 		return
 	}
 	delta := total - p.total
-	b.addRecent(now, 0, delta)
-	b.level = min(b.level+p.assumedSpent-delta, b.limit.Burst)
+	b.addRecent(now, delta)
+	if delta > p.assumedSpent {
+		b.level -= delta - p.assumedSpent
+	}
 	p.total, p.receivedAt, p.assumedSpent = total, now, 0
 	b.count(p)
 }
@@ -395,16 +366,16 @@
 	for _, p := range b.peers {
 		switch {
 		case p.final:
-		case now.Sub(p.receivedAt) > b.interval():
+		case now.Sub(p.receivedAt) > b.silence:
 			p.assumedSpent += share
 		default:
 			reporting++
 		}
 	}
 	b.refilledAt = now
-	b.settle(now)
 	b.level = min(b.level+b.rateOf(reporting)*elapsed, b.limit.Burst)
-	b.part = min(b.part+b.intervalPart()*elapsed/b.interval().Seconds(), b.maxPart())
+	part := b.intervalPart()
+	b.part = min(b.part+part*elapsed/b.interval().Seconds(), maxSavedParts*part)
 }
 
 // rate returns the rate per second that is left when silent instances spend their shares.
@@ -412,7 +383,7 @@
 func (b *Bucket) rate(now time.Time) float64 {
 	reporting := 1
 	for _, p := range b.peers {
-		if !p.final && now.Sub(p.receivedAt) <= b.interval() {
+		if !p.final && now.Sub(p.receivedAt) <= b.silence {
 			reporting++
 		}
 	}
