--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x review/rig3/bin/rig3 ] && [ -x target/sassafrasrail ] || exit 2
+timeout 110 review/rig3/bin/rig3 case again review/15
+case $? in
+0) exit 0 ;;
+1) exit 1 ;;
+esac
+exit 2
