--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -46,6 +46,8 @@
 	desk    = "desk"
 	writers = "writers"
 	timeout = 2 * time.Second
+	// tagTimeout is the time limit of a tag.
+	tagTimeout = 2500 * time.Millisecond
 )
 
 // coldPerS is how many requests a second a cold runner of the writers tolerates.
@@ -61,7 +63,7 @@
 
 var zones = []string{"oost-a", "oost-b", "oost-c"}
 
-// config is a configuration with two services and three routes.
+// config is a configuration with two services and two routes.
 func config() m {
 	route := func(name, prefix, kind, service string, attempts, timeoutMs, targetMs int, public bool) m {
 		return m{
@@ -72,13 +74,12 @@
 	return m{
 		"version": 7,
 		"routes": []m{
-			route("r-look", "/look/", "idempotent", desk, 2, 2000, 300, true),
 			route("r-book", "/book/", "non_idempotent", desk, 1, 2000, 300, true),
 			route("r-write", "/write/", "streaming", writers, 1, 12000, 500, false),
 		},
 		"services": []m{
 			{"name": desk, "health_path": "/health", "max_conns": 100, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0},
-			{"name": writers, "health_path": "/health", "max_conns": 360, "protocol": "h1", "tls": false, "cold_start_s": 3.0, "cold_per_s": coldPerS},
+			{"name": writers, "health_path": "/health", "max_conns": 360, "protocol": "h1", "tls": false, "cold_start_s": 3.0, "cold_per_s": coldPerS, "engine": m{"slots": 13}},
 		},
 		"limits":  m{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []m{{"name": "plant", "api_keys": []string{key}, "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": 367904, "burst": 367904}},
@@ -121,6 +122,23 @@
 	return f.r.startRunner(id, append(all, args...)...)
 }
 
+// busiest returns the place of the runner that most requests have reached so far.
+func (f *fleet) busiest() int {
+	f.r.mu.Lock()
+	defer f.r.mu.Unlock()
+	count := map[string]int{}
+	for _, a := range f.r.arrivals {
+		count[a.Runner]++
+	}
+	most := 0
+	for i, id := range f.ids {
+		if count[id] > count[f.ids[most]] {
+			most = i
+		}
+	}
+	return most
+}
+
 // caseRefused: a runner fails a part of its requests with 503 after it has run them, and does not
 // state that it has not run them.
 func caseRefused(r *rig, trouble bool) (bool, error) {
@@ -129,11 +147,12 @@
 		return false, err
 	}
 	stop := make(chan struct{})
-	r.load(stop, 30, http.MethodPost, "/book/1", func() string { return "booking " + newID() }, nil, timeout)
+	r.load(stop, 27, http.MethodPost, "/book/1", func() string { return "booking " + newID() }, nil, timeout)
 	time.Sleep(2 * time.Second)
 	if trouble {
-		r.rec.add("case", "%s fails 0.4 of its requests from now on", f.ids[0])
-		if err := r.order(f.address[0], "/stand-in/fail?share=0.4&status=503"); err != nil {
+		i := f.busiest()
+		r.rec.add("case", "%s fails 0.4 of its requests from now on", f.ids[i])
+		if err := r.order(f.address[i], "/stand-in/fail?share=0.4&status=503"); err != nil {
 			return false, err
 		}
 	}
@@ -163,22 +182,23 @@
 // entry under its id in which fields are missing.
 func caseIncomplete(r *rig, trouble bool) (bool, error) {
 	const drain = 2 * time.Second
-	f, err := r.startFleet(desk, 7, "-work", "60ms")
+	f, err := r.startFleet(writers, 7, "-work", "20ms", "-slots", "13")
 	if err != nil {
 		return false, err
 	}
-	leaver := f.ids[0]
 	stop := make(chan struct{})
-	r.load(stop, 100, http.MethodGet, "/look/1", nil, nil, timeout)
+	r.load(stop, 60, http.MethodPost, "/write/tag", func() string { return "a lot " + newID() }, prompt, tagTimeout)
 	time.Sleep(5 * time.Second)
+	i := f.busiest()
+	leaver := f.ids[i]
 	r.rec.add("case", "%s leaves: its entry is removed, and it goes on serving", leaver)
-	if err := r.order(f.address[0], "/stand-in/leave"); err != nil {
+	if err := r.order(f.address[i], "/stand-in/leave"); err != nil {
 		return false, err
 	}
 	left := time.Now()
 	time.Sleep(4 * time.Second)
 	if trouble {
-		r.store.put("servers/"+leaver, m{"service": desk, "address": f.address[0], "zone": zones[0], "state": "ready"})
+		r.store.put("servers/"+leaver, m{"service": writers, "address": f.address[i], "zone": zones[i%len(zones)], "state": "ready"})
 	}
 	time.Sleep(3 * time.Second)
 	close(stop)
@@ -230,15 +250,16 @@
 		return false, err
 	}
 	stop := make(chan struct{})
-	r.load(stop, 130, http.MethodPost, "/write/tag", func() string { return "a lot " + newID() }, prompt, 2500*time.Millisecond)
+	r.load(stop, 100, http.MethodPost, "/write/tag", func() string { return "a lot " + newID() }, prompt, tagTimeout)
 	time.Sleep(4 * time.Second)
-	started, err := f.reborn(0, trouble, "-cold-for", coldFor.String())
+	place := f.busiest()
+	started, err := f.reborn(place, trouble, "-cold-for", coldFor.String())
 	if err != nil {
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
 	if trouble {
-		f.heal(0)
+		f.heal(place)
 	}
 	time.Sleep(2 * time.Second)
 	close(stop)
@@ -249,7 +270,7 @@
 	var list []pass
 	for _, a := range r.arrivals {
 		at, q := time.Unix(0, a.At), r.requests[a.Request]
-		if a.Runner == f.ids[0] && a.What != "421" && q != nil && at.After(started) && at.Sub(started) < coldFor {
+		if a.Runner == f.ids[place] && a.What != "421" && q != nil && at.After(started) && at.Sub(started) < coldFor {
 			list = append(list, pass{q.sent, at})
 		}
 	}
@@ -263,7 +284,7 @@
 		}
 		most = max(most, n)
 	}
-	r.rec.add("check", "requests that were sent and reached the cold runner %s in one second: %d (at most %.1f)", f.ids[0], most, coldPerS*coldOver+coldSlack)
+	r.rec.add("check", "requests that were sent and reached the cold runner %s in one second: %d (at most %.1f)", f.ids[place], most, coldPerS*coldOver+coldSlack)
 	return float64(most) > coldPerS*coldOver+coldSlack, nil
 }
 
@@ -271,26 +292,27 @@
 // it turns requests away with Retry-After. Then the cut heals.
 func casePause(r *rig, trouble bool) (bool, error) {
 	const retryAfter, turnsAway = 10 * time.Second, 2500 * time.Millisecond
-	f, err := r.startFleet(desk, 5, "-work", "60ms")
+	f, err := r.startFleet(writers, 5, "-work", "20ms", "-slots", "13")
 	if err != nil {
 		return false, err
 	}
 	stop := make(chan struct{})
-	r.load(stop, 80, http.MethodGet, "/look/1", nil, nil, timeout)
+	r.load(stop, 60, http.MethodPost, "/write/tag", func() string { return "a lot " + newID() }, prompt, tagTimeout)
 	time.Sleep(4 * time.Second)
+	place := f.busiest()
 	if trouble {
-		if _, err := f.reborn(0, true, "-refuse-for", turnsAway.String(), "-retry-after", "10"); err != nil {
+		if _, err := f.reborn(place, true, "-refuse-for", turnsAway.String(), "-retry-after", "10"); err != nil {
 			return false, err
 		}
 	} else {
-		r.rec.add("case", "%s turns requests away, without a restart", f.ids[0])
-		if err := r.order(f.address[0], "/stand-in/refuse?for="+turnsAway.String()+"&retry_after=10"); err != nil {
+		r.rec.add("case", "%s turns requests away, without a restart", f.ids[place])
+		if err := r.order(f.address[place], "/stand-in/refuse?for="+turnsAway.String()+"&retry_after=10"); err != nil {
 			return false, err
 		}
 	}
 	time.Sleep(3500 * time.Millisecond)
 	if trouble {
-		f.heal(0)
+		f.heal(place)
 	}
 	time.Sleep(8 * time.Second)
 	close(stop)
@@ -300,7 +322,7 @@
 	first, late := map[string]time.Time{}, map[string]int{}
 	for _, a := range r.arrivals {
 		q, ok := r.requests[a.Request]
-		if !ok || a.Runner != f.ids[0] {
+		if !ok || a.Runner != f.ids[place] {
 			continue
 		}
 		at := time.Unix(0, a.At)
@@ -316,11 +338,11 @@
 	for _, machine := range r.fronts {
 		since, paused := first[machine.name]
 		if !paused {
-			r.rec.add("check", "%s: %s never turned one of its requests away", machine.name, f.ids[0])
+			r.rec.add("check", "%s: %s never turned one of its requests away", machine.name, f.ids[place])
 			continue
 		}
 		r.rec.add("check", "%s: 503 with Retry-After 10 at %.3f; requests that reached %s from half a second later to the end of that time: %d (at most 2)",
-			machine.name, since.Sub(r.rec.start).Seconds(), f.ids[0], late[machine.name])
+			machine.name, since.Sub(r.rec.start).Seconds(), f.ids[place], late[machine.name])
 		broken = broken || late[machine.name] > 2
 	}
 	return broken, nil
