Let the leaving runner of review case 12 say so in its answers

Cause: a runner that leaves states Server-Leaving in all its answers, which the stand-in did not do. A write to the store that was on its way when the runner left could also have registered it again.

--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -128,6 +128,9 @@
 	h := w.Header()
 	h.Set("X-Request-Id", q.Header.Get("X-Request-Id"))
 	h.Set("X-Instance-Id", r.id)
+	if r.leaving.Load() {
+		h.Set("Server-Leaving", "1")
+	}
 	if target := q.Header.Get("X-Target-Instance"); target != "" && target != r.id {
 		r.log(q, "421")
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -24,11 +24,6 @@
 	Tombstone bool   `json:"tombstone,omitempty"`
 }
 
-// lifetime is what the store knows of the writer of an entry.
-type lifetime struct {
-	lastBeat time.Time
-}
-
 // store is the stand-in of the platform's metadata store. It answers the reading calls of
 // PROTOCOL.md; the calls under /stand-in/ are those by which runners write.
 type store struct {
@@ -42,10 +37,11 @@
 	revision uint64
 	items    map[string]item
 	history  []item
-	beats    map[string]lifetime
-	// away holds the runners that are cut from the store.
-	away map[string]bool
-	stop chan struct{}
+	// beats holds the time of the last write of each runner, by key.
+	beats map[string]time.Time
+	// away holds the runners that are cut from the store, left those that have left.
+	away, left map[string]bool
+	stop       chan struct{}
 }
 
 func newStore(rec *record, heartbeat time.Duration) (*store, error) {
@@ -53,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{rec: rec, heartbeat: heartbeat, ln: ln, changed: make(chan struct{}), revision: 100, items: map[string]item{}, beats: map[string]lifetime{}, away: map[string]bool{}, stop: make(chan struct{})}
+	s := &store{rec: rec, heartbeat: heartbeat, ln: ln, changed: make(chan struct{}), revision: 100, items: map[string]item{}, beats: map[string]time.Time{}, away: map[string]bool{}, left: map[string]bool{}, stop: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/-/kv-range", s.serveRange)
 	mux.HandleFunc("/-/kv-watch", s.serveWatch)
@@ -127,8 +123,8 @@
 		case <-time.After(50 * time.Millisecond):
 		}
 		s.mu.Lock()
-		for key, b := range s.beats {
-			if time.Since(b.lastBeat) > 3*s.heartbeat {
+		for key, last := range s.beats {
+			if time.Since(last) > 3*s.heartbeat {
 				delete(s.beats, key)
 				s.removeLocked(key, "three intervals of silence")
 			}
@@ -153,7 +149,11 @@
 		// What a runner writes does not arrive, and it gets no answer.
 		panic(http.ErrAbortHandler)
 	}
-	s.beats[key] = lifetime{lastBeat: time.Now()}
+	if s.left[id] {
+		// It was on its way when the runner left.
+		return
+	}
+	s.beats[key] = time.Now()
 	if old, ok := s.items[key]; ok {
 		var before map[string]any
 		value, _ := base64.StdEncoding.DecodeString(old.Value)
@@ -180,9 +180,11 @@
 
 // serveLeave removes the entry of a runner that leaves.
 func (s *store) serveLeave(w http.ResponseWriter, r *http.Request) {
-	key := "servers/" + r.URL.Query().Get("id")
+	id := r.URL.Query().Get("id")
+	key := "servers/" + id
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.left[id] = true
 	delete(s.beats, key)
 	s.removeLocked(key, "the runner has left")
 }
