Answer 502 for a request that may have run, not its endpoint's refusal

A signed 421 was sent to a second endpoint, so a booking could run twice. Cause: the status of an answer is a promise to the client, and X-Not-Executed the statement of the endpoint that makes it true. The instance passed the status on without the statement, at six places: short and long plain answers, plain answers on stream routes, 429 and 408 of requests that may be repeated, answers held from an earlier attempt, and answers that end a silence of another endpoint. It read a signed 421 as the statement itself. Ruled out: keeping the endpoint's status for requests that may be repeated. Change: sr.Reply.Unproven is set if a status makes the promise and the endpoint does not state it.

--- a/forward.go
+++ b/forward.go
@@ -49,6 +49,9 @@
 	Request string
 	// NotRun reports whether the endpoint states that it has not run the request.
 	NotRun bool
+	// Unproven reports whether the status promises that the request has not run and will not
+	// run, and the endpoint does not state that.
+	Unproven bool
 	// Misdirected reports whether the address now belongs to another endpoint.
 	Misdirected bool
 	// FromEndpoint reports whether the endpoint itself wrote the answer.
--- a/internal/app/srentry/retry_test.go
+++ b/internal/app/srentry/retry_test.go
@@ -1,6 +1,7 @@
 package srentry
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"fmt"
@@ -33,6 +34,8 @@
 	calls        int
 	// callErr is the error of each call, nil for an answer.
 	callErr error
+	// callCode is the status of an answer, 200 if it is 0.
+	callCode int
 	// metrics are those of the entry.
 	metrics metrics.Registry
 }
@@ -80,7 +83,7 @@
 	if f.callErr != nil {
 		return sr.Answer{}, f.callErr
 	}
-	return sr.Answer{Code: 200, Body: "booked"}, nil
+	return sr.Answer{Code: cmp.Or(f.callCode, 200), Body: "booked"}, nil
 }
 
 func (f *fakeFleet) Probe(context.Context, string) (sr.Load, error) { return sr.Load{}, nil }
@@ -143,6 +146,20 @@
 	})
 }
 
+// A service that answers with a status of a refusal has run the call, unless its body states that it
+// has not, which is ErrNotTaken. The call is complete with that status, and is not repeated.
+func TestCallIsCompleteWhateverItsStatus(t *testing.T) {
+	for _, code := range []int{429, 503, 408, 421} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeFleet{callCode: code}
+			status := f.submitBooking(t)
+			assert.Equal(t, status.Outcome, sr.OutcomeComplete)
+			assert.Equal(t, status.Code, code)
+			assert.Equal(t, f.calls, 1)
+		})
+	}
+}
+
 // A call that gets a malformed answer may have run, so it is not repeated.
 func TestMalformedAnswerIsCutShortAndCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -29,6 +29,9 @@
 	errServerError     = errors.New("endpoint answered with a server error")
 	errRejected        = errors.New("endpoint rejected the request without running it")
 	errReadAnswer      = errors.New("read from endpoint")
+	// errUnproven means that the status of an answer promises that the request has not run,
+	// and the endpoint does not state that.
+	errUnproven = errors.New("endpoint does not state that the request has not run")
 )
 
 // handleAnswer evaluates the header of an answer and passes on the rest.
@@ -73,6 +76,12 @@
 		q.avoid = append(q.avoid, t.endpoint)
 		start.release()
 		return t
+	case a.Reply.Unproven:
+		q.stats.count("answer.unproven")
+		t.outcome, t.err, t.result.Error = outcomeMayRun, errors.Wrapf(errUnproven, "status %d", a.Status), true
+		q.avoid = append(q.avoid, t.endpoint)
+		start.release()
+		return t
 	case a.Status >= http.StatusInternalServerError:
 		t.result.Error = true
 		if q.headerSent || complete && q.route.Repeatable() {
--- a/internal/app/srforward/takeover.go
+++ b/internal/app/srforward/takeover.go
@@ -189,7 +189,7 @@
 
 // acceptsTakeover reports whether an answer can replace that of the silent endpoint.
 func (q *request) acceptsTakeover(a *srupstream.Answer) bool {
-	if a.Reply.NotRun || !a.Reply.FromEndpoint {
+	if a.Reply.NotRun || a.Reply.Unproven || !a.Reply.FromEndpoint {
 		return false
 	}
 	if q.route.Kind == sr.RouteStream {
@@ -231,7 +231,7 @@
 		t.result.NotRun, t.result.Gone = true, a.Reply.Misdirected
 		q.avoid = append(q.avoid, id)
 	case a != nil:
-		t.result.Error = a.Status >= http.StatusInternalServerError
+		t.result.Error = a.Status >= http.StatusInternalServerError || a.Reply.Unproven
 		reason = reasonBroken
 	case t.outcome == outcomeMayRun:
 		reason = reasonBroken
--- a/internal/peer/srcaller/caller_test.go
+++ b/internal/peer/srcaller/caller_test.go
@@ -236,6 +236,17 @@
 	golden.Assert(t, answer, "call.golden")
 }
 
+// The status of a service is a field of the answer. As the status of the answer to the caller it would
+// promise that the call has not run.
+func TestStatusOfAServiceIsNotThatOfTheAnswer(t *testing.T) {
+	for _, code := range []int{429, 503, 408, 421} {
+		e := &entry{status: sr.Status{State: sr.StateEnded, Outcome: sr.OutcomeComplete, Endpoint: "s1", Code: code, Body: "sorry"}}
+		answer := send(t, e, post{path: "/v1/services/intake/book", key: plantKey, ticket: "t", body: `{"body":"lot"}`})
+		assert.Assert(t, strings.HasPrefix(answer, "200\n"), answer)
+		assert.Assert(t, strings.Contains(answer, fmt.Sprintf(`"outcome":"complete","status":%d`, code)), answer)
+	}
+}
+
 // Bodies that do not end use up the memory for bodies. Further requests are refused as not run until it
 // is free again.
 func TestBodiesWithoutEndAreBounded(t *testing.T) {
