Know a crashing request by its path, caller and body

Cause: the ID of a request covered method, host with its port, path as spelled, query and all parts of the prompt. What makes two requests the same is path, caller and body; whatever else counts lets a client give one request any number of IDs, each of which needs three crashes. Ruled out: leaving out the last part only, since the other parts, the query, the method, the port and the spelling of the path vary as freely; and leaving all of it out, since where prompts are stated in headers all requests of a caller may have one path and one body, and a part that crashes endpoints would stop them all (TestCrashAfterASilenceIsCounted has such requests). Change: a request is known by its identity (path, workspace, body) and by its variant, the former ID. While a part or a variant was at all crashes of an identity and was not answered soundly since, requests without it are let through: their crash rules it out, their sound answer clears the identity, after which the rest of the crashes is attributed at once. After two such crashes no more are let through. Why it works: an identity is at each crash of such a request whatever the client varies, and what it shares with sound requests is cleared by their answers, as parts were before.

--- a/crash.go
+++ b/crash.go
@@ -10,7 +10,8 @@
 	// Age is the time since the crash.
 	Age time.Duration
 	// Requests are the requests that ended with it before they had begun to answer, each
-	// as the list of the IDs of its prompt's parts without the last one, and its identity.
+	// as the list of the IDs of its prompt's parts without the last one, its variant and its
+	// identity. Instances of earlier versions send no identity.
 	Requests [][]string
 	// Ran is, for each request, the time from sending it to the crash. Instances of earlier
 	// versions send none.
--- a/internal/app/srforward/crash.go
+++ b/internal/app/srforward/crash.go
@@ -48,9 +48,14 @@
 
 // brokenRequest is one of them, with the time since it was sent.
 type brokenRequest struct {
-	parts    []string
-	identity string
-	ran      time.Duration
+	parts             []string
+	variant, identity string
+	ran               time.Duration
+}
+
+// suspectable returns the IDs by which the request may be suspected.
+func (r brokenRequest) suspectable() []string {
+	return append(slices.Clone(r.parts), r.variant, r.identity)
 }
 
 func newCrashWatch(rank func(part string) int) *crashWatch {
@@ -99,15 +104,15 @@
 	return w.suspects.AddCrash(now, c)
 }
 
-// addSound records a sound answer to a request with these shared parts and identity.
+// addSound records a sound answer to a request with these shared parts, variant and identity.
 func (w *crashWatch) addSound(now time.Time, parts []string) []srsuspect.Change {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.suspects.AddSound(now, parts)
 }
 
-// check returns whether a request with these shared parts and identity is blocked, admit the
-// same for one that is about to be sent.
+// check returns whether a request with these shared parts, variant and identity is blocked, admit
+// the same for one that is about to be sent.
 func (w *crashWatch) check(now time.Time, parts []string) srsuspect.Verdict {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -146,16 +151,16 @@
 		return nil
 	}
 	shared := q.inbound.Parts[:len(q.inbound.Parts)-1]
-	out := make([]string, 0, len(shared)+1)
+	out := make([]string, 0, len(shared)+2)
 	for _, p := range shared {
 		out = append(out, srsuspect.Part(p.ID))
 	}
 	return out
 }
 
-// suspectable returns the IDs by which the request may be suspected: its shared parts and
-// its identity.
-func (q *request) suspectable() []string { return append(q.sharedParts(), q.identity) }
+// suspectable returns the IDs by which the request may be suspected: its shared parts, its variant
+// and its identity.
+func (q *request) suspectable() []string { return append(q.sharedParts(), q.variant, q.identity) }
 
 func formatParts(parts []string) string {
 	return strings.Join(parts[:min(len(parts), maxLoggedParts)], ",")
@@ -183,7 +188,7 @@
 // a time. The channel is closed when the endpoint has been checked.
 func (q *request) observeBreak(peer srupstream.Peer, sent time.Time) (checked <-chan struct{}) {
 	now := time.Now()
-	checked, first := q.crashes.add(peer, brokenRequest{parts: q.sharedParts(), identity: q.identity, ran: now.Sub(sent)})
+	checked, first := q.crashes.add(peer, brokenRequest{parts: q.sharedParts(), variant: q.variant, identity: q.identity, ran: now.Sub(sent)})
 	if first {
 		go q.examineCrash(peer, now)
 	}
@@ -212,13 +217,13 @@
 	defer close(b.checked)
 	now := time.Now()
 	c := sr.Crash{Endpoint: peer.ID, Born: peer.Born, Age: now.Sub(at)}
-	var parts, identities []string
+	var parts, variants, identities []string
 	for _, r := range b.requests {
-		c.Requests, c.Ran = append(c.Requests, append(slices.Clone(r.parts), r.identity)), append(c.Ran, r.ran)
-		parts, identities = append(parts, r.parts...), append(identities, r.identity)
+		c.Requests, c.Ran = append(c.Requests, r.suspectable()), append(c.Ran, r.ran)
+		parts, variants, identities = append(parts, r.parts...), append(variants, r.variant), append(identities, r.identity)
 	}
 	n.Log.State("connections-broken", srlog.Endpoint, peer.ID, srlog.Count, len(b.requests), srlog.Parts, formatParts(parts),
-		srlog.Identities, formatParts(identities), srlog.Outcome, choose(crashed, "crashed", "alive"), srlog.Age, now.Sub(at))
+		srlog.Identities, formatParts(identities), srlog.Variants, formatParts(variants), srlog.Outcome, choose(crashed, "crashed", "alive"), srlog.Age, now.Sub(at))
 	if crashed {
 		n.logSuspects(n.crashes.addCrash(now, c), "")
 	}
@@ -237,8 +242,8 @@
 	}
 }
 
-// blockedPart returns the refusal of a request that has a suspected part or identity, nil
-// when it has none.
+// blockedPart returns the refusal of a request that has a suspected part, variant or identity,
+// nil when it has none.
 func (q *request) blockedPart(v srsuspect.Verdict) *refusal {
 	if !v.Blocked {
 		return nil
--- a/internal/app/srforward/identity.go
+++ b/internal/app/srforward/identity.go
@@ -1,6 +1,8 @@
 package srforward
 
 import (
+	"path"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -8,10 +10,22 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srsuspect"
 )
 
-// identify returns the ID that the request shares with one that comes again: the same
-// method, host, path, workspace, parts of its prompt and body, whatever its id, key and
-// timeout. The request must have been resolved and its body read.
+// identify returns the ID that the request shares with one that comes again: that of its path,
+// workspace and body, whatever else it states. Two spellings of a path have the same ID. The
+// request must have been resolved and its body read.
 func (q *request) identify() string {
+	d := xxhash.New()
+	for _, field := range []string{path.Clean(q.r.URL.Path), q.workspace.Name} {
+		_, _ = d.WriteString(strconv.Quote(field))
+	}
+	_, _ = d.Write(q.body)
+	return srsuspect.Identity(d.Sum64())
+}
+
+// identifyVariant returns the ID that the request shares with one that comes again in the same
+// form: the same method, host, path, query, workspace, parts of its prompt and body, whatever its
+// id, key and timeout.
+func (q *request) identifyVariant() string {
 	d := xxhash.New()
 	fields := []string{q.r.Method, q.r.Host, q.uri(), q.workspace.Name}
 	for _, p := range q.inbound.Parts {
--- a/internal/app/srforward/request.go
+++ b/internal/app/srforward/request.go
@@ -41,8 +41,10 @@
 	hasBody  bool
 	// unread is set while a body may still arrive.
 	unread bool
-	// identity is what the request has in common with one that comes again.
+	// identity is what the request has in common with one that comes again, variant with one
+	// that comes again in the same form.
 	identity string
+	variant  string
 	// held is the memory reserved for what the client sent, heldAnswer that for what the
 	// endpoints sent.
 	held       *srmemory.Reservation
@@ -211,7 +213,7 @@
 		// The rest of the grace time may be too short for a request whose body arrived late.
 		return refuseDraining()
 	}
-	q.identity = q.identify()
+	q.identity, q.variant = q.identify(), q.identifyVariant()
 	if ref := q.blockedPart(q.crashes.check(time.Now(), q.suspectable())); ref != nil {
 		return ref
 	}
@@ -253,7 +255,7 @@
 	q.Log.Served("admitted",
 		srlog.Request, q.inbound.ID, srlog.Route, q.route.Name, srlog.Rank, q.route.Rank, srlog.Service, q.service, srlog.Workspace, q.workspace.Name,
 		srlog.Cost, q.cost, srlog.Waited, time.Since(q.start), srlog.Left, time.Until(q.deadline),
-		srlog.Parts, formatParts(q.sharedParts()), srlog.Identity, q.identity, srlog.Version, q.version, srlog.Age, q.view.Age(q.Clock()))
+		srlog.Parts, formatParts(q.sharedParts()), srlog.Identity, q.identity, srlog.Variant, q.variant, srlog.Version, q.version, srlog.Age, q.view.Age(q.Clock()))
 }
 
 // resolve determines the route, the service and the workspace.
--- a/internal/app/srlog/field.go
+++ b/internal/app/srlog/field.go
@@ -11,13 +11,15 @@
 	// Rank is the urgency of a route, 0 for the most urgent.
 	Rank = "rank"
 	// Parts are the IDs of the parts of a prompt without the last one, Part is one of them or
-	// the identity of a request.
+	// the identity or variant of a request.
 	Parts = "parts"
 	Part  = "part"
-	// Identity is what a request has in common with one that comes again, Identities those
-	// of several requests.
+	// Identity is what a request has in common with one that comes again, Variant with one that
+	// comes again in the same form. Identities and Variants are those of several requests.
 	Identity   = "identity"
 	Identities = "identities"
+	Variant    = "variant"
+	Variants   = "variants"
 	// Crashes is the number of crashes that are attributed to a part or request.
 	Crashes   = "crashes"
 	Service   = "service"
--- a/internal/policy/srsuspect/identity.go
+++ b/internal/policy/srsuspect/identity.go
@@ -25,11 +25,11 @@
 	return fmt.Sprintf("%s:%016x", id[:shownPartID], xxhash.Sum64String(id))
 }
 
-// identityPrefix marks the identity of a request among the parts of prompts, whose IDs
-// contain no colon.
+// identityPrefix marks the identity or variant of a request among the parts of prompts, whose
+// IDs contain no colon.
 const identityPrefix = "request:"
 
-// Identity returns the ID by which a request with this hash is known.
+// Identity returns the ID by which requests with this hash are known.
 func Identity(hash uint64) string { return fmt.Sprintf("%s%016x", identityPrefix, hash) }
 
 func isIdentity(part string) bool { return strings.HasPrefix(part, identityPrefix) }
--- a/internal/policy/srsuspect/replay_test.go
+++ b/internal/policy/srsuspect/replay_test.go
@@ -52,6 +52,8 @@
 	// crashing builds the parts of a request that crashes its endpoint from those of a
 	// sound one.
 	crashing func(parts []string) []string
+	// alike is set if all requests have the same path, workspace and body.
+	alike bool
 	// outage is a time at which all endpoints crash together, 0 for none.
 	outage time.Duration
 	// random is the rate, per second, of crashes without a cause in a request.
@@ -92,6 +94,7 @@
 	born := make([]int64, l.endpoints)
 	var out result
 	var lateFrom time.Duration
+	requests := uint64(0)
 	crash := func(now time.Duration, e int) {
 		out.crashes++
 		if out.crashes == allowedCrashes {
@@ -144,6 +147,10 @@
 			if r.Float64() < l.crashingShare {
 				q.crashing, q.parts = true, l.crashing(q.parts)
 			}
+			requests++
+			if l.alike {
+				q.parts = append(q.parts, srsuspect.Identity(requests), srsuspect.Identity(0))
+			}
 			late := lateFrom > 0 && now > lateFrom
 			if all[q.instance].Admit(start.Add(now), q.parts).Blocked {
 				if !q.crashing {
@@ -232,6 +239,14 @@
 				return slices.Concat(parts, own[:900], []string{"bad"}, own[900:])
 			}
 		}),
+		"path, workspace and body of all": small.with(func(l *load) { l.alike = true }),
+		"the same, a few requests": small.with(func(l *load) {
+			l.alike, l.perSecond, l.crashingShare = true, 8, 0.1
+		}),
+		"the same, a large share": small.with(func(l *load) { l.alike, l.crashingShare = true, 0.3 }),
+		"the same, beside other crashes": small.with(func(l *load) {
+			l.alike, l.random = true, 1
+		}),
 		"large share":          small.with(func(l *load) { l.crashingShare = 0.3 }),
 		"few requests":         small.with(func(l *load) { l.perSecond, l.crashingShare = 8, 0.1 }),
 		"beside other crashes": small.with(func(l *load) { l.random = 1 }),
@@ -257,6 +272,9 @@
 		"rare parts": small.with(func(l *load) {
 			l.crashingShare, l.random, l.middle = 0, 2, 200
 		}),
+		"path, workspace and body of all": small.with(func(l *load) {
+			l.alike, l.crashingShare, l.random, l.outage = true, 0, 2, 10*time.Second
+		}),
 		"large fleet": small.with(func(l *load) {
 			l.crashingShare, l.instances, l.endpoints, l.gossip, l.perSecond, l.random, l.outage = 0, 69, 90, 690*time.Millisecond, 201, 5, 10*time.Second
 		}),
@@ -289,6 +307,12 @@
 	outage time.Duration
 	// restart is a time at which all instances but the first one forget everything.
 	restart time.Duration
+	// form returns the number of the form in which a request comes for the n-th time, and the
+	// shared parts that it has then besides those of the replay. Nil means one form.
+	form func(n int) (form uint64, parts []string)
+	// awaitsCheck is set if a request that was at a crash is not attempted again before the
+	// instance knows whether its endpoint has crashed.
+	awaitsCheck bool
 }
 
 const (
@@ -342,22 +366,31 @@
 	// reports holds the crashes that the instances have not noticed yet.
 	var reports []func()
 	var reportAt []time.Duration
-	newParts := func(hash uint64) (parts []string) {
+	newParts := func(request, form uint64, more ...string) (parts []string) {
 		if l.parts > 0 {
 			parts = append(parts, fmt.Sprint("first", r.IntN(l.parts)))
 		}
-		return append(parts, srsuspect.Identity(hash))
+		return append(append(parts, more...), srsuspect.Identity(1<<32+form<<16+request), srsuspect.Identity(request))
 	}
 	var due []sending
 	for i := range l.deadly {
-		due = append(due, sending{at: time.Duration(i) * time.Second, deadly: i + 1, parts: newParts(uint64(i))})
+		due = append(due, sending{at: time.Duration(i) * time.Second, deadly: i + 1, parts: newParts(uint64(i), 0)})
 	}
 	next := uint64(l.deadly)
-	const popularRequest = 1_000_000
+	const popularRequest = 60_000
+	comings := 0
 	again := func(now time.Duration, q sending) {
+		if q.deadly > 0 && q.attempt == 1 && l.form != nil {
+			comings++
+			form, more := l.form(comings)
+			q.parts = newParts(uint64(q.deadly-1), form, more...)
+		}
 		switch {
 		case q.attempt == 0:
 			q.attempt, q.at = 1, now+attemptDelay
+			if l.awaitsCheck && all[q.instance].IsInvolved(q.parts[len(q.parts)-1]) {
+				q.at = now + checkDelay + attemptDelay
+			}
 		case q.retry == 0:
 			q.attempt, q.retry, q.at, q.instance = 0, 1, now+retryDelay, r.IntN(l.instances)
 		case q.deadly > 0:
@@ -421,10 +454,10 @@
 			}
 		}
 		if r.Float64() < l.perSecond*step.Seconds() {
-			q := sending{at: now, instance: r.IntN(l.instances), parts: newParts(next)}
+			q := sending{at: now, instance: r.IntN(l.instances), parts: newParts(next, 0)}
 			next++
 			if r.Float64() < l.popular {
-				q.parts = newParts(popularRequest)
+				q.parts = newParts(popularRequest, 0)
 			}
 			due = append(due, q)
 		}
@@ -486,6 +519,27 @@
 		"restart":              few.with(func(l *repeats) { l.restart = 12 * time.Second }),
 		"popular request":      few.with(func(l *repeats) { l.popular, l.deadly, l.endpoints, l.perSecond = 0.3, 4, 12, 60 }),
 		"shared part":          few.with(func(l *repeats) { l.parts, l.deadly, l.endpoints = 1, 4, 12 }),
+		"in other forms": few.with(func(l *repeats) {
+			l.form = func(n int) (uint64, []string) { return uint64(n), nil }
+		}),
+		"in other forms, with parts of its own": few.with(func(l *repeats) {
+			l.form = func(n int) (uint64, []string) { return uint64(n), ownParts(3, fmt.Sprint("own", n)) }
+		}),
+		"in other forms, with a part that stays": few.with(func(l *repeats) {
+			l.form = func(n int) (uint64, []string) { return uint64(n), []string{"stays"} }
+		}),
+		"in other forms, without a shared part": few.with(func(l *repeats) {
+			l.parts = 0
+			l.form = func(n int) (uint64, []string) { return uint64(n), nil }
+		}),
+		"in other forms later on": few.with(func(l *repeats) {
+			l.awaitsCheck = true
+			l.form = func(n int) (uint64, []string) { return uint64(max(n-4, 0)), nil }
+		}),
+		"in other forms, several requests": few.with(func(l *repeats) {
+			l.deadly, l.endpoints, l.perSecond = 8, 12, 60
+			l.form = func(n int) (uint64, []string) { return uint64(n), ownParts(n%3, fmt.Sprint("own", n)) }
+		}),
 		"large fleet": few.with(func(l *repeats) {
 			l.instances, l.endpoints, l.gossip, l.perSecond, l.deadly = 69, 30, 690*time.Millisecond, 90, 8
 		}),
--- a/internal/policy/srsuspect/requests.go
+++ b/internal/policy/srsuspect/requests.go
@@ -46,6 +46,22 @@
 	return added
 }
 
+// beside returns what else the requests with a part have.
+func (l *requestList) beside(part string) map[string]bool {
+	out := make(map[string]bool)
+	for _, r := range l.list {
+		if !slices.Contains(r.parts, part) {
+			continue
+		}
+		for _, p := range r.parts {
+			if p != part {
+				out[p] = true
+			}
+		}
+	}
+	return out
+}
+
 // limitParts returns the parts of the requests of a crash, maxReportedParts at most. If there are
 // more, it keeps those that are the likeliest causes.
 func (s *Suspects) limitParts(c sr.Crash) [][]string {
--- a/internal/policy/srsuspect/suspects.go
+++ b/internal/policy/srsuspect/suspects.go
@@ -1,12 +1,12 @@
 // Package srsuspect decides which requests are suspected of crashing endpoints: all with
-// some part of a prompt, or one that comes again, known by its identity. It does no input or
-// output: the time is an argument, and the caller observes crashes and answers and exchanges
-// reports with the other instances.
+// some part of a prompt, or one that comes again, known by its identity, or in the same form, known
+// by its variant. It does no input or output: the time is an argument, and the caller observes
+// crashes and answers and exchanges reports with the other instances.
 //
 // # Usage
 //
 //	s := srsuspect.New(srsuspect.Options{Rank: rank})
-//	parts = append(parts, srsuspect.Part(id), srsuspect.Identity(hash))
+//	parts = append(parts, srsuspect.Part(id), srsuspect.Identity(variant), srsuspect.Identity(request))
 //	s.AddCrash(now, sr.Crash{Endpoint: id, Born: born, Requests: [][]string{parts}, Ran: ran})
 //	s.AddSound(now, parts)
 //	s.Receive(now, report)
@@ -23,8 +23,13 @@
 //     it was sent to the second endpoint after the first one had crashed.
 //   - Requests beside it, and with the same caller or other parts. Their parts are among
 //     those of the same crashes, but sound answers keep clearing them, and a crash that a
-//     suspected part explains does not count against the others. Identities count as parts
-//     here; of two that were at the same crashes, the one is likelier that had run shorter.
+//     suspected part explains does not count against the others. Identities and
+//     variants count as parts here; of two that were at the same crashes, the one is likelier that
+//     had run shorter.
+//   - Requests that have the path, workspace and body of a crashing one, and differ from it in what
+//     no identity covers. A part or a variant that was at all crashes of an identity may be the cause
+//     instead. Requests without it are let through until one of them crashes its endpoint, which
+//     shows that it is not the cause, or is answered soundly, which clears the identity.
 //   - Many endpoints crash at once, such as a failure domain without power. Popular parts
 //     are at many of them. Crashes within crashSpacing count as one.
 //   - Prompts with many parts, of which any may be the cause. What a crash keeps and reports is
@@ -78,6 +83,9 @@
 	// trial. It doubles with each round, up to maxSuspicion.
 	baseSuspicion = time.Minute
 	maxSuspicion  = 16 * time.Minute
+	// maxExceptions is the number of crashes by requests that were let through in spite of a
+	// suspected identity, from which no further one is.
+	maxExceptions = 2
 	// trialTurn is the time that each instance has for a trial before the next one.
 	trialTurn = 5 * time.Second
 	// forgetAfter is the time after the end of a suspicion from which a part is forgotten.
@@ -244,6 +252,10 @@
 			s.cleared[p] = now
 		}
 	}
+	if len(out) > 0 {
+		// What is left of the crashes may have another cause.
+		out = append(out, s.attribute(now, false)...)
+	}
 	return out
 }
 
@@ -513,21 +525,56 @@
 // Check returns whether a request with these parts is blocked.
 func (s *Suspects) Check(now time.Time, parts []string) Verdict {
 	for _, p := range parts {
-		k, ok := s.suspects[p]
-		if !ok || k.crashes == 0 {
-			continue
-		}
-		left := k.last.Add(suspicion(k.rounds)).Sub(now)
-		if left <= 0 {
-			left = k.trialDue(s.opts.Rank(p)).Sub(now)
-		}
-		if left > 0 {
+		if left := s.left(now, p); left > 0 && !s.lacksRival(p, parts) {
+			k := s.suspects[p]
 			return Verdict{Blocked: true, Part: p, Crashes: k.crashes, Age: now.Sub(k.last), Left: left}
 		}
 	}
 	return Verdict{}
 }
 
+// left returns the time until a request with a part may be let through, 0 or less if it may now.
+func (s *Suspects) left(now time.Time, part string) time.Duration {
+	if !s.suspected(part) {
+		return 0
+	}
+	k := s.suspects[part]
+	if left := k.last.Add(suspicion(k.rounds)).Sub(now); left > 0 {
+		return left
+	}
+	return k.trialDue(s.opts.Rank(part)).Sub(now)
+}
+
+// lacksRival reports whether a request with these parts has a suspected identity, but not all that
+// may have caused the crashes instead.
+func (s *Suspects) lacksRival(identity string, parts []string) bool {
+	return isIdentity(identity) && slices.ContainsFunc(s.rivals(identity), func(r string) bool { return !slices.Contains(parts, r) })
+}
+
+// rivals returns what was in a request with this identity at each crash since its last sound answer,
+// and was itself not answered soundly since the first of them.
+func (s *Suspects) rivals(identity string) (list []string) {
+	crashes := slices.Clone(s.crashes)
+	crashes = slices.DeleteFunc(crashes, func(c *crash) bool { return !c.parts[identity] || !c.at.After(s.sound[identity]) })
+	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	exceptions := 0
+	for i, c := range crashes {
+		beside := c.requests.beside(identity)
+		if i == 0 {
+			list = slices.Collect(maps.Keys(beside))
+		}
+		n := len(list)
+		list = slices.DeleteFunc(list, func(p string) bool { return !beside[p] })
+		if i >= minCrashes && len(list) < n {
+			exceptions++
+		}
+	}
+	if exceptions >= maxExceptions {
+		return nil
+	}
+	return slices.DeleteFunc(list, func(p string) bool { return s.sound[p].After(crashes[0].at) })
+}
+
 // Admit is Check for a request that is about to be sent. If it is the trial of a suspected
 // part, the next one is not due before all instances have had their turn.
 func (s *Suspects) Admit(now time.Time, parts []string) Verdict {
@@ -535,8 +582,8 @@
 		return v
 	}
 	for _, p := range parts {
-		if k, ok := s.suspects[p]; ok && k.crashes > 0 {
-			k.trial = now
+		if s.suspected(p) && s.left(now, p) <= 0 {
+			s.suspects[p].trial = now
 		}
 	}
 	return Verdict{}
@@ -592,6 +639,7 @@
 // Receive applies the report of another instance.
 func (s *Suspects) Receive(now time.Time, r sr.CrashReport) []Change {
 	var out []Change
+	changed := false
 	for _, p := range r.Suspects {
 		if change, ok := s.receiveSuspect(now, p); ok {
 			out = append(out, change)
@@ -602,10 +650,9 @@
 			continue
 		}
 		if change, ok := s.addSound(now.Add(-p.Age), p.ID, true); ok {
-			out = append(out, change)
+			out, changed = append(out, change), true
 		}
 	}
-	changed := false
 	for _, c := range r.Crashes {
 		changed = s.addCrash(now, c, false) || changed
 	}
--- a/internal/policy/srsuspect/suspects_test.go
+++ b/internal/policy/srsuspect/suspects_test.go
@@ -147,6 +147,85 @@
 	assert.Assert(t, !s.Check(at(5*time.Second), []string{"a", srsuspect.Identity(2)}).Blocked)
 }
 
+// request returns the IDs of a request with parts, in a form.
+func request(form, id uint64, parts ...string) []string {
+	return append(parts, srsuspect.Identity(1000+form), srsuspect.Identity(id))
+}
+
+// addCrash adds a crash of an endpoint of its own at a time, with one request.
+func addCrash(s *srsuspect.Suspects, d time.Duration, ids []string) []srsuspect.Change {
+	return s.AddCrash(at(d), sr.Crash{Endpoint: fmt.Sprint("e", d), Requests: [][]string{ids}})
+}
+
+// A request that came again with another last part of its prompt, or in any other form, was never
+// suspected.
+func TestRequestIsSuspectedInAnyForm(t *testing.T) {
+	s := newSuspects(0)
+	for i := range 3 {
+		s.AddSound(at(time.Duration(i)*time.Second+time.Millisecond), request(99, 9, "a"))
+		addCrash(s, time.Duration(i)*time.Second+500*time.Millisecond, request(uint64(i), 1, "a", fmt.Sprint("own", i)))
+	}
+	now := at(3 * time.Second)
+	assert.Assert(t, s.Check(now, request(7, 1, "a", "own7")).Blocked)
+	assert.Assert(t, s.Check(now, request(7, 1)).Blocked)
+	assert.Assert(t, !s.Check(now, request(7, 2, "a")).Blocked)
+}
+
+// Where requests of all prompts have one path, workspace and body, a part that crashes endpoints must
+// not stop those without it.
+func TestPartIsToldFromTheRequestThatHasIt(t *testing.T) {
+	s := newSuspects(0)
+	for i := range 3 {
+		addCrash(s, time.Duration(i)*time.Second, request(uint64(i), 1, "a", "bad"))
+	}
+	now := at(3 * time.Second)
+	assert.Assert(t, s.Check(now, request(7, 1, "a", "bad")).Blocked)
+	assert.Assert(t, !s.Admit(now, request(8, 1, "a", "good")).Blocked)
+	s.AddSound(at(4*time.Second), request(8, 1, "a", "good"))
+	now = at(5 * time.Second)
+	assert.Equal(t, s.Check(now, request(9, 1, "a", "bad")).Part, "bad")
+	assert.Equal(t, s.Check(now, request(9, 2, "bad")).Part, "bad")
+	assert.Assert(t, !s.Check(now, request(9, 1, "a", "good")).Blocked)
+}
+
+// Of requests with one path, workspace and body only those in one form crash endpoints.
+func TestFormIsToldFromTheRequestThatHasIt(t *testing.T) {
+	s := newSuspects(0)
+	for i := range 3 {
+		addCrash(s, time.Duration(i)*time.Second, request(0, 1))
+	}
+	now := at(3 * time.Second)
+	assert.Assert(t, s.Check(now, request(0, 1)).Blocked)
+	assert.Assert(t, !s.Check(now, request(1, 1)).Blocked)
+	s.AddSound(at(4*time.Second), request(1, 1))
+	now = at(5 * time.Second)
+	assert.Assert(t, s.Check(now, request(0, 1)).Blocked)
+	assert.Assert(t, !s.Check(now, request(2, 1)).Blocked)
+}
+
+// A request that has lost what may have been the cause, and crashes its endpoint again, is stopped
+// in every form, and so is one that loses one part after the other.
+func TestRequestIsLetThroughWithoutARivalOnlyUntilItCrashes(t *testing.T) {
+	s := newSuspects(0)
+	for i := range 3 {
+		addCrash(s, time.Duration(i)*time.Second, request(0, 1, "a", "b", "c", "d"))
+	}
+	assert.Assert(t, !s.Check(at(3*time.Second), request(1, 1, "a", "b", "c", "d")).Blocked)
+	addCrash(s, 4*time.Second, request(1, 1, "a", "b", "c", "d"))
+	assert.Assert(t, s.Check(at(5*time.Second), request(2, 1, "a", "b", "c", "d")).Blocked)
+	assert.Assert(t, !s.Check(at(5*time.Second), request(2, 1, "a", "b", "c")).Blocked)
+	addCrash(s, 6*time.Second, request(2, 1, "a", "b", "c"))
+	addCrash(s, 6500*time.Millisecond, request(3, 1, "a", "b"))
+	for parts := range 4 {
+		own := []string{"a", "b", "c", "d"}[:parts]
+		assert.Assert(t, s.Check(at(7*time.Second), request(4, 1, own...)).Blocked, "%v", own)
+		assert.Assert(t, !s.Check(at(7*time.Second), request(4, 2, own...)).Blocked, "%v", own)
+	}
+	// A suspicion lasts a minute from the last crash.
+	assert.Assert(t, s.Check(at(66*time.Second), request(4, 1)).Blocked)
+	assert.Assert(t, !s.Check(at(67*time.Second), request(4, 1)).Blocked)
+}
+
 // Instances of an earlier version know neither identities nor for how long a request ran.
 func TestReportsOfDifferentVersionsAreUnderstood(t *testing.T) {
 	type crash struct {
