Shorten the long ID of a last part in an ask to a coordinator

Callers saw: nothing reported; found by reading. Cause: an ask carries the ID as the client wrote it, and a coordinator rejects reports with long names. Change: an ask carries a long ID as its beginning and its hash, as suspected parts do. Figures: TestAskWithALongPartIsAccepted failed before ("names in an ask"), and passes.

--- a/internal/app/srforward/guard_test.go
+++ b/internal/app/srforward/guard_test.go
@@ -309,3 +309,13 @@
 		assert.Equal(t, g.Free(later), 2)
 	})
 }
+
+// The last part of a prompt with a long ID made the whole report of an instance to a coordinator
+// invalid, with the asks of other requests in it.
+func TestAskWithALongPartIsAccepted(t *testing.T) {
+	for _, last := range []string{"e4402b7d", strings.Repeat("e", maxName), strings.Repeat("e", maxName+1), strings.Repeat("e", 4000)} {
+		now := time.Now()
+		q := &request{Instance: newLoneInstance(), start: now, deadline: now.Add(time.Second), inbound: sr.Inbound{Parts: []sr.PromptPart{{ID: "5c1e07a2"}, {ID: last}}}}
+		assert.NilError(t, checkReport(sr.SlotReport{From: id("peer"), Asks: []sr.SlotAsk{srgroup.NewAsk(now, 1, q.ask())}}))
+	}
+}
--- a/internal/app/srforward/run.go
+++ b/internal/app/srforward/run.go
@@ -14,6 +14,7 @@
 	"github.com/sassafrasrail/sassafrasrail/internal/app/srlog"
 	"github.com/sassafrasrail/sassafrasrail/internal/peer/srupstream"
 	"github.com/sassafrasrail/sassafrasrail/internal/policy/srdispatch"
+	"github.com/sassafrasrail/sassafrasrail/internal/policy/srsuspect"
 	"github.com/sassafrasrail/sassafrasrail/internal/state/srtimer"
 )
 
@@ -230,7 +231,7 @@
 	}
 	a.WorkspaceName, a.Weight = q.workspace.Name, weight(q.workspace.Allowance)
 	if len(q.inbound.Parts) > 0 {
-		a.LastPart = q.inbound.Parts[len(q.inbound.Parts)-1].ID
+		a.LastPart = srsuspect.Part(q.inbound.Parts[len(q.inbound.Parts)-1].ID)
 	}
 	return a
 }
