--- a/internal/policy/srsuspect/suspects.go
+++ b/internal/policy/srsuspect/suspects.go
@@ -23,9 +23,9 @@
 //     it was sent to the second endpoint after the first one had crashed.
 //   - Requests beside it, and with the same caller or other parts. Their parts are among
 //     those of the same crashes, but sound answers keep clearing them, and a crash that a
-//     suspected part explains does not count against the others. Identities and
-//     variants count as parts here; of two that were at the same crashes, the one is likelier that
-//     had run shorter.
+//     suspected part explains does not count against the others. Identities and variants
+//     count as parts here; of two that were at the same crashes, the one is likelier that had run
+//     shorter.
 //   - Requests that have the path, workspace and body of a crashing one, and differ from it in what
 //     no identity covers. A part or a variant that was at all crashes of an identity may be the cause
 //     instead. Requests without it are let through until one of them crashes its endpoint, which
@@ -83,8 +83,8 @@
 	// trial. It doubles with each round, up to maxSuspicion.
 	baseSuspicion = time.Minute
 	maxSuspicion  = 16 * time.Minute
-	// maxExceptions is the number of crashes by requests that were let through in spite of a
-	// suspected identity, from which no further one is.
+	// maxExceptions is the number of crashes that requests with a suspected identity may cause
+	// after they were let through.
 	maxExceptions = 2
 	// trialTurn is the time that each instance has for a trial before the next one.
 	trialTurn = 5 * time.Second
@@ -554,8 +554,7 @@
 // rivals returns what was in a request with this identity at each crash since its last sound answer,
 // and was itself not answered soundly since the first of them.
 func (s *Suspects) rivals(identity string) (list []string) {
-	crashes := slices.Clone(s.crashes)
-	crashes = slices.DeleteFunc(crashes, func(c *crash) bool { return !c.parts[identity] || !c.at.After(s.sound[identity]) })
+	crashes := slices.DeleteFunc(slices.Clone(s.crashes), func(c *crash) bool { return !c.parts[identity] || !c.at.After(s.sound[identity]) })
 	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	exceptions := 0
 	for i, c := range crashes {
@@ -569,7 +568,7 @@
 			exceptions++
 		}
 	}
-	if exceptions >= maxExceptions {
+	if len(crashes) == 0 || exceptions >= maxExceptions {
 		return nil
 	}
 	return slices.DeleteFunc(list, func(p string) bool { return s.sound[p].After(crashes[0].at) })
