Return the failures of repeatable requests unchanged again

Change: only answers to requests that may run once, or to streams that may not be resumed, are replaced. A signed 421 of another request is handled as a 5xx: another attempt, then returned. An answer that would end a silence is still not accepted.

--- a/internal/app/srforward/answer.go
+++ b/internal/app/srforward/answer.go
@@ -76,13 +76,13 @@
 		q.avoid = append(q.avoid, t.endpoint)
 		start.release()
 		return t
-	case a.Reply.Unproven:
+	case a.Reply.Unproven && !q.route.Repeatable():
 		q.stats.count("answer.unproven")
 		t.outcome, t.err, t.result.Error = outcomeMayRun, errors.Wrapf(errUnproven, "status %d", a.Status), true
 		q.avoid = append(q.avoid, t.endpoint)
 		start.release()
 		return t
-	case a.Status >= http.StatusInternalServerError:
+	case a.Status >= http.StatusInternalServerError, a.Status == http.StatusMisdirectedRequest:
 		t.result.Error = true
 		if q.headerSent || complete && q.route.Repeatable() {
 			t.outcome, t.err, t.answer, t.body = outcomeMayRun, errors.Wrapf(errServerError, "status %d", a.Status), a, body
