Suspect the only other cause once a sound answer clears an identity

Cause: attempts in quick succession are separate crashes of an identity, and one crash of a part. So the identity was suspected at the third crash, a sound request without the crashing part cleared it, and the part, with two separate crashes, was let through once more. Change: what alone was at all these crashes and is not in the sound request is suspected when it clears the identity. Figures: TestPartIsSuspectedInPlaceOfTheRequestThatHasIt fails without the change, and passes.

--- a/internal/policy/srsuspect/suspects.go
+++ b/internal/policy/srsuspect/suspects.go
@@ -238,6 +238,7 @@
 // AddSound records that the answer to a request with these parts went on soundly.
 func (s *Suspects) AddSound(now time.Time, parts []string) []Change {
 	var out []Change
+	remaining := s.remainingRivals(parts)
 	for _, p := range parts {
 		_, suspect := s.suspects[p]
 		known := suspect || s.involved[p] > 0
@@ -255,10 +256,27 @@
 	if len(out) > 0 {
 		// What is left of the crashes may have another cause.
 		out = append(out, s.attribute(now, false)...)
+		if len(remaining) == 1 && !s.suspected(remaining[0]) && s.makeRoom(now) {
+			k := s.suspect(remaining[0])
+			k.crashes, k.last = minCrashes, now
+			k.rounds++
+			out = append(out, Change{Part: remaining[0], Suspected: true, Crashes: k.crashes})
+		}
 	}
 	return out
 }
 
+// remainingRivals returns what alone can have caused the crashes of a suspected identity once a
+// request with these parts, which have that identity, is answered soundly.
+func (s *Suspects) remainingRivals(parts []string) (list []string) {
+	for _, p := range parts {
+		if isIdentity(p) && s.suspected(p) {
+			list = append(list, slices.DeleteFunc(s.rivals(p), func(r string) bool { return slices.Contains(parts, r) })...)
+		}
+	}
+	return list
+}
+
 func (s *Suspects) addSound(at time.Time, part string, reported bool) (Change, bool) {
 	if len(s.sound) >= maxSound {
 		if _, ok := s.sound[part]; !ok {
--- a/internal/policy/srsuspect/suspects_test.go
+++ b/internal/policy/srsuspect/suspects_test.go
@@ -188,6 +188,22 @@
 	assert.Assert(t, !s.Check(now, request(9, 1, "a", "good")).Blocked)
 }
 
+// The crashes of one request in quick succession are several of its identity, but one of a part. The part
+// is suspected as soon as a sound answer shows that the identity is not the cause.
+func TestPartIsSuspectedInPlaceOfTheRequestThatHasIt(t *testing.T) {
+	s := newSuspects(0)
+	quickCrashes(s, time.Millisecond, request(0, 1, "a", "bad")...)
+	now := at(time.Second)
+	assert.Assert(t, s.Check(now, request(7, 1, "a", "bad")).Blocked == false, "another form may be sound")
+	addCrash(s, 2*time.Second, request(7, 1, "a", "bad"))
+	assert.Assert(t, s.Check(at(3*time.Second), request(8, 1, "a", "bad")).Blocked)
+	s.AddSound(at(4*time.Second), request(9, 1, "a", "good"))
+	for d := 5 * time.Second; d < time.Minute; d += 10 * time.Second {
+		assert.Equal(t, s.Check(at(d), request(10, 2, "a", "bad")).Part, "bad")
+		assert.Assert(t, !s.Check(at(d), request(10, 1, "a", "good")).Blocked)
+	}
+}
+
 // Of requests with one path, workspace and body only those in one form crash endpoints.
 func TestFormIsToldFromTheRequestThatHasIt(t *testing.T) {
 	s := newSuspects(0)
